--- /dev/null
+++ b/internal/backend/daisymember/conn.go
@@ -0,0 +1,122 @@
+package daisymember
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/wire/daisymessage"
+)
+
+// Conn is a connection for callers' statements.
+type Conn struct {
+	net    net.Conn
+	hijack *pgconn.HijackedConn
+	reader *daisymessage.Reader
+}
+
+// Open opens a connection for statements of the term.
+func Open(ctx context.Context, addr netip.AddrPort, c Credentials, term uint64) (conn *Conn, err error) {
+	defer daisyerror.Annotate(&err, "open connection to %s", addr)
+	pg, err := connect(ctx, addr, c, term)
+	if err != nil {
+		return nil, err
+	}
+	h, err := pg.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{net: h.Conn, hijack: h, reader: daisymessage.NewReader(h.Conn)}, nil
+}
+
+// Write sends encoded frontend messages.
+func (c *Conn) Write(b []byte) error {
+	_, err := c.net.Write(b)
+	return err
+}
+
+// Next reads one backend message. Its bytes are valid until the next call.
+func (c *Conn) Next() (daisymessage.Message, error) { return c.reader.Next() }
+
+// SetDeadline bounds the reads and writes that follow; the zero time removes
+// the bound.
+func (c *Conn) SetDeadline(t time.Time) error { return c.net.SetDeadline(t) }
+
+// Reset clears everything that a transaction may have left in the session.
+func (c *Conn) Reset(limit time.Duration) (err error) {
+	defer daisyerror.Annotate(&err, "reset connection")
+	if err := c.net.SetDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	query, err := (&pgproto3.Query{String: "DISCARD ALL"}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	if err := c.Write(query); err != nil {
+		return err
+	}
+	for {
+		m, err := c.Next()
+		if err != nil {
+			return err
+		}
+		switch m.Type {
+		case daisymessage.TypeError:
+			var e pgproto3.ErrorResponse
+			if err := e.Decode(m.Body()); err != nil {
+				return err
+			}
+			return pgconn.ErrorResponseToPgError(&e)
+		case daisymessage.TypeReady:
+			return c.net.SetDeadline(time.Time{})
+		}
+	}
+}
+
+// Cancel asks the server to stop what the connection executes.
+func (c *Conn) Cancel(ctx context.Context) (err error) {
+	defer daisyerror.Annotate(&err, "cancel statement")
+	request := &pgproto3.CancelRequest{ProcessID: c.hijack.PID, SecretKey: c.hijack.SecretKey}
+	b, err := request.Encode(nil)
+	if err != nil {
+		return err
+	}
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", c.net.RemoteAddr().String())
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(b)
+	_ = conn.Close()
+	return err
+}
+
+// Close ends the connection without waiting for the server.
+func (c *Conn) Close() { _ = c.net.Close() }
+
+// Alive reports whether the connection is still open and silent, as an idle
+// connection must be. It does not block.
+func (c *Conn) Alive() bool {
+	tcp, ok := c.net.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	alive := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return alive && err == nil
+}
--- /dev/null
+++ b/internal/backend/daisymember/control.go
@@ -0,0 +1,139 @@
+// Package daisymember reaches the members of a database group over the
+// PostgreSQL v3 protocol: a control connection for the platform's functions
+// and connections for callers' statements.
+package daisymember
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/holder/daisytakeover"
+)
+
+// Credentials are what the system shows to a member in place of a caller's key.
+type Credentials struct {
+	User     string
+	Password string
+	Database string // The name of the database within the server.
+}
+
+// connectTimeout bounds the opening of a connection to a member.
+const connectTimeout = 2 * time.Second
+
+func connect(ctx context.Context, addr netip.AddrPort, c Credentials, term uint64) (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("sslmode=prefer")
+	if err != nil {
+		return nil, err
+	}
+	config.Host = addr.Addr().String()
+	config.Port = addr.Port()
+	config.User = c.User
+	config.Password = c.Password
+	config.Database = c.Database
+	config.TLSConfig = nil
+	config.Fallbacks = nil
+	config.ConnectTimeout = connectTimeout
+	config.RuntimeParams = map[string]string{"platform.term": strconv.FormatUint(term, 10)}
+	return pgconn.ConnectConfig(ctx, config)
+}
+
+// Control calls the platform's functions on one member. It holds at most one
+// connection and opens it when first used.
+type Control struct {
+	addr        netip.AddrPort
+	credentials Credentials
+	term        uint64
+
+	mu   sync.Mutex
+	conn *pgconn.PgConn
+}
+
+// NewControl returns the control of the member at the address for a term.
+func NewControl(addr netip.AddrPort, c Credentials, term uint64) *Control {
+	return &Control{addr: addr, credentials: c, term: term}
+}
+
+// Close ends the connection.
+func (c *Control) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.drop()
+}
+
+func (c *Control) drop() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+func (c *Control) call(ctx context.Context, sql string) (s daisytakeover.Status, err error) {
+	defer daisyerror.Annotate(&err, "member %s", c.addr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		if c.conn, err = connect(ctx, c.addr, c.credentials, c.term); err != nil {
+			return s, err
+		}
+	}
+	results, err := c.conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		c.drop()
+		return s, err
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return s, fmt.Errorf("%s answered %d results", sql, len(results))
+	}
+	return parseStatus(string(results[0].Rows[0][0]))
+}
+
+// parseStatus reads "term role received applied".
+func parseStatus(text string) (s daisytakeover.Status, err error) {
+	var role, received, applied string
+	if _, err = fmt.Sscan(text, &s.Term, &role, &received, &applied); err != nil {
+		return s, fmt.Errorf("status %q: %w", text, err)
+	}
+	s.Primary = role == "primary"
+	if s.Received, err = daisylane.ParsePosition(received); err != nil {
+		return s, err
+	}
+	s.Applied, err = daisylane.ParsePosition(applied)
+	return s, err
+}
+
+// Status asks the member for its status.
+func (c *Control) Status(ctx context.Context) (daisytakeover.Status, error) {
+	return c.call(ctx, "SELECT platform.member_status()")
+}
+
+// Fence implements daisytakeover.Member.
+func (c *Control) Fence(ctx context.Context, term uint64) (daisytakeover.Status, error) {
+	return c.call(ctx, fmt.Sprintf("SELECT platform.fence(%d)", term))
+}
+
+// Promote implements daisytakeover.Member.
+func (c *Control) Promote(ctx context.Context, term uint64) (daisytakeover.Status, error) {
+	return c.call(ctx, fmt.Sprintf("SELECT platform.promote(%d)", term))
+}
+
+// Follow makes the member replicate from the primary at the address.
+func (c *Control) Follow(ctx context.Context, term uint64, primary netip.AddrPort) (daisytakeover.Status, error) {
+	return c.call(ctx, fmt.Sprintf("SELECT platform.follow(%d, '%s')", term, primary))
+}
+
+// Await returns once the member has received or applied other positions than
+// the given ones, or when the timeout has passed.
+func (c *Control) Await(ctx context.Context, received, applied daisylane.Position, timeout time.Duration) (daisytakeover.Status, error) {
+	return c.call(ctx, fmt.Sprintf("SELECT platform.await('%s', '%s', %d)", received, applied, timeout.Milliseconds()))
+}
--- /dev/null
+++ b/internal/control/daisybeat/beat.go
@@ -0,0 +1,61 @@
+// Package daisybeat defines what a host and the control leader say to each
+// other: one heartbeat carries the host's reports up, and its reply carries
+// the lease and the state's delta down.
+package daisybeat
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+)
+
+// Tenancy names a tenure.
+type Tenancy struct {
+	Database string
+	Term     uint64
+}
+
+// Claim reports that a holder fenced a group and chose its primary.
+type Claim struct {
+	Tenancy
+	Primary string
+	Note    string // What may have been lost, and why the member was chosen.
+}
+
+// Suspicion reports a primary that does not answer.
+type Suspicion struct {
+	Tenancy
+	Member string
+}
+
+// Announcement is a backend server's word that it is there.
+type Announcement struct {
+	Member string
+	Value  daisyfleet.Member
+	Age    time.Duration // How long ago the host heard it.
+}
+
+// Beat is a host's heartbeat.
+type Beat struct {
+	ID            uint64
+	Host          string
+	Incarnation   uint64
+	Address       netip.AddrPort
+	FailureDomain string
+	Region        string
+	Revision      uint64 // The revision that the host holds.
+	Leaving       bool
+	Released      []Tenancy
+	Claims        []Claim
+	Suspicions    []Suspicion
+	Announcements []Announcement
+}
+
+// Reply answers a Beat.
+type Reply struct {
+	ID     uint64
+	Lease  time.Duration // Counted from the sending of the beat; 0 grants none.
+	Delta  *daisyfleet.Delta
+	Leader netip.AddrPort // Where to turn to instead; invalid if unknown.
+}
--- /dev/null
+++ b/internal/control/daisycontrol/leader.go
@@ -0,0 +1,235 @@
+package daisycontrol
+
+import (
+	"maps"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+)
+
+// Times of the control protocol.
+const (
+	// BeatInterval is the time between two heartbeats of a host.
+	BeatInterval = 500 * time.Millisecond
+	// LeaseDuration is how long a lease lasts from the sending of the heartbeat.
+	LeaseDuration = 2 * time.Second
+	// DriftMargin is what clocks may gain on each other during a lease.
+	DriftMargin = 200 * time.Millisecond
+	// suspicionLife is how long an observer's report counts.
+	suspicionLife = 1500 * time.Millisecond
+	// announcementLife is how long a backend server lives without announcing.
+	announcementLife = 10 * time.Second
+)
+
+// record is what the leader knows of a host's process beyond the state.
+type record struct {
+	beat      daisybeat.Beat
+	heard     time.Time // When the last lease began at the latest.
+	condemned bool      // Given up; gets no lease until the log has decided.
+}
+
+// sight is an observer's report of a primary that does not answer.
+type sight struct {
+	suspicion daisybeat.Suspicion
+	domain    string
+	seen      time.Time
+}
+
+// announced is a backend server's last announcement.
+type announced struct {
+	daisybeat.Announcement
+	seen time.Time
+}
+
+// process identifies one start of a host.
+type process struct {
+	host        string
+	incarnation uint64
+}
+
+// Leader decides while this control host leads. It is not safe for concurrent
+// use. A new one is made for each term of leadership.
+type Leader struct {
+	began     time.Time
+	records   map[process]*record
+	sights    map[string]map[string]sight // By database, then observer.
+	announced map[string]announced        // By member object name.
+}
+
+// NewLeader returns the decisions of a leadership that began at the time.
+func NewLeader(began time.Time) *Leader {
+	return &Leader{
+		began:     began,
+		records:   make(map[process]*record),
+		sights:    make(map[string]map[string]sight),
+		announced: make(map[string]announced),
+	}
+}
+
+// Beat notes a heartbeat and returns the lease that it earns: none for a
+// process that is not the one the state calls up.
+func (l *Leader) Beat(now time.Time, s *daisyfleet.State, b daisybeat.Beat) time.Duration {
+	p := process{host: b.Host, incarnation: b.Incarnation}
+	r := l.records[p]
+	if r == nil {
+		r = &record{heard: l.began}
+		l.records[p] = r
+	}
+	r.beat = b
+	for _, suspicion := range b.Suspicions {
+		l.note(now, b, suspicion)
+	}
+	for _, a := range b.Announcements {
+		name := daisyfleet.MemberName(a.Value.Database, a.Member)
+		if seen := now.Add(-a.Age); seen.After(l.announced[name].seen) {
+			l.announced[name] = announced{Announcement: a, seen: seen}
+		}
+	}
+	host, ok := lookupHost(s, b.Host)
+	if !ok || !host.Up || host.Incarnation != b.Incarnation || r.condemned {
+		return 0
+	}
+	r.heard = now
+	return LeaseDuration
+}
+
+func (l *Leader) note(now time.Time, b daisybeat.Beat, suspicion daisybeat.Suspicion) {
+	seen := l.sights[suspicion.Database]
+	if seen == nil {
+		seen = make(map[string]sight)
+		l.sights[suspicion.Database] = seen
+	}
+	seen[b.Host] = sight{suspicion: suspicion, domain: b.FailureDomain, seen: now}
+}
+
+// expired reports whether every lease of the process has run out.
+func (l *Leader) expired(now time.Time, p process) bool {
+	heard := l.began
+	if r := l.records[p]; r != nil {
+		heard = r.heard
+	}
+	return now.Sub(heard) > LeaseDuration+DriftMargin
+}
+
+// Due returns the changes that the reports and the passing of time call for.
+// Each is decided against the given state; the caller proposes them and, once
+// they are decided, calls Decided.
+func (l *Leader) Due(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+	changes := l.dueHosts(now, s)
+	changes = append(changes, l.dueMembers(now, s)...)
+	return append(changes, l.dueTenures(now, s)...)
+}
+
+// Decided lets hosts that were given up earn leases again, now that the log
+// has decided on the changes.
+func (l *Leader) Decided() {
+	for _, r := range l.records {
+		r.condemned = false
+	}
+}
+
+// dueHosts declares hosts up and down.
+func (l *Leader) dueHosts(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+	var changes []daisyfleet.Change
+	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
+		h, ok := o.Value.(daisyfleet.Host)
+		p := process{host: o.Name, incarnation: h.Incarnation}
+		if !ok || !h.Up || !l.expired(now, p) {
+			return
+		}
+		if r := l.records[p]; r != nil {
+			r.condemned = true
+		}
+		h.Up = false
+		changes = append(changes, put(o, h, "host "+o.Name+" did not renew its lease"))
+	})
+	for p, r := range l.records {
+		if l.stale(now, p, s) {
+			delete(l.records, p)
+			continue
+		}
+		if c, ok := arrival(s, r.beat); ok {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+// stale reports whether the record belongs to a process that is long gone.
+func (l *Leader) stale(now time.Time, p process, s *daisyfleet.State) bool {
+	h, ok := lookupHost(s, p.host)
+	gone := ok && (!h.Up || h.Incarnation != p.incarnation)
+	return gone && l.records[p].heard != l.began && l.expired(now, p)
+}
+
+// arrival returns the change that declares a process up, or false if it is up
+// already or an older process of the host still may hold a lease.
+func arrival(s *daisyfleet.State, b daisybeat.Beat) (daisyfleet.Change, bool) {
+	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindHost, Name: b.Host})
+	held, _ := o.Value.(daisyfleet.Host)
+	next := daisyfleet.Host{
+		Incarnation: b.Incarnation, Address: b.Address, FailureDomain: b.FailureDomain,
+		Region: b.Region, Up: true, Leaving: b.Leaving,
+	}
+	if ok && held.Up && held.Incarnation != b.Incarnation {
+		return daisyfleet.Change{}, false
+	}
+	if ok && held == next {
+		return daisyfleet.Change{}, false
+	}
+	if !ok {
+		o = daisyfleet.Object{ID: daisyfleet.ID{Kind: daisyfleet.KindHost, Name: b.Host}}
+	}
+	return put(o, next, "host "+b.Host+" reported in"), true
+}
+
+// dueMembers adds, changes and expires backend servers.
+func (l *Leader) dueMembers(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+	var changes []daisyfleet.Change
+	for name, a := range l.announced {
+		id := daisyfleet.ID{Kind: daisyfleet.KindMember, Name: name}
+		o, ok := s.Get(id)
+		if ok && o.Value == a.Value || now.Sub(a.seen) > announcementLife {
+			continue
+		}
+		if _, known := s.Get(daisyfleet.ID{Kind: daisyfleet.KindDatabase, Name: a.Value.Database}); !known {
+			continue
+		}
+		if !ok {
+			o = daisyfleet.Object{ID: id}
+		}
+		changes = append(changes, put(o, a.Value, "backend server "+name+" announced itself"))
+	}
+	s.Each(daisyfleet.KindMember, func(o daisyfleet.Object) {
+		seen := l.began
+		if a, ok := l.announced[o.Name]; ok {
+			seen = a.seen
+		}
+		if now.Sub(seen) > announcementLife {
+			delete(l.announced, o.Name)
+			changes = append(changes, put(o, nil, "backend server "+o.Name+" stopped announcing itself"))
+		}
+	})
+	return changes
+}
+
+func lookupHost(s *daisyfleet.State, name string) (daisyfleet.Host, bool) {
+	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindHost, Name: name})
+	h, _ := o.Value.(daisyfleet.Host)
+	return h, ok
+}
+
+// put returns a change that replaces the value of an object as it was seen.
+func put(o daisyfleet.Object, v daisyfleet.Value, reason string) daisyfleet.Change {
+	return daisyfleet.Change{Reason: reason, Operations: []daisyfleet.Operation{{ID: o.ID, Against: o.Revision, Value: v}}}
+}
+
+// Suspected returns the databases whose primary is reported silent, for status.
+func (l *Leader) Suspected() []string {
+	var names []string
+	for name := range maps.Keys(l.sights) {
+		names = append(names, name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/control/daisycontrol/tenure.go
@@ -0,0 +1,186 @@
+package daisycontrol
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplace"
+)
+
+// quorumDomains is how many failure domains must report a primary silent.
+const quorumDomains = 2
+
+// dueTenures assigns databases to holders, records claims and starts new terms.
+func (l *Leader) dueTenures(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+	hosts := candidates(s)
+	members := membersByDatabase(s)
+	var changes []daisyfleet.Change
+	s.Each(daisyfleet.KindDatabase, func(o daisyfleet.Object) {
+		database, ok := o.Value.(daisyfleet.Database)
+		if !ok {
+			return
+		}
+		c, ok := l.dueTenure(now, s, o.Name, database, members[o.Name], hosts)
+		if ok {
+			changes = append(changes, c)
+		}
+	})
+	return changes
+}
+
+// dueTenure returns the change that one database needs, if any.
+func (l *Leader) dueTenure(
+	now time.Time, s *daisyfleet.State, name string, database daisyfleet.Database,
+	members map[string]daisyfleet.Member, hosts []daisyplace.Host,
+) (daisyfleet.Change, bool) {
+	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name})
+	if !ok {
+		if len(members) < database.Majority() {
+			return daisyfleet.Change{}, false
+		}
+		o.ID = daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name}
+		return assign(o, daisyfleet.Tenure{}, "", hosts, "database "+name+" has a majority of its members")
+	}
+	t, _ := o.Value.(daisyfleet.Tenure)
+	near := members[last(t)].FailureDomain
+	holder, known := lookupHost(s, t.Holder)
+	switch {
+	case !known || !holder.Up || holder.Incarnation != t.Incarnation:
+		return assign(o, t, near, hosts, fmt.Sprintf("holder %s of %s is gone", t.Holder, name))
+	case l.released(t, name):
+		return assign(o, t, near, hosts, fmt.Sprintf("holder %s of %s handed it back", t.Holder, name))
+	case t.Primary == "":
+		return l.claim(o, t, name)
+	case members[t.Primary].Leaving && len(members) > 1:
+		return renew(o, t, fmt.Sprintf("primary %s of %s is leaving", t.Primary, name))
+	case l.silent(now, s, name, t):
+		return renew(o, t, fmt.Sprintf("primary %s of %s does not answer observers in %d failure domains", t.Primary, name, quorumDomains))
+	}
+	return daisyfleet.Change{}, false
+}
+
+// assign starts a new term with the best holder.
+func assign(o daisyfleet.Object, t daisyfleet.Tenure, near string, hosts []daisyplace.Host, reason string) (daisyfleet.Change, bool) {
+	h, ok := daisyplace.Holder(o.Name, near, hosts)
+	if !ok {
+		return daisyfleet.Change{}, false
+	}
+	for i := range hosts {
+		if hosts[i].Name == h.Name {
+			hosts[i].Load++
+		}
+	}
+	next := daisyfleet.Tenure{Term: t.Term + 1, Holder: h.Name, Incarnation: h.Incarnation, Last: last(t), Avoid: t.Avoid}
+	return put(o, next, fmt.Sprintf("%s; term %d goes to %s", reason, next.Term, h.Name)), true
+}
+
+// renew starts a new term with the same holder, so that it chooses a primary anew.
+func renew(o daisyfleet.Object, t daisyfleet.Tenure, reason string) (daisyfleet.Change, bool) {
+	next := daisyfleet.Tenure{Term: t.Term + 1, Holder: t.Holder, Incarnation: t.Incarnation, Last: t.Primary, Avoid: t.Primary}
+	return put(o, next, fmt.Sprintf("%s; term %d chooses anew", reason, next.Term)), true
+}
+
+// last returns the primary that served most recently.
+func last(t daisyfleet.Tenure) string {
+	if t.Primary != "" {
+		return t.Primary
+	}
+	return t.Last
+}
+
+// claim records the primary that the holder chose.
+func (l *Leader) claim(o daisyfleet.Object, t daisyfleet.Tenure, name string) (daisyfleet.Change, bool) {
+	r := l.records[process{host: t.Holder, incarnation: t.Incarnation}]
+	if r == nil {
+		return daisyfleet.Change{}, false
+	}
+	for _, c := range r.beat.Claims {
+		if c.Tenancy == (daisybeat.Tenancy{Database: name, Term: t.Term}) {
+			t.Primary = c.Primary
+			t.Avoid = ""
+			return put(o, t, fmt.Sprintf("%s serves %s as primary of term %d: %s", c.Primary, name, t.Term, c.Note)), true
+		}
+	}
+	return daisyfleet.Change{}, false
+}
+
+func (l *Leader) released(t daisyfleet.Tenure, name string) bool {
+	r := l.records[process{host: t.Holder, incarnation: t.Incarnation}]
+	if r == nil {
+		return false
+	}
+	for _, given := range r.beat.Released {
+		if given == (daisybeat.Tenancy{Database: name, Term: t.Term}) {
+			return true
+		}
+	}
+	return false
+}
+
+// silent reports whether observers in enough failure domains miss the primary.
+func (l *Leader) silent(now time.Time, s *daisyfleet.State, name string, t daisyfleet.Tenure) bool {
+	domains := make(map[string]bool)
+	for observer, seen := range l.sights[name] {
+		current := seen.suspicion.Term == t.Term && seen.suspicion.Member == t.Primary
+		if !current || now.Sub(seen.seen) > suspicionLife {
+			delete(l.sights[name], observer)
+			continue
+		}
+		domains[seen.domain] = true
+	}
+	return len(domains) >= min(quorumDomains, domainCount(s))
+}
+
+// domainCount returns in how many failure domains hosts are up.
+func domainCount(s *daisyfleet.State) int {
+	domains := make(map[string]bool)
+	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
+		if h, ok := o.Value.(daisyfleet.Host); ok && h.Up {
+			domains[h.FailureDomain] = true
+		}
+	})
+	return max(1, len(domains))
+}
+
+// candidates returns the hosts that may hold databases, with their load.
+func candidates(s *daisyfleet.State) []daisyplace.Host {
+	load := make(map[string]int)
+	s.Each(daisyfleet.KindTenure, func(o daisyfleet.Object) {
+		if t, ok := o.Value.(daisyfleet.Tenure); ok {
+			load[t.Holder]++
+		}
+	})
+	return Candidates(s, load)
+}
+
+// Candidates returns the hosts that are up and not leaving.
+func Candidates(s *daisyfleet.State, load map[string]int) []daisyplace.Host {
+	var hosts []daisyplace.Host
+	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
+		h, ok := o.Value.(daisyfleet.Host)
+		if ok && h.Up && !h.Leaving {
+			hosts = append(hosts, daisyplace.Host{
+				Name: o.Name, FailureDomain: h.FailureDomain, Region: h.Region,
+				Incarnation: h.Incarnation, Load: load[o.Name],
+			})
+		}
+	})
+	return hosts
+}
+
+func membersByDatabase(s *daisyfleet.State) map[string]map[string]daisyfleet.Member {
+	all := make(map[string]map[string]daisyfleet.Member)
+	s.Each(daisyfleet.KindMember, func(o daisyfleet.Object) {
+		m, ok := o.Value.(daisyfleet.Member)
+		if !ok {
+			return
+		}
+		if all[m.Database] == nil {
+			all[m.Database] = make(map[string]daisyfleet.Member)
+		}
+		all[m.Database][o.Name[len(m.Database)+1:]] = m
+	})
+	return all
+}
--- /dev/null
+++ b/internal/control/daisykeeper/keeper.go
@@ -0,0 +1,292 @@
+// Package daisykeeper keeps a host's lease: it sends heartbeats to the control
+// leader, follows the leader from host to host and merges the state's deltas.
+// The lease is extended only after the state that came with it is merged, so a
+// valid lease means that every change accepted before it is in force here.
+package daisykeeper
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+)
+
+const (
+	// replyTimeout is how long a control host may take to answer a heartbeat.
+	replyTimeout = 750 * time.Millisecond
+	// dialTimeout bounds the opening of a link to a control host.
+	dialTimeout = 500 * time.Millisecond
+	// huntInterval is the pause before the next control host is tried.
+	huntInterval = 50 * time.Millisecond
+	// proposeRetry is the pause before a change is proposed again.
+	proposeRetry = 100 * time.Millisecond
+)
+
+// Link is a connection to a control host.
+type Link interface {
+	Send(ctx context.Context, message []byte) error
+	Receive(ctx context.Context) ([]byte, error)
+	Close()
+}
+
+// Dial opens a link to a control host.
+type Dial func(ctx context.Context, addr netip.AddrPort) (Link, error)
+
+// Options configure a Keeper.
+type Options struct {
+	Hosts  []netip.AddrPort      // The control hosts.
+	Dial   Dial                  // Opens links.
+	Report func() daisybeat.Beat // The host's present reports; ID and Revision are filled in.
+	View   *daisyfleet.View
+	Log    log.Interface
+}
+
+// ErrNoLeader is returned if no control leader took a change in time.
+var ErrNoLeader = errors.New("no control leader answered")
+
+// Keeper keeps the lease.
+type Keeper struct {
+	Lease
+
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	link     Link // To the leader, or nil.
+	nextID   uint64
+	sent     map[uint64]time.Time
+	verdicts map[uint64]chan daisycodec.Decision
+	answered time.Time
+	leader   netip.AddrPort
+}
+
+// New starts a keeper.
+func New(o Options) *Keeper {
+	k := &Keeper{
+		options: o, wake: make(chan struct{}, 1),
+		sent: make(map[uint64]time.Time), verdicts: make(map[uint64]chan daisycodec.Decision),
+	}
+	k.ctx, k.cancel = context.WithCancel(context.Background())
+	k.wait.Go(k.run)
+	return k
+}
+
+// Wake sends the next heartbeat at once, because there is something to report.
+func (k *Keeper) Wake() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run connects to one control host after the other.
+func (k *Keeper) run() {
+	next := 0
+	for k.ctx.Err() == nil {
+		addr := k.hint()
+		if !addr.IsValid() {
+			addr = k.options.Hosts[next%len(k.options.Hosts)]
+			next++
+		}
+		if err := k.attend(addr); err != nil {
+			k.options.Log.WithError(err).WithField("control", addr).Debug("keeper: left control host")
+		}
+		select {
+		case <-time.After(huntInterval):
+		case <-k.ctx.Done():
+		}
+	}
+}
+
+// hint takes the address that the last control host named as the leader's.
+func (k *Keeper) hint() netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	addr := k.leader
+	k.leader = netip.AddrPort{}
+	return addr
+}
+
+// attend sends heartbeats to a control host until it fails or does not lead.
+func (k *Keeper) attend(addr netip.AddrPort) error {
+	ctx, cancel := context.WithTimeout(k.ctx, dialTimeout)
+	link, err := k.options.Dial(ctx, addr)
+	cancel()
+	if err != nil {
+		return err
+	}
+	ctx, cancel = context.WithCancel(k.ctx)
+	defer cancel()
+	k.setLink(link)
+	var receiving sync.WaitGroup
+	receiving.Go(func() {
+		defer cancel()
+		k.receive(ctx, link, addr)
+	})
+	err = k.beat(ctx, link)
+	k.setLink(nil)
+	link.Close()
+	receiving.Wait()
+	return err
+}
+
+func (k *Keeper) setLink(link Link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.link = link
+	k.answered = time.Now()
+	clear(k.sent)
+	for id, verdict := range k.verdicts {
+		close(verdict)
+		delete(k.verdicts, id)
+	}
+}
+
+// beat sends heartbeats until the link fails or is not answered.
+func (k *Keeper) beat(ctx context.Context, link Link) error {
+	for {
+		if err := k.sendBeat(ctx, link); err != nil {
+			return err
+		}
+		timer := time.NewTimer(daisycontrol.BeatInterval)
+		select {
+		case <-timer.C:
+		case <-k.wake:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		}
+		k.mu.Lock()
+		silent := time.Since(k.answered) > replyTimeout
+		k.mu.Unlock()
+		if silent {
+			return errors.New("control host does not answer")
+		}
+	}
+}
+
+func (k *Keeper) sendBeat(ctx context.Context, link Link) error {
+	b := k.options.Report()
+	b.Revision = k.options.View.Revision()
+	now := time.Now()
+	k.mu.Lock()
+	k.nextID++
+	b.ID = k.nextID
+	k.sent[b.ID] = now
+	k.mu.Unlock()
+	return link.Send(ctx, daisycodec.EncodeBeat(b))
+}
+
+func (k *Keeper) receive(ctx context.Context, link Link, addr netip.AddrPort) {
+	for {
+		message, err := link.Receive(ctx)
+		if err != nil {
+			return
+		}
+		d, err := daisycodec.DecodeDownward(message)
+		if err != nil {
+			k.options.Log.WithError(err).Warn("keeper: message is not understood")
+			return
+		}
+		if d.Decision != nil {
+			k.decided(*d.Decision)
+			continue
+		}
+		if !k.handle(*d.Reply, addr) {
+			return
+		}
+	}
+}
+
+// handle merges a reply and extends the lease. It returns false if the control
+// host does not lead.
+func (k *Keeper) handle(r daisybeat.Reply, addr netip.AddrPort) bool {
+	if r.Delta != nil {
+		err := k.options.View.Update(func(s *daisyfleet.State) error { return s.Merge(*r.Delta) })
+		if err != nil {
+			return true // The next heartbeat tells the revision held.
+		}
+	}
+	if r.ID == 0 {
+		return true
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	sent, ok := k.sent[r.ID]
+	delete(k.sent, r.ID)
+	if r.Leader != addr {
+		k.leader = r.Leader
+		return false
+	}
+	k.answered = time.Now()
+	if ok && r.Lease > 0 {
+		k.Extend(sent, r.Lease)
+	}
+	return true
+}
+
+func (k *Keeper) decided(d daisycodec.Decision) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if verdict, ok := k.verdicts[d.ID]; ok {
+		verdict <- d
+		delete(k.verdicts, d.ID)
+	}
+}
+
+// Propose passes a change to the control leader and returns its outcome. It
+// tries until ctx ends; the change's ID makes that safe.
+func (k *Keeper) Propose(ctx context.Context, c daisyfleet.Change) (daisyfleet.Outcome, error) {
+	for {
+		if d, ok := k.tryPropose(ctx, c); ok {
+			return *d.Outcome, nil
+		}
+		select {
+		case <-time.After(proposeRetry):
+		case <-ctx.Done():
+			return daisyfleet.Outcome{}, errors.Join(ErrNoLeader, ctx.Err())
+		}
+	}
+}
+
+func (k *Keeper) tryPropose(ctx context.Context, c daisyfleet.Change) (daisycodec.Decision, bool) {
+	verdict := make(chan daisycodec.Decision, 1)
+	k.mu.Lock()
+	link := k.link
+	if link == nil {
+		k.mu.Unlock()
+		return daisycodec.Decision{}, false
+	}
+	k.nextID++
+	id := k.nextID
+	k.verdicts[id] = verdict
+	k.mu.Unlock()
+	if link.Send(ctx, daisycodec.EncodeProposal(daisycodec.Proposal{ID: id, Change: c})) != nil {
+		return daisycodec.Decision{}, false
+	}
+	select {
+	case d, ok := <-verdict:
+		return d, ok && d.Outcome != nil
+	case <-ctx.Done():
+		return daisycodec.Decision{}, false
+	}
+}
+
+// Close stops the keeper and waits for it. The lease runs out by itself.
+func (k *Keeper) Close() error {
+	k.cancel()
+	k.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/control/daisylog/replica.go
@@ -0,0 +1,431 @@
+package daisylog
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+)
+
+// Role is the part that a replica plays.
+type Role int
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leading
+)
+
+var (
+	// ErrNotLeader is returned for a proposal to a replica that does not lead.
+	ErrNotLeader = errors.New("replica does not lead")
+	// ErrSeatsPending is returned while another change of the seats is under way.
+	ErrSeatsPending = errors.New("another change of the seats is under way")
+)
+
+// progress is what a leader knows of another replica.
+type progress struct {
+	match uint64
+	next  uint64
+	acked time.Time // When the latest answered round was sent.
+	sent  bool      // An image was sent and not answered yet.
+}
+
+// Replica is one member of the log. It is not safe for concurrent use.
+type Replica struct {
+	id     ReplicaID
+	random *rand.Rand
+
+	ballot   Ballot
+	saved    Ballot // As last handed out for saving.
+	role     Role
+	leader   ReplicaID
+	heard    time.Time // From a current leader, or when the replica started.
+	deadline time.Time // Of the next election.
+	votes    map[ReplicaID]bool
+
+	image     Image
+	entries   []Entry // Those after the image.
+	unsaved   uint64  // The first entry that is not handed out for saving.
+	durable   uint64  // The last entry that is known to be saved.
+	commit    uint64
+	handed    uint64 // The last committed entry handed out.
+	seats     []Seat
+	seatIndex uint64
+
+	progress map[ReplicaID]*progress
+	round    uint64
+	rounds   map[uint64]time.Time
+	nextBeat time.Time
+	ledSince time.Time
+	began    uint64 // The index of the entry with which the leadership began.
+
+	newImage *Image
+	outbox   []Message
+}
+
+// New returns a replica that continues from what was saved.
+func New(now time.Time, s Saved, random *rand.Rand) *Replica {
+	r := &Replica{
+		id: s.Replica, random: random, ballot: s.Ballot, saved: s.Ballot,
+		image: s.Image, entries: slices.Clone(s.Entries), heard: now,
+	}
+	r.commit, r.handed = s.Image.Index, s.Image.Index
+	r.durable, r.unsaved = r.last(), r.last()+1
+	r.findSeats()
+	r.postpone(now)
+	return r
+}
+
+// ID returns the identity of the replica.
+func (r *Replica) ID() ReplicaID { return r.id }
+
+// Role returns the part that the replica plays.
+func (r *Replica) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Replica) Term() uint64 { return r.ballot.Term }
+
+// Commit returns the index of the last committed entry.
+func (r *Replica) Commit() uint64 { return r.commit }
+
+// Seats returns the seats in force.
+func (r *Replica) Seats() []Seat { return slices.Clone(r.seats) }
+
+// Leader returns the seat of the leader, or false if none is known.
+func (r *Replica) Leader() (Seat, bool) {
+	return r.seat(r.leader)
+}
+
+func (r *Replica) seat(id ReplicaID) (Seat, bool) {
+	for _, s := range r.seats {
+		if s.Replica == id && id != 0 {
+			return s, true
+		}
+	}
+	return Seat{}, false
+}
+
+func (r *Replica) voting() bool {
+	s, ok := r.seat(r.id)
+	return ok && s.Voting
+}
+
+// Holds reports whether the replica leads, everything committed before its
+// leadership is applied, and no other can have been elected yet.
+func (r *Replica) Holds(now time.Time) bool {
+	return r.role == Leading && r.handed >= r.began && now.Before(r.quorumTime(now).Add(ElectionMin-LeaseMargin))
+}
+
+// quorumTime returns the latest time at which a majority followed the leader.
+func (r *Replica) quorumTime(now time.Time) time.Time {
+	var times []time.Time
+	for _, s := range r.seats {
+		switch {
+		case !s.Voting:
+		case s.Replica == r.id:
+			times = append(times, now)
+		default:
+			times = append(times, r.progress[s.Replica].acked)
+		}
+	}
+	if len(times) == 0 {
+		return time.Time{}
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[len(times)/2]
+}
+
+func (r *Replica) last() uint64 {
+	if n := len(r.entries); n > 0 {
+		return r.entries[n-1].Index
+	}
+	return r.image.Index
+}
+
+// termAt returns the term of the entry, or false if it is not held.
+func (r *Replica) termAt(index uint64) (uint64, bool) {
+	switch {
+	case index == r.image.Index:
+		return r.image.Term, true
+	case index < r.image.Index || index > r.last():
+		return 0, false
+	}
+	return r.entries[index-r.image.Index-1].Term, true
+}
+
+func (r *Replica) from(index uint64) []Entry {
+	return r.entries[index-r.image.Index-1:]
+}
+
+// findSeats sets the seats from the latest entry that changes them.
+func (r *Replica) findSeats() {
+	r.seats, r.seatIndex = r.image.Seats, r.image.Index
+	for _, e := range r.entries {
+		if e.Seats != nil {
+			r.seats, r.seatIndex = e.Seats, e.Index
+		}
+	}
+}
+
+func (r *Replica) postpone(now time.Time) {
+	spread := time.Duration(r.random.Int64N(int64(ElectionMax - ElectionMin)))
+	r.deadline = now.Add(ElectionMin + spread)
+}
+
+func (r *Replica) send(m Message) {
+	m.From, m.Term = r.id, r.ballot.Term
+	r.outbox = append(r.outbox, m)
+}
+
+func (r *Replica) follow(now time.Time, term uint64, leader ReplicaID) {
+	if term > r.ballot.Term {
+		r.ballot = Ballot{Term: term}
+	}
+	r.role, r.leader = Follower, leader
+	r.progress, r.rounds = nil, nil
+	r.postpone(now)
+}
+
+// Tick lets time pass.
+func (r *Replica) Tick(now time.Time) {
+	if r.role == Leading {
+		r.tickLeader(now)
+		return
+	}
+	if !now.Before(r.deadline) && r.voting() {
+		r.preVote(now)
+	}
+}
+
+// Next returns when Tick is due at the latest.
+func (r *Replica) Next() time.Time {
+	if r.role == Leading {
+		return r.nextBeat
+	}
+	return r.deadline
+}
+
+func (r *Replica) tickLeader(now time.Time) {
+	followed := r.quorumTime(now)
+	if followed.Before(r.ledSince) {
+		followed = r.ledSince
+	}
+	if now.Sub(followed) > ElectionMax {
+		r.follow(now, r.ballot.Term, 0)
+		return
+	}
+	if !now.Before(r.nextBeat) {
+		r.broadcast(now)
+	}
+}
+
+// preVote asks whether an election would succeed, without a new term.
+func (r *Replica) preVote(now time.Time) {
+	r.role, r.leader = PreCandidate, 0
+	r.votes = map[ReplicaID]bool{r.id: true}
+	r.postpone(now)
+	r.askVotes(KindPreVote)
+	r.count(now)
+}
+
+func (r *Replica) stand(now time.Time) {
+	r.role, r.leader = Candidate, 0
+	r.ballot = Ballot{Term: r.ballot.Term + 1, Vote: r.id}
+	r.votes = map[ReplicaID]bool{r.id: true}
+	r.postpone(now)
+	r.askVotes(KindVote)
+	r.count(now)
+}
+
+func (r *Replica) askVotes(kind MessageKind) {
+	lastTerm, _ := r.termAt(r.last())
+	for _, s := range r.seats {
+		if s.Voting && s.Replica != r.id {
+			r.send(Message{Kind: kind, To: s.Replica, Index: r.last(), LogTerm: lastTerm})
+		}
+	}
+}
+
+// count ends an election that a majority decided.
+func (r *Replica) count(now time.Time) {
+	granted := 0
+	for _, s := range r.seats {
+		if s.Voting && r.votes[s.Replica] {
+			granted++
+		}
+	}
+	if granted < r.majority() {
+		return
+	}
+	if r.role == PreCandidate {
+		r.stand(now)
+		return
+	}
+	r.lead(now)
+}
+
+func (r *Replica) majority() int {
+	voting := 0
+	for _, s := range r.seats {
+		if s.Voting {
+			voting++
+		}
+	}
+	return voting/2 + 1
+}
+
+func (r *Replica) lead(now time.Time) {
+	r.role, r.leader = Leading, r.id
+	r.ledSince = now
+	r.progress = make(map[ReplicaID]*progress)
+	r.rounds = make(map[uint64]time.Time)
+	r.trackSeats()
+	r.appendEntry(Entry{})
+	r.began = r.last()
+	r.broadcast(now)
+}
+
+func (r *Replica) trackSeats() {
+	for _, s := range r.seats {
+		if s.Replica != r.id && r.progress[s.Replica] == nil {
+			r.progress[s.Replica] = &progress{next: r.last() + 1}
+		}
+	}
+	for id := range r.progress {
+		if _, ok := r.seat(id); !ok {
+			delete(r.progress, id)
+		}
+	}
+}
+
+func (r *Replica) appendEntry(e Entry) {
+	e.Index, e.Term = r.last()+1, r.ballot.Term
+	r.entries = append(r.entries, e)
+	if e.Seats != nil {
+		r.seats, r.seatIndex = e.Seats, e.Index
+		r.trackSeats()
+	}
+}
+
+// Propose appends a change. The entry's index and term identify it.
+func (r *Replica) Propose(now time.Time, c daisyfleet.Change) (index, term uint64, err error) {
+	if r.role != Leading {
+		return 0, 0, ErrNotLeader
+	}
+	r.appendEntry(Entry{Change: &c})
+	r.broadcast(now)
+	return r.last(), r.ballot.Term, nil
+}
+
+// broadcast starts a round: it sends every replica what it lacks.
+func (r *Replica) broadcast(now time.Time) {
+	r.round++
+	r.rounds[r.round] = now
+	for round, at := range r.rounds {
+		if now.Sub(at) > ElectionMax {
+			delete(r.rounds, round)
+		}
+	}
+	r.nextBeat = now.Add(HeartbeatInterval)
+	for id, p := range r.progress {
+		r.sendAppend(id, p)
+	}
+}
+
+func (r *Replica) sendAppend(to ReplicaID, p *progress) {
+	before := p.next - 1
+	term, ok := r.termAt(before)
+	if !ok {
+		r.sendImage(to, p)
+		return
+	}
+	entries := r.from(p.next)
+	if len(entries) > batchEntries {
+		entries = entries[:batchEntries]
+	}
+	r.send(Message{
+		Kind: KindAppend, To: to, Index: before, LogTerm: term,
+		Commit: r.commit, Entries: slices.Clone(entries), Round: r.round,
+	})
+}
+
+// sendImage sends the snapshot once and then empty rounds until it is answered.
+func (r *Replica) sendImage(to ReplicaID, p *progress) {
+	m := Message{Kind: KindAppend, To: to, Index: r.image.Index, LogTerm: r.image.Term, Commit: 0, Round: r.round}
+	if !p.sent {
+		p.sent = true
+		image := r.image
+		m.Kind, m.Image = KindImage, &image
+	}
+	r.send(m)
+}
+
+// Ready returns what must be carried out now and counts it as handed out.
+func (r *Replica) Ready() Ready {
+	ready := Ready{Image: r.newImage, Messages: r.outbox}
+	if r.ballot != r.saved {
+		ballot := r.ballot
+		ready.Ballot = &ballot
+		r.saved = ballot
+	}
+	if r.unsaved <= r.last() {
+		ready.Entries = slices.Clone(r.from(max(r.unsaved, r.image.Index+1)))
+		r.unsaved = r.last() + 1
+	}
+	if r.handed < r.commit {
+		start := r.handed + 1
+		ready.Committed = slices.Clone(r.from(start)[:r.commit-r.handed])
+		r.handed = r.commit
+	}
+	r.newImage, r.outbox = nil, nil
+	return ready
+}
+
+// Saved tells that everything handed out so far is on the disk. It may commit
+// entries, so Ready is due again.
+func (r *Replica) Saved(now time.Time) {
+	r.durable = r.unsaved - 1
+	if r.role == Leading {
+		r.advance(now)
+	}
+}
+
+// Compact replaces the entries up to the image, which the owner has saved.
+func (r *Replica) Compact(img Image) {
+	if img.Index <= r.image.Index || img.Index > r.handed {
+		return
+	}
+	r.entries = slices.Clone(r.from(img.Index + 1))
+	r.image = img
+}
+
+// Image returns the latest snapshot.
+func (r *Replica) Image() Image { return r.image }
+
+// Entries returns the entries after the snapshot.
+func (r *Replica) Entries() []Entry { return slices.Clone(r.entries) }
+
+// Ballot returns the term and the vote.
+func (r *Replica) Ballot() Ballot { return r.ballot }
+
+// SeatsAt returns the seats in force after the entry at index.
+func (r *Replica) SeatsAt(index uint64) []Seat {
+	seats := r.image.Seats
+	for _, e := range r.entries {
+		if e.Index <= index && e.Seats != nil {
+			seats = e.Seats
+		}
+	}
+	return slices.Clone(seats)
+}
+
+// TermAt returns the term of a held entry, or 0.
+func (r *Replica) TermAt(index uint64) uint64 {
+	term, _ := r.termAt(index)
+	return term
+}
--- /dev/null
+++ b/internal/control/daisylog/seats.go
@@ -0,0 +1,99 @@
+package daisylog
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// ChangeSeats appends a new set of seats, which may differ from the one in
+// force by one voting replica at most.
+func (r *Replica) ChangeSeats(now time.Time, seats []Seat) error {
+	if r.role != Leading {
+		return ErrNotLeader
+	}
+	if r.commit < r.seatIndex || r.commit < r.began {
+		return ErrSeatsPending
+	}
+	if votersChanged(r.seats, seats) > 1 {
+		return ErrSeatsPending
+	}
+	r.appendEntry(Entry{Seats: slices.Clone(seats)})
+	r.broadcast(now)
+	return nil
+}
+
+func votersChanged(before, after []Seat) int {
+	changed := 0
+	for _, s := range before {
+		if s.Voting && !votes(after, s.Replica) {
+			changed++
+		}
+	}
+	for _, s := range after {
+		if s.Voting && !votes(before, s.Replica) {
+			changed++
+		}
+	}
+	return changed
+}
+
+func votes(seats []Seat, id ReplicaID) bool {
+	return slices.ContainsFunc(seats, func(s Seat) bool { return s.Replica == id && s.Voting })
+}
+
+// Join returns the message with which a newcomer asks for a seat.
+func Join(seat Seat) Message {
+	return Message{Kind: KindJoin, From: seat.Replica, Seat: &seat}
+}
+
+// stepJoin gives a newcomer a seat without a vote. A newcomer with the name of
+// a seated host has lost its disk: it takes the seat over once it has caught up.
+func (r *Replica) stepJoin(now time.Time, m Message) {
+	if r.role != Leading || m.Seat == nil {
+		return
+	}
+	newcomer := *m.Seat
+	newcomer.Voting = false
+	if held, ok := r.seat(newcomer.Replica); ok {
+		if held.Address != newcomer.Address {
+			r.moveSeat(now, held, newcomer.Address)
+		}
+		return
+	}
+	seats := slices.DeleteFunc(slices.Clone(r.seats), func(s Seat) bool {
+		return s.Name == newcomer.Name && !s.Voting
+	})
+	_ = r.ChangeSeats(now, append(seats, newcomer)) // The newcomer asks again.
+}
+
+func (r *Replica) moveSeat(now time.Time, held Seat, to netip.AddrPort) {
+	seats := slices.Clone(r.seats)
+	for i := range seats {
+		if seats[i].Replica == held.Replica {
+			seats[i].Address = to
+		}
+	}
+	_ = r.ChangeSeats(now, seats)
+}
+
+// promoteNewcomer gives a newcomer that has caught up its vote, after the seat
+// that it replaces has been removed.
+func (r *Replica) promoteNewcomer(now time.Time, id ReplicaID) {
+	seat, ok := r.seat(id)
+	if !ok || seat.Voting || r.progress[id].match < r.commit || r.commit < r.seatIndex {
+		return
+	}
+	seats := slices.Clone(r.seats)
+	replaced := slices.IndexFunc(seats, func(s Seat) bool { return s.Name == seat.Name && s.Replica != id })
+	if replaced >= 0 {
+		_ = r.ChangeSeats(now, slices.Delete(seats, replaced, replaced+1))
+		return
+	}
+	for i := range seats {
+		if seats[i].Replica == id {
+			seats[i].Voting = true
+		}
+	}
+	_ = r.ChangeSeats(now, seats)
+}
--- /dev/null
+++ b/internal/control/daisylog/types.go
@@ -0,0 +1,110 @@
+package daisylog
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+)
+
+// Times of the protocol.
+const (
+	// HeartbeatInterval is the time between two rounds of the leader.
+	HeartbeatInterval = 150 * time.Millisecond
+	// ElectionMin is the least time without a leader before an election. A
+	// follower votes for nobody for this long after hearing from a leader.
+	ElectionMin = 1000 * time.Millisecond
+	// ElectionMax is the greatest time without a leader before an election.
+	ElectionMax = 1600 * time.Millisecond
+	// LeaseMargin is what clocks may gain on each other during ElectionMin.
+	LeaseMargin = 100 * time.Millisecond
+)
+
+// batchEntries bounds the entries of one message.
+const batchEntries = 256
+
+// ReplicaID identifies a replica together with its disk. 0 is nobody.
+type ReplicaID uint64
+
+// Seat is a control host's place in the quorum.
+type Seat struct {
+	Replica ReplicaID
+	Name    string // The host name.
+	Address netip.AddrPort
+	Voting  bool
+}
+
+// Entry is one entry of the log: a change, a new set of seats, or neither.
+type Entry struct {
+	Index  uint64
+	Term   uint64
+	Change *daisyfleet.Change
+	Seats  []Seat
+}
+
+// Ballot is what a replica must not forget between entries.
+type Ballot struct {
+	Term uint64
+	Vote ReplicaID
+}
+
+// Image is a snapshot: the state after the entry at Index.
+type Image struct {
+	Index uint64
+	Term  uint64
+	Seats []Seat
+	State daisyfleet.Image
+}
+
+// MessageKind names what a message is.
+type MessageKind string
+
+// The kinds of message.
+const (
+	KindPreVote      MessageKind = "PreVote"
+	KindPreVoteReply MessageKind = "PreVoteReply"
+	KindVote         MessageKind = "Vote"
+	KindVoteReply    MessageKind = "VoteReply"
+	KindAppend       MessageKind = "Append"
+	KindAppendReply  MessageKind = "AppendReply"
+	KindImage        MessageKind = "Image"
+	KindJoin         MessageKind = "Join"
+)
+
+// Message passes between replicas.
+type Message struct {
+	Kind    MessageKind
+	From    ReplicaID
+	To      ReplicaID
+	Term    uint64
+	Index   uint64 // Append: the entry before. Votes: the last entry. Replies: the match, or a hint.
+	LogTerm uint64 // The term of the entry at Index.
+	Commit  uint64
+	Entries []Entry
+	Reject  bool
+	Round   uint64 // Numbers the leader's rounds; echoed by replies.
+	Image   *Image
+	Seat    *Seat // Join: the newcomer.
+}
+
+// Saved is what a replica finds on its disk when it starts.
+type Saved struct {
+	Replica ReplicaID
+	Ballot  Ballot
+	Image   Image
+	Entries []Entry // Those after the image, in order.
+}
+
+// Ready is what the owner must carry out after a call.
+type Ready struct {
+	Ballot    *Ballot // To be saved first.
+	Image     *Image  // To replace the saved log.
+	Entries   []Entry // To be saved; they replace any saved entries from the first's index on.
+	Messages  []Message
+	Committed []Entry // To be applied in order, after Image.
+}
+
+// Empty reports whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return r.Ballot == nil && r.Image == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0
+}
--- /dev/null
+++ b/internal/control/daisyquorum/node.go
@@ -0,0 +1,358 @@
+// Package daisyquorum runs a replica of the control log: it saves what the
+// replica wants saved, sends its messages, applies what is committed to the
+// fleet's state and answers those who proposed changes.
+package daisyquorum
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+)
+
+const (
+	// compactAfter is the number of applied entries after which a snapshot is taken.
+	compactAfter = 512
+	// joinInterval is how often a newcomer asks for a seat.
+	joinInterval = 500 * time.Millisecond
+)
+
+// ErrLost is returned for a change whose entry was replaced by another
+// leader's: it was not decided, and may be proposed again with the same ID.
+var ErrLost = errors.New("the entry of the change was lost with its leader")
+
+// Storage saves the log. Both calls return only when the data is synced.
+type Storage interface {
+	// Append saves the ballot, if any, and the entries, which replace those
+	// saved from the index of the first on.
+	Append(ballot *daisylog.Ballot, entries []daisylog.Entry) error
+	// Replace saves a snapshot and what follows it in place of everything.
+	Replace(ballot daisylog.Ballot, img daisylog.Image, entries []daisylog.Entry) error
+}
+
+// Transport sends messages. It does not block and may lose them.
+type Transport interface {
+	Send(to netip.AddrPort, m daisylog.Message)
+}
+
+// Options configure a Node.
+type Options struct {
+	Self      daisylog.Seat
+	Peers     []netip.AddrPort // The other control hosts, for a newcomer to ask.
+	Saved     daisylog.Saved
+	Storage   Storage
+	Transport Transport
+	View      *daisyfleet.View
+	Random    *rand.Rand
+	Log       log.Interface
+}
+
+type waiter struct {
+	term   uint64
+	answer chan result
+}
+
+type result struct {
+	outcome daisyfleet.Outcome
+	err     error
+}
+
+// Node is a running replica.
+type Node struct {
+	options Options
+	wake    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu      sync.Mutex
+	replica *daisylog.Replica
+	waiters map[uint64]waiter
+	applied uint64
+	failed  error // The disk failed; the node does nothing more.
+	role    daisylog.Role
+}
+
+// Open starts a node from what its storage had saved.
+func Open(o Options) (n *Node, err error) {
+	defer daisyerror.Annotate(&err, "open control log")
+	n = &Node{options: o, wake: make(chan struct{}, 1), waiters: make(map[uint64]waiter)}
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	n.replica = daisylog.New(time.Now(), o.Saved, o.Random)
+	n.restore(o.Saved.Image)
+	n.wait.Go(n.run)
+	n.wait.Go(n.join)
+	return n, nil
+}
+
+func (n *Node) restore(img daisylog.Image) {
+	n.applied = img.Index
+	state := img.State
+	state.Revision = img.Index
+	_ = n.options.View.Update(func(s *daisyfleet.State) error {
+		s.Restore(state)
+		return nil
+	})
+}
+
+// run ticks the replica.
+func (n *Node) run() {
+	for {
+		n.mu.Lock()
+		next := n.replica.Next()
+		n.mu.Unlock()
+		timer := time.NewTimer(time.Until(next))
+		select {
+		case <-timer.C:
+			n.with(n.replica.Tick)
+		case <-n.wake:
+			timer.Stop()
+		case <-n.ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// join asks for a seat until the replica has one.
+func (n *Node) join() {
+	for n.ctx.Err() == nil {
+		if !n.seated() {
+			for _, peer := range n.options.Peers {
+				n.options.Transport.Send(peer, daisylog.Join(n.options.Self))
+			}
+		}
+		select {
+		case <-time.After(joinInterval):
+		case <-n.ctx.Done():
+		}
+	}
+}
+
+func (n *Node) seated() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range n.replica.Seats() {
+		if s.Replica == n.options.Self.Replica {
+			return s.Address == n.options.Self.Address
+		}
+	}
+	return false
+}
+
+// Step handles a message from another replica.
+func (n *Node) Step(m daisylog.Message) {
+	n.with(func(now time.Time) { n.replica.Step(now, m) })
+}
+
+// with runs f on the replica and carries out what follows from it.
+func (n *Node) with(f func(now time.Time)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.failed != nil {
+		return
+	}
+	f(time.Now())
+	n.settle()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+// settle carries out what the replica wants until there is nothing left.
+func (n *Node) settle() {
+	for {
+		ready := n.replica.Ready()
+		if ready.Empty() {
+			break
+		}
+		if err := n.save(&ready); err != nil {
+			n.fail(err)
+			return
+		}
+		n.replica.Saved(time.Now())
+		n.send(ready.Messages)
+		n.apply(&ready)
+	}
+	n.note()
+	if n.applied-n.replica.Image().Index >= compactAfter {
+		n.compact()
+	}
+}
+
+func (n *Node) save(r *daisylog.Ready) error {
+	if r.Image != nil {
+		return n.options.Storage.Replace(n.replica.Ballot(), *r.Image, n.replica.Entries())
+	}
+	if r.Ballot == nil && len(r.Entries) == 0 {
+		return nil
+	}
+	return n.options.Storage.Append(r.Ballot, r.Entries)
+}
+
+func (n *Node) send(messages []daisylog.Message) {
+	seats := n.replica.Seats()
+	for _, m := range messages {
+		for _, s := range seats {
+			if s.Replica == m.To {
+				n.options.Transport.Send(s.Address, m)
+			}
+		}
+	}
+}
+
+func (n *Node) apply(r *daisylog.Ready) {
+	if r.Image != nil {
+		n.restore(*r.Image)
+		n.dropWaiters()
+	}
+	for _, e := range r.Committed {
+		n.applyEntry(e)
+	}
+}
+
+func (n *Node) applyEntry(e daisylog.Entry) {
+	var outcome daisyfleet.Outcome
+	_ = n.options.View.Update(func(s *daisyfleet.State) error {
+		if e.Change == nil {
+			s.Skip(e.Index)
+			return nil
+		}
+		outcome = s.Apply(e.Index, *e.Change)
+		return nil
+	})
+	n.applied = e.Index
+	w, ok := n.waiters[e.Index]
+	if !ok {
+		return
+	}
+	delete(n.waiters, e.Index)
+	if w.term != e.Term {
+		w.answer <- result{err: ErrLost}
+		return
+	}
+	w.answer <- result{outcome: outcome}
+}
+
+// dropWaiters answers those whose entries a snapshot has passed over.
+func (n *Node) dropWaiters() {
+	for index, w := range n.waiters {
+		if index <= n.applied {
+			delete(n.waiters, index)
+			w.answer <- result{err: ErrLost}
+		}
+	}
+}
+
+func (n *Node) compact() {
+	var state daisyfleet.Image
+	n.options.View.Read(func(s *daisyfleet.State) { state = s.Image() })
+	term := n.replica.TermAt(n.applied)
+	img := daisylog.Image{Index: n.applied, Term: term, Seats: n.replica.SeatsAt(n.applied), State: state}
+	n.replica.Compact(img)
+	if err := n.options.Storage.Replace(n.replica.Ballot(), img, n.replica.Entries()); err != nil {
+		n.fail(err)
+	}
+}
+
+func (n *Node) fail(err error) {
+	n.failed = err
+	n.options.Log.WithError(err).Error("quorum: storage failed, the replica stops")
+	for index, w := range n.waiters {
+		delete(n.waiters, index)
+		w.answer <- result{err: err}
+	}
+}
+
+func (n *Node) note() {
+	if role := n.replica.Role(); role != n.role {
+		n.role = role
+		n.options.Log.WithField("term", n.replica.Term()).Info("quorum: " + roleText(role))
+	}
+}
+
+func roleText(r daisylog.Role) string {
+	switch r {
+	case daisylog.Leading:
+		return "leads"
+	case daisylog.Candidate, daisylog.PreCandidate:
+		return "stands for election"
+	}
+	return "follows"
+}
+
+// Propose appends the change and waits for its outcome. After an error other
+// than daisylog.ErrNotLeader the outcome is not known; proposing the change
+// again with the same ID yields it.
+func (n *Node) Propose(ctx context.Context, c daisyfleet.Change) (o daisyfleet.Outcome, err error) {
+	defer daisyerror.Annotate(&err, "propose change")
+	w := waiter{answer: make(chan result, 1)}
+	n.with(func(now time.Time) {
+		var index uint64
+		index, w.term, err = n.replica.Propose(now, c)
+		if err == nil {
+			n.waiters[index] = w
+		}
+	})
+	if err != nil {
+		return o, err
+	}
+	if err := n.Failed(); err != nil {
+		return o, err
+	}
+	select {
+	case r := <-w.answer:
+		return r.outcome, r.err
+	case <-ctx.Done():
+		return o, ctx.Err()
+	case <-n.ctx.Done():
+		return o, fmt.Errorf("node is closed: %w", context.Canceled)
+	}
+}
+
+// Failed returns the error with which the storage failed, if it did.
+func (n *Node) Failed() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed
+}
+
+// Leads reports whether the replica leads for certain at this moment, and in
+// which term.
+func (n *Node) Leads() (term uint64, ok bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.replica.Term(), n.failed == nil && n.replica.Holds(time.Now())
+}
+
+// Leader returns the address of the leader, if one is known.
+func (n *Node) Leader() netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	seat, _ := n.replica.Leader()
+	return seat.Address
+}
+
+// Seats returns the seats in force.
+func (n *Node) Seats() []daisylog.Seat {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.replica.Seats()
+}
+
+// Close stops the node and waits for it.
+func (n *Node) Close() error {
+	n.cancel()
+	n.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/daisyentry/server.go
@@ -0,0 +1,223 @@
+package daisyentry
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+// Right tells whether the host's lease is valid at this moment.
+type Right interface {
+	Valid() bool
+}
+
+// Holder is the part of this host that holds databases.
+type Holder interface {
+	Holds(database string) bool
+	Lane() daisylane.Lane
+}
+
+// Recorder counts how requests ended.
+type Recorder interface {
+	Record(workspace, profile string, cause daisylane.Cause, took time.Duration, replica bool)
+}
+
+// Options configure a Server.
+type Options struct {
+	Listen          netip.AddrPort
+	Host            string
+	TLS             *tls.Config // Nil offers no TLS.
+	RequireTLS      bool
+	MaxSessions     int
+	MaxRequestBytes int
+	View            *daisyfleet.View
+	Right           Right
+	Holder          Holder
+	Lanes           *daisyroute.Lanes
+	Recorder        Recorder
+	Log             log.Interface
+}
+
+// Server accepts callers.
+type Server struct {
+	options  Options
+	listener net.Listener
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+
+	mu       sync.Mutex
+	sessions map[uint32]*session
+	nextPID  uint32
+	draining bool
+}
+
+// Open listens and starts to serve callers.
+func Open(o Options) (s *Server, err error) {
+	defer daisyerror.Annotate(&err, "open entry")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", o.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{options: o, listener: listener, sessions: make(map[uint32]*session)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.wait.Go(s.accept)
+	s.wait.Go(s.watchKeys)
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort {
+	addr, err := netip.ParseAddrPort(s.listener.Addr().String())
+	if err != nil {
+		panic("daisyentry: listener has no IP address")
+	}
+	return addr
+}
+
+// Sessions returns how many callers are connected.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.options.Log.WithError(err).Warn("entry: accept failed")
+			continue
+		}
+		s.wait.Go(func() { s.serve(conn) })
+	}
+}
+
+func (s *Server) serve(conn net.Conn) {
+	c := newSession(s, conn)
+	defer c.close()
+	if !s.add(c) {
+		c.fatal(daisylane.CodeNoConnection, "not run: the host serves as many callers as it may")
+		return
+	}
+	defer s.remove(c)
+	if err := c.start(); err != nil {
+		s.options.Log.WithError(err).Debug("entry: caller was not let in")
+		return
+	}
+	c.serve()
+}
+
+func (s *Server) add(c *session) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sessions) >= s.options.MaxSessions || s.draining {
+		return false
+	}
+	s.nextPID++
+	c.pid = s.nextPID
+	var secret [4]byte
+	_, _ = rand.Read(secret[:])
+	c.secret = binary.BigEndian.Uint32(secret[:])
+	s.sessions[c.pid] = c
+	return true
+}
+
+func (s *Server) remove(c *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, c.pid)
+}
+
+// cancelRequest stops the request that a session has under way.
+func (s *Server) cancelRequest(pid, secret uint32) {
+	s.mu.Lock()
+	c := s.sessions[pid]
+	s.mu.Unlock()
+	if c != nil && c.secret == secret {
+		c.cancelRequest()
+	}
+}
+
+// leaseCheckInterval is how often sessions with a request under way are
+// checked against the host's lease.
+const leaseCheckInterval = 250 * time.Millisecond
+
+// watchKeys ends sessions whose key is withdrawn, and those with a request
+// under way when the host's lease has run out.
+func (s *Server) watchKeys() {
+	tick := time.NewTicker(leaseCheckInterval)
+	defer tick.Stop()
+	for {
+		changed := s.options.View.Changed()
+		s.endSessions(func(c *session) bool { return c.key != "" && !c.keyGranted() }, "the key was withdrawn")
+		select {
+		case <-changed:
+		case <-tick.C:
+			if !s.options.Right.Valid() {
+				s.endSessions((*session).busy, "the host lost its lease")
+			}
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Server) endSessions(match func(*session) bool, why string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.sessions {
+		if c.ready.Load() && match(c) {
+			c.end(why)
+		}
+	}
+}
+
+// Drain refuses new callers, lets sessions finish what is under way until ctx
+// ends and then ends them.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	for ctx.Err() == nil {
+		s.endSessions(func(c *session) bool { return !c.busy() }, "the host is stopping")
+		if s.Sessions() == 0 {
+			return
+		}
+		select {
+		case <-time.After(drainInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+const drainInterval = 20 * time.Millisecond
+
+// Close ends every session and waits for them.
+func (s *Server) Close() error {
+	err := s.listener.Close()
+	s.cancel()
+	s.mu.Lock()
+	for _, c := range s.sessions {
+		_ = c.conn.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+	return err
+}
--- /dev/null
+++ b/internal/entry/daisyentry/session.go
@@ -0,0 +1,359 @@
+package daisyentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+const (
+	// requestLimit is how long a caller may take to send one request.
+	requestLimit = 30 * time.Second
+	// writeLimit is how long a caller may take to accept one part of an answer.
+	writeLimit = 60 * time.Second
+	// farewellLimit bounds the last message to a caller.
+	farewellLimit = time.Second
+	// routeRetry is how soon a request that was not run is routed again.
+	routeRetry = 25 * time.Millisecond
+)
+
+// session is one caller's connection.
+type session struct {
+	server  *Server
+	conn    net.Conn
+	guard   *dripGuard
+	backend *pgproto3.Backend
+	ctx     context.Context
+	cancel  context.CancelFunc
+	secure  bool
+	pid     uint32
+	secret  uint32
+
+	workspace string
+	profile   string
+	key       string // The identifier.
+	hash      [32]byte
+	ready     atomic.Bool // Logged in; the fields above are set.
+
+	statements map[string]statement
+	lane       daisylane.Lane // Kept while a transaction is open.
+	status     daisylane.Status
+	floor      daisylane.Position
+	arriving   bool
+
+	mu      sync.Mutex
+	working bool // A request is under way or a transaction is open.
+	stop    context.CancelFunc
+	ending  string
+}
+
+func newSession(s *Server, conn net.Conn) *session {
+	c := &session{
+		server: s, statements: make(map[string]statement),
+		status: daisylane.StatusIdle, arriving: true,
+	}
+	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	c.attach(conn)
+	return c
+}
+
+func (c *session) attach(conn net.Conn) {
+	c.conn = conn
+	c.guard = &dripGuard{conn: conn}
+	c.backend = pgproto3.NewBackend(c.guard, conn)
+}
+
+// dripGuard bounds the time from the first byte of a request to its last, but
+// not the time for which a caller is idle.
+type dripGuard struct {
+	conn    net.Conn
+	waiting bool // The next byte begins a request.
+}
+
+// Read implements io.Reader.
+func (d *dripGuard) Read(b []byte) (int, error) {
+	n, err := d.conn.Read(b)
+	if n > 0 && d.waiting {
+		d.waiting = false
+		err = errors.Join(err, d.conn.SetReadDeadline(time.Now().Add(requestLimit)))
+	}
+	return n, err
+}
+
+func (c *session) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.working
+}
+
+func (c *session) setWorking(working bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.working = working
+}
+
+// end stops the session from another goroutine.
+func (c *session) end(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending != "" {
+		return
+	}
+	c.ending = why
+	c.cancel()
+	_ = c.conn.SetReadDeadline(time.Now())
+}
+
+// cancelRequest stops the request under way.
+func (c *session) cancelRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stop != nil {
+		c.stop()
+	}
+}
+
+func (c *session) close() {
+	c.cancel()
+	if c.lane != nil {
+		c.lane.Close()
+	}
+	_ = c.conn.Close()
+}
+
+// serve answers requests until the connection or the session ends.
+func (c *session) serve() {
+	for {
+		b, err := c.receive()
+		if err == nil {
+			err = c.handle(b)
+		}
+		if err != nil {
+			c.farewell(err)
+			return
+		}
+	}
+}
+
+// farewell tells the caller why the session ends.
+func (c *session) farewell(err error) {
+	c.mu.Lock()
+	ending := c.ending
+	c.mu.Unlock()
+	var unsupported errUnsupported
+	switch {
+	case ending != "":
+		c.fatal(daisylane.CodeShutdown, ending)
+	case errors.As(err, &unsupported):
+		c.fatal(daisylane.CodeUnsupported, unsupported.Error())
+	case errors.Is(err, errRequestSize):
+		c.fatal(daisylane.CodeTooLarge, "not run: "+err.Error())
+	case errors.As(err, new(*pgproto3.ExceededMaxBodyLenErr)):
+		c.fatal(daisylane.CodeTooLarge, "not run: the message is larger than the limit")
+	}
+}
+
+// fatal sends an error that ends the connection.
+func (c *session) fatal(code, message string) {
+	_ = c.conn.SetWriteDeadline(time.Now().Add(farewellLimit))
+	c.backend.Send(&pgproto3.ErrorResponse{Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: code, Message: message})
+	_ = c.backend.Flush()
+}
+
+var errTerminated = errors.New("caller ended the session")
+
+// receive gathers one request.
+func (c *session) receive() (*batch, error) {
+	b := newBatch(c.statements, c.server.options.MaxRequestBytes)
+	c.guard.waiting = true
+	for c.ctx.Err() == nil {
+		message, err := c.backend.Receive()
+		if err != nil {
+			return nil, err
+		}
+		if _, end := message.(*pgproto3.Terminate); end {
+			return nil, errTerminated
+		}
+		done, err := b.add(message)
+		if err != nil {
+			return nil, err
+		}
+		if done {
+			return b, c.conn.SetReadDeadline(time.Time{})
+		}
+	}
+	return nil, c.ctx.Err()
+}
+
+// handle runs one request and writes its answer.
+func (c *session) handle(b *batch) error {
+	c.setWorking(true)
+	if c.ctx.Err() != nil {
+		return c.ctx.Err()
+	}
+	began := time.Now()
+	final, err := c.run(b.request())
+	if err != nil {
+		return err
+	}
+	for name, s := range b.defined {
+		c.statements[name] = s
+	}
+	c.status = final.Status
+	if c.status == daisylane.StatusIdle {
+		c.setWorking(false)
+	}
+	cause := daisylane.CauseNone
+	if final.Refusal != nil {
+		cause = final.Refusal.Cause
+	}
+	c.server.options.Recorder.Record(c.workspace, c.profile, cause, time.Since(began), final.Replica)
+	return nil
+}
+
+// run passes the request to the holder, again if it was not run and there is
+// time, and returns the last part of the answer.
+func (c *session) run(r *daisylane.Request) (final *daisylane.Answer, err error) {
+	profile, ok := c.server.options.View.Profile(c.profile)
+	if !ok {
+		return nil, errUnsupported("the profile was removed")
+	}
+	r.Workspace, r.Key, r.Profile = c.workspace, c.key, c.profile
+	ctx, cancel := context.WithCancel(c.ctx)
+	defer cancel()
+	c.mu.Lock()
+	c.stop = cancel
+	c.mu.Unlock()
+	deadline := time.Now().Add(profile.Wait)
+	for {
+		r.Floor, r.Arriving, r.Wait = c.floor, c.arriving, time.Until(deadline)
+		changed := c.server.options.View.Changed()
+		final, err := c.attempt(ctx, profile.Database, r)
+		if err != nil {
+			return nil, err
+		}
+		if !again(final) || time.Until(deadline) < routeRetry {
+			return final, c.deliver(final)
+		}
+		select {
+		case <-changed:
+		case <-time.After(routeRetry):
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// again reports whether a request that was not run may be routed anew.
+func again(a *daisylane.Answer) bool {
+	return a.Refusal != nil && (a.Refusal.Cause == daisylane.CauseMoved || a.Refusal.Cause == daisylane.CauseFailover)
+}
+
+// attempt runs the request once. The last part is returned, not written.
+func (c *session) attempt(ctx context.Context, database string, r *daisylane.Request) (final *daisylane.Answer, err error) {
+	inside := c.lane != nil
+	if !inside {
+		lane, unreachable := c.open(ctx, database)
+		if unreachable != nil {
+			return c.refused(daisylane.CauseMoved), nil
+		}
+		c.lane = lane
+	}
+	err = c.lane.Do(ctx, r, func(a *daisylane.Answer) error {
+		if a.Final {
+			final = a
+			return nil
+		}
+		return c.write(a.Bytes)
+	})
+	if err != nil || final.Status == daisylane.StatusIdle {
+		c.lane.Close()
+		c.lane = nil
+	}
+	if err == nil {
+		return final, nil
+	}
+	if c.ctx.Err() != nil {
+		return nil, err
+	}
+	return c.unknown(r.ReadOnly, err), nil
+}
+
+// open returns a lane to the holder of the database.
+func (c *session) open(ctx context.Context, database string) (daisylane.Lane, error) {
+	o := &c.server.options
+	if !o.Right.Valid() {
+		return nil, errors.New("host has no lease")
+	}
+	tenure, ok := o.View.Tenure(database)
+	if !ok {
+		return nil, errors.New("database has no holder")
+	}
+	if tenure.Holder == o.Host {
+		return o.Holder.Lane(), nil
+	}
+	host, ok := o.View.Host(tenure.Holder)
+	if !ok {
+		return nil, errors.New("holder is not known")
+	}
+	return o.Lanes.Take(ctx, host.Address)
+}
+
+func (c *session) refused(cause daisylane.Cause) *daisylane.Answer {
+	return &daisylane.Answer{Final: true, Status: daisylane.StatusIdle, Floor: c.floor, Refusal: &daisylane.Refusal{
+		Code: daisylane.CodeNotNow, Message: "not run: the database has no reachable holder",
+		RetryAfter: time.Second, Cause: cause,
+	}}
+}
+
+func (c *session) unknown(readOnly bool, err error) *daisylane.Answer {
+	a := c.refused(daisylane.CauseUnknown)
+	a.Refusal.Code = daisylane.CodeUnknownOutcome
+	a.Refusal.Message = "it is not known whether the request ran: " + err.Error()
+	a.Refusal.RetryAfter = 0
+	if readOnly {
+		a.Refusal.Cause = daisylane.CauseBackend
+		a.Refusal.Code = daisylane.CodeNotNow
+		a.Refusal.Message = "the read was cut off: " + err.Error()
+	}
+	return a
+}
+
+// deliver writes the last part of an answer.
+func (c *session) deliver(a *daisylane.Answer) error {
+	if a.Refusal == nil {
+		c.floor, c.arriving = a.Floor, false
+		return c.write(a.Bytes)
+	}
+	e := &pgproto3.ErrorResponse{
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: a.Refusal.Code, Message: a.Refusal.Message,
+	}
+	if a.Refusal.RetryAfter > 0 {
+		e.Hint = fmt.Sprintf("retry after %d ms", a.Refusal.RetryAfter.Milliseconds())
+	}
+	b, err := e.Encode(nil)
+	if err != nil {
+		return err
+	}
+	b, err = (&pgproto3.ReadyForQuery{TxStatus: byte(a.Status)}).Encode(b)
+	if err != nil {
+		return err
+	}
+	return c.write(b)
+}
+
+func (c *session) write(b []byte) error {
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeLimit)); err != nil {
+		return err
+	}
+	_, err := c.conn.Write(b)
+	return err
+}
--- /dev/null
+++ b/internal/entry/daisyentry/startup.go
@@ -0,0 +1,188 @@
+package daisyentry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+const (
+	// startupLimit is how long a caller may take to log in.
+	startupLimit = 10 * time.Second
+	// startupMessages bounds the negotiation messages before the startup.
+	startupMessages = 3
+	// passwordBytes bounds the key that a caller shows.
+	passwordBytes = 1024
+)
+
+var (
+	errRefused   = errors.New("caller was refused")
+	errCancelled = errors.New("connection carried a cancel request")
+)
+
+// start negotiates, checks the key and greets the caller.
+func (c *session) start() (err error) {
+	defer daisyerror.Annotate(&err, "start session")
+	if err := c.conn.SetDeadline(time.Now().Add(startupLimit)); err != nil {
+		return err
+	}
+	m, err := c.negotiate()
+	if err != nil {
+		return err
+	}
+	c.workspace = m.Parameters["user"]
+	c.profile = m.Parameters["database"]
+	if c.server.options.RequireTLS && !c.secure {
+		c.fatal("28000", "TLS is required")
+		return errRefused
+	}
+	if m.Parameters["replication"] != "" && m.Parameters["replication"] != "false" {
+		c.fatal(daisylane.CodeUnsupported, "replication connections are not supported")
+		return errRefused
+	}
+	if err := c.authenticate(); err != nil {
+		return err
+	}
+	c.greet()
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	c.ready.Store(true)
+	return c.conn.SetDeadline(time.Time{})
+}
+
+// negotiate reads up to the startup message.
+func (c *session) negotiate() (*pgproto3.StartupMessage, error) {
+	for range startupMessages {
+		message, err := c.backend.ReceiveStartupMessage()
+		if err != nil {
+			c.fatal(daisylane.CodeProtocol, "startup packet is not understood")
+			return nil, err
+		}
+		switch m := message.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.CancelRequest:
+			if len(m.SecretKey) == 4 {
+				c.server.cancelRequest(m.ProcessID, binary.BigEndian.Uint32(m.SecretKey))
+			}
+			return nil, errCancelled
+		case *pgproto3.SSLRequest:
+			if err := c.upgrade(); err != nil {
+				return nil, err
+			}
+		case *pgproto3.GSSEncRequest:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		}
+	}
+	c.fatal(daisylane.CodeProtocol, "too many negotiation messages")
+	return nil, errRefused
+}
+
+func (c *session) upgrade() error {
+	config := c.server.options.TLS
+	if config == nil || c.secure {
+		_, err := c.conn.Write([]byte{'N'})
+		return err
+	}
+	if _, err := c.conn.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	secure := tls.Server(c.conn, config)
+	if err := secure.HandshakeContext(c.ctx); err != nil {
+		return err
+	}
+	c.secure = true
+	c.attach(secure)
+	return nil
+}
+
+// authenticate checks the key that the caller shows as its password.
+func (c *session) authenticate() error {
+	c.backend.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := c.backend.Flush(); err != nil {
+		return err
+	}
+	if err := c.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return err
+	}
+	c.backend.SetMaxBodyLen(passwordBytes)
+	message, err := c.backend.Receive()
+	if err != nil {
+		c.fatal(daisylane.CodeProtocol, "password message is not understood")
+		return err
+	}
+	password, ok := message.(*pgproto3.PasswordMessage)
+	if !ok {
+		c.fatal(daisylane.CodeProtocol, "password message expected")
+		return errRefused
+	}
+	if !c.server.options.Right.Valid() {
+		c.fatal(daisylane.CodeNotNow, "not run: the host has no lease")
+		return errRefused
+	}
+	if !c.acceptKey(password.Password) {
+		c.fatal(daisylane.CodeKey, "the key does not open this workspace")
+		return errRefused
+	}
+	if _, ok := c.server.options.View.Profile(c.profile); !ok {
+		c.fatal("3D000", "the profile that the database name picks does not exist")
+		return errRefused
+	}
+	c.backend.SetMaxBodyLen(c.server.options.MaxRequestBytes)
+	return nil
+}
+
+// acceptKey checks a key of the form identifier.secret.
+func (c *session) acceptKey(text string) bool {
+	id, _, ok := strings.Cut(text, ".")
+	if !ok {
+		return false
+	}
+	key, ok := c.server.options.View.Key(id)
+	if !ok || key.Workspace != c.workspace {
+		return false
+	}
+	hash := sha256.Sum256([]byte(text))
+	if subtle.ConstantTimeCompare(hash[:], key.Hash[:]) != 1 {
+		return false
+	}
+	c.key, c.hash = id, hash
+	return true
+}
+
+// keyGranted reports whether the session's key still opens its workspace.
+func (c *session) keyGranted() bool {
+	key, ok := c.server.options.View.Key(c.key)
+	return ok && key.Workspace == c.workspace && key.Hash == c.hash
+}
+
+// greet sends what a server tells a caller before the first request.
+func (c *session) greet() {
+	c.backend.Send(&pgproto3.AuthenticationOk{})
+	parameters := []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: "16.0"},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "client_encoding", Value: "UTF8"},
+		{Name: "DateStyle", Value: "ISO, MDY"},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "standard_conforming_strings", Value: "on"},
+	}
+	for i := range parameters {
+		c.backend.Send(&parameters[i])
+	}
+	secret := binary.BigEndian.AppendUint32(nil, c.secret)
+	c.backend.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: secret})
+	c.backend.Send(&pgproto3.ReadyForQuery{TxStatus: byte(daisylane.StatusIdle)})
+}
--- /dev/null
+++ b/internal/entry/daisyroute/route.go
@@ -0,0 +1,181 @@
+// Package daisyroute opens lanes from an entry host to the holders of
+// databases. A host that holds the database itself is used directly; lanes to
+// other hosts are links that are kept open between transactions.
+package daisyroute
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+)
+
+// idleLimit bounds the lanes kept open to one host.
+const idleLimit = 64
+
+// Dialer opens links to other hosts.
+type Dialer interface {
+	Dial(ctx context.Context, addr netip.AddrPort, path daisylink.Path) (*daisylink.Conn, error)
+}
+
+// Lanes keeps idle lanes to other hosts. Use New.
+type Lanes struct {
+	dialer Dialer
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*Remote
+	closed bool
+}
+
+// New returns an empty set of lanes.
+func New(d Dialer) *Lanes {
+	return &Lanes{dialer: d, idle: make(map[netip.AddrPort][]*Remote)}
+}
+
+// Take returns a lane to the host at the address.
+func (l *Lanes) Take(ctx context.Context, addr netip.AddrPort) (*Remote, error) {
+	l.mu.Lock()
+	if lanes := l.idle[addr]; len(lanes) > 0 {
+		r := lanes[len(lanes)-1]
+		l.idle[addr] = lanes[:len(lanes)-1]
+		l.mu.Unlock()
+		return r, nil
+	}
+	l.mu.Unlock()
+	link, err := l.dialer.Dial(ctx, addr, daisylink.PathLane)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", daisylane.ErrNotSent, err)
+	}
+	return &Remote{lanes: l, addr: addr, link: link}, nil
+}
+
+// Close ends the idle lanes.
+func (l *Lanes) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for _, lanes := range l.idle {
+		for _, r := range lanes {
+			r.link.Close()
+		}
+	}
+	l.idle = nil
+	return nil
+}
+
+// Remote is a lane over a link.
+type Remote struct {
+	lanes *Lanes
+	addr  netip.AddrPort
+	link  *daisylink.Conn
+	sent  uint64
+	dirty bool // An answer is outstanding or a transaction is open.
+}
+
+// Do implements daisylane.Lane.
+func (r *Remote) Do(ctx context.Context, q *daisylane.Request, emit func(*daisylane.Answer) error) error {
+	r.dirty = true
+	r.sent++
+	numbered := *q
+	numbered.ID = r.sent
+	if err := r.link.Send(ctx, daisycodec.EncodeRequest(&numbered)); err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	for {
+		a, err := r.next(ctx)
+		if err != nil {
+			return err
+		}
+		if a.Final && a.Status == daisylane.StatusIdle {
+			r.dirty = false
+		}
+		if err := emit(a); err != nil || a.Final {
+			return err
+		}
+	}
+}
+
+// next receives a part of the answer to the request last sent.
+func (r *Remote) next(ctx context.Context) (*daisylane.Answer, error) {
+	b, err := r.link.Receive(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("receive answer: %w", err)
+	}
+	a, err := daisycodec.DecodeAnswer(b)
+	if err != nil {
+		return nil, err
+	}
+	if a.ID != r.sent {
+		return nil, fmt.Errorf("answer %d came for request %d", a.ID, r.sent)
+	}
+	return a, nil
+}
+
+// Close keeps the lane for another session, or ends it if an answer is
+// outstanding or a transaction is open.
+func (r *Remote) Close() {
+	l := r.lanes
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.dirty || l.closed || len(l.idle[r.addr]) >= idleLimit {
+		r.link.Close()
+		return
+	}
+	l.idle[r.addr] = append(l.idle[r.addr], r)
+}
+
+// Holder opens lanes into the groups that this host holds.
+type Holder interface {
+	Lane() daisylane.Lane
+}
+
+// Serve answers the requests on an accepted link until it ends.
+func Serve(ctx context.Context, link *daisylink.Conn, h Holder) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	lane := h.Lane()
+	defer lane.Close()
+	requests := make(chan *daisylane.Request)
+	go receive(ctx, cancel, link, requests)
+	for {
+		select {
+		case r := <-requests:
+			if err := serveOne(ctx, link, lane, r); err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// receive passes requests on and cancels the lane when the link ends, so that
+// a statement whose caller is gone is stopped.
+func receive(ctx context.Context, cancel context.CancelFunc, link *daisylink.Conn, requests chan<- *daisylane.Request) {
+	defer cancel()
+	for {
+		b, err := link.Receive(ctx)
+		if err != nil {
+			return
+		}
+		r, err := daisycodec.DecodeRequest(b)
+		if err != nil {
+			return
+		}
+		select {
+		case requests <- r:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func serveOne(ctx context.Context, link *daisylink.Conn, lane daisylane.Lane, r *daisylane.Request) error {
+	return lane.Do(ctx, r, func(a *daisylane.Answer) error {
+		return link.Send(ctx, daisycodec.EncodeAnswer(a))
+	})
+}
--- /dev/null
+++ b/internal/holder/daisyfloor/ledger.go
@@ -0,0 +1,114 @@
+// Package daisyfloor decides which replicas of a database group may serve a
+// read. It knows how far the primary's log went when, up to where each
+// workspace wrote, and how far each replica has applied the log.
+//
+// All writes of a group pass through its one holder, so the holder's ledger
+// knows every acknowledged write without asking anyone.
+package daisyfloor
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+const (
+	// sampleInterval is the least time between two samples of the head.
+	sampleInterval = 10 * time.Millisecond
+	// sampleLimit bounds the samples kept.
+	sampleLimit = 2048
+)
+
+// sample says that the head had reached at least position by time.
+type sample struct {
+	time     time.Time
+	position daisylane.Position
+}
+
+// Ledger holds the positions of one group during one tenure. It is not safe
+// for concurrent use.
+type Ledger struct {
+	start   daisylane.Position
+	oldest  daisylane.Position // The head before the first kept sample.
+	head    daisylane.Position
+	samples []sample
+	marks   map[string]daisylane.Position
+	applied map[string]daisylane.Position
+}
+
+// New returns a ledger for a tenure whose primary stood at start. Every write
+// before the tenure lies at or before start.
+func New(start daisylane.Position) *Ledger {
+	return &Ledger{
+		start:   start,
+		oldest:  start,
+		head:    start,
+		marks:   make(map[string]daisylane.Position),
+		applied: make(map[string]daisylane.Position),
+	}
+}
+
+// Head returns the furthest known position of the primary.
+func (l *Ledger) Head() daisylane.Position { return l.head }
+
+// Wrote notes a write of the workspace that was committed at the position.
+func (l *Ledger) Wrote(workspace string, p daisylane.Position, now time.Time) {
+	l.marks[workspace] = daisylane.Later(l.marks[workspace], p)
+	if !l.head.Less(p) {
+		return
+	}
+	l.head = p
+	n := len(l.samples)
+	if n > 0 && now.Sub(l.samples[n-1].time) < sampleInterval {
+		// The later position is kept under the earlier time: a reader then
+		// asks for more than it needs, never for less.
+		l.samples[n-1].position = p
+		return
+	}
+	l.samples = append(l.samples, sample{time: now, position: p})
+	if len(l.samples) > sampleLimit {
+		surplus := len(l.samples) - sampleLimit
+		l.oldest = l.samples[surplus-1].position
+		l.samples = slices.Delete(l.samples, 0, surplus)
+	}
+}
+
+// Applied notes how far a replica has applied the log. A replica may step back.
+func (l *Ledger) Applied(member string, p daisylane.Position) { l.applied[member] = p }
+
+// Forget removes a replica.
+func (l *Ledger) Forget(member string) { delete(l.applied, member) }
+
+// Floor returns the floor of a session of the workspace that arrives now: every
+// write that was acknowledged to the workspace lies at or before it.
+func (l *Ledger) Floor(workspace string) daisylane.Position {
+	return daisylane.Later(l.start, l.marks[workspace])
+}
+
+// need returns the position that a read must have reached.
+func (l *Ledger) need(floor daisylane.Position, maxAge time.Duration, now time.Time) daisylane.Position {
+	if maxAge == 0 {
+		return floor
+	}
+	since := now.Add(-maxAge)
+	i := sort.Search(len(l.samples), func(i int) bool { return l.samples[i].time.After(since) })
+	if i == 0 {
+		return daisylane.Later(floor, l.oldest)
+	}
+	return daisylane.Later(floor, l.samples[i-1].position)
+}
+
+// Replicas appends to dst the replicas that may serve a read with the floor
+// and the greatest age, in the order of names. A maxAge of 0 sets no bound.
+func (l *Ledger) Replicas(dst []string, floor daisylane.Position, maxAge time.Duration, now time.Time) []string {
+	need := l.need(floor, maxAge, now)
+	for name, p := range l.applied {
+		if !p.Less(need) {
+			dst = append(dst, name)
+		}
+	}
+	slices.Sort(dst)
+	return dst
+}
--- /dev/null
+++ b/internal/holder/daisyholder/holder.go
@@ -0,0 +1,168 @@
+package daisyholder
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/backend/daisymember"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+// Right tells whether the host's lease is valid at this moment.
+type Right interface {
+	Valid() bool
+}
+
+// Limiter takes tokens of a workspace's fleet-wide limit.
+type Limiter interface {
+	// Take waits for the tokens until ctx ends. It returns when to come back
+	// if they cannot be had, or 0 if they were taken.
+	Take(ctx context.Context, workspace string, cost float64) (retryAfter time.Duration)
+}
+
+// Options configure a Holder.
+type Options struct {
+	Host        string
+	Incarnation uint64
+	View        *daisyfleet.View
+	Right       Right
+	Limiter     Limiter
+	Credentials map[string]daisymember.Credentials // By database.
+	Log         log.Interface
+}
+
+// Holder serves the databases whose tenure the host holds.
+type Holder struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	mu       sync.Mutex
+	groups   map[string]*group
+	draining bool
+	released []daisybeat.Tenancy
+}
+
+// New starts a holder that follows the view.
+func New(o Options) *Holder {
+	h := &Holder{options: o, groups: make(map[string]*group)}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.wait.Go(h.follow)
+	return h
+}
+
+// follow starts and ends groups as the view assigns tenures.
+func (h *Holder) follow() {
+	for {
+		changed := h.options.View.Changed()
+		h.reconcile()
+		select {
+		case <-changed:
+		case <-h.ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Holder) reconcile() {
+	mine := make(map[string]daisyfleet.Tenure)
+	h.options.View.Read(func(s *daisyfleet.State) {
+		s.Each(daisyfleet.KindTenure, func(o daisyfleet.Object) {
+			t, ok := o.Value.(daisyfleet.Tenure)
+			if ok && t.Holder == h.options.Host && t.Incarnation == h.options.Incarnation && !t.Released {
+				mine[o.Name] = t
+			}
+		})
+	})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, g := range h.groups {
+		if t, ok := mine[name]; !ok || t.Term != g.term {
+			g.close()
+			delete(h.groups, name)
+		}
+	}
+	for name, t := range mine {
+		if h.groups[name] == nil {
+			h.groups[name] = h.start(name, t)
+		}
+	}
+}
+
+func (h *Holder) group(database string) *group {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.groups[database]
+}
+
+// Holds reports whether the host holds the database.
+func (h *Holder) Holds(database string) bool { return h.group(database) != nil }
+
+// Reports returns what the next heartbeat says of the tenures.
+func (h *Holder) Reports() (claims []daisybeat.Claim, suspicions []daisybeat.Suspicion, released []daisybeat.Tenancy) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, g := range h.groups {
+		tenancy := daisybeat.Tenancy{Database: name, Term: g.term}
+		primary, note, suspected := g.report()
+		if primary == "" {
+			continue
+		}
+		if t, _ := h.options.View.Tenure(name); t.Primary == "" {
+			claims = append(claims, daisybeat.Claim{Tenancy: tenancy, Primary: primary, Note: note})
+		}
+		if suspected {
+			suspicions = append(suspicions, daisybeat.Suspicion{Tenancy: tenancy, Member: primary})
+		}
+	}
+	return claims, suspicions, h.released
+}
+
+// Holding reports whether the host holds any database.
+func (h *Holder) Holding() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.groups) > 0
+}
+
+// Drain refuses new transactions, waits for those under way until ctx ends and
+// hands the tenures back.
+func (h *Holder) Drain(ctx context.Context) {
+	h.mu.Lock()
+	h.draining = true
+	groups := make([]*group, 0, len(h.groups))
+	for _, g := range h.groups {
+		groups = append(groups, g)
+	}
+	h.mu.Unlock()
+	for _, g := range groups {
+		g.drain(ctx)
+		h.mu.Lock()
+		h.released = append(h.released, daisybeat.Tenancy{Database: g.database, Term: g.term})
+		h.mu.Unlock()
+	}
+}
+
+// Close ends every group and waits until nothing of the holder runs.
+func (h *Holder) Close() error {
+	h.cancel()
+	h.wait.Wait()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, g := range h.groups {
+		g.close()
+	}
+	for _, g := range h.groups {
+		g.wait.Wait()
+	}
+	return nil
+}
+
+// Lane returns a lane into this host's groups.
+func (h *Holder) Lane() daisylane.Lane { return &lane{holder: h} }
--- /dev/null
+++ b/internal/holder/daisyqueue/queue.go
@@ -0,0 +1,206 @@
+// Package daisyqueue shares a fixed number of slots fairly between workspaces.
+//
+// The measure of fairness is the time for which a workspace holds slots: a
+// free slot goes to the waiting workspace that has had the least, as in
+// start-time fair queueing (Goyal, Vin and Cheng, 1996). A workspace that was
+// idle gains no credit for it.
+package daisyqueue
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+// lineLimit bounds the requests of one workspace that wait at a queue.
+const lineLimit = 512
+
+var (
+	// ErrFull is returned at once if too many requests of the workspace wait.
+	ErrFull = errors.New("too many requests of the workspace are waiting")
+	// ErrClosed is returned when the queue has been closed.
+	ErrClosed = errors.New("queue is closed")
+)
+
+// Queue hands out slots. Use New.
+type Queue struct {
+	mu     sync.Mutex
+	free   int
+	slots  int
+	closed bool
+	tenant map[string]*tenant
+	floor  time.Duration // The least service of any active workspace so far.
+}
+
+type tenant struct {
+	served  time.Duration // Slot time of finished uses, with the floor as base.
+	holding map[*Slot]bool
+	line    []*waiter
+}
+
+type waiter struct {
+	ready chan struct{}
+	slot  *Slot
+	err   error
+}
+
+// Slot is the right to use one of the queue's slots.
+type Slot struct {
+	queue     *Queue
+	workspace string
+	since     time.Time
+}
+
+// New returns a queue with the number of slots.
+func New(slots int) *Queue {
+	return &Queue{free: slots, slots: slots, tenant: make(map[string]*tenant)}
+}
+
+// Busy returns how many slots are in use.
+func (q *Queue) Busy() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.slots - q.free
+}
+
+// Acquire waits for a slot until ctx ends.
+func (q *Queue) Acquire(ctx context.Context, workspace string) (*Slot, error) {
+	w, err := q.join(workspace)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-w.ready:
+		return w.slot, w.err
+	case <-ctx.Done():
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if w.slot != nil {
+		q.release(w.slot)
+		return nil, ctx.Err()
+	}
+	q.leave(workspace, w)
+	return nil, ctx.Err()
+}
+
+func (q *Queue) join(workspace string) (*waiter, error) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return nil, ErrClosed
+	}
+	t := q.tenant[workspace]
+	if t == nil {
+		t = &tenant{served: q.floor, holding: make(map[*Slot]bool)}
+		q.tenant[workspace] = t
+	}
+	if len(t.line) >= lineLimit {
+		return nil, ErrFull
+	}
+	if len(t.line) == 0 && len(t.holding) == 0 {
+		t.served = max(t.served, q.floor)
+	}
+	w := &waiter{ready: make(chan struct{})}
+	t.line = append(t.line, w)
+	q.dispatch()
+	return w, nil
+}
+
+func (q *Queue) leave(workspace string, w *waiter) {
+	t := q.tenant[workspace]
+	if t == nil {
+		return
+	}
+	for i, other := range t.line {
+		if other == w {
+			t.line = append(t.line[:i], t.line[i+1:]...)
+			break
+		}
+	}
+	q.retire(workspace, t)
+}
+
+// dispatch gives free slots to the least served waiting workspaces.
+func (q *Queue) dispatch() {
+	now := time.Now()
+	for q.free > 0 {
+		workspace, t := q.least(now)
+		if t == nil {
+			return
+		}
+		w := t.line[0]
+		t.line = t.line[1:]
+		q.free--
+		w.slot = &Slot{queue: q, workspace: workspace, since: now}
+		t.holding[w.slot] = true
+		close(w.ready)
+	}
+}
+
+func (q *Queue) least(now time.Time) (string, *tenant) {
+	var name string
+	var best *tenant
+	var bestService time.Duration
+	for workspace, t := range q.tenant {
+		if len(t.line) == 0 {
+			continue
+		}
+		service := t.service(now)
+		if best == nil || service < bestService || service == bestService && workspace < name {
+			name, best, bestService = workspace, t, service
+		}
+	}
+	if best != nil {
+		q.floor = max(q.floor, best.served)
+	}
+	return name, best
+}
+
+// service returns the slot time so far, uses under way included.
+func (t *tenant) service(now time.Time) time.Duration {
+	total := t.served
+	for s := range t.holding {
+		total += now.Sub(s.since)
+	}
+	return total
+}
+
+// Release gives the slot back. It may be called once.
+func (s *Slot) Release() {
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	s.queue.release(s)
+}
+
+func (q *Queue) release(s *Slot) {
+	t := q.tenant[s.workspace]
+	t.served += time.Since(s.since)
+	delete(t.holding, s)
+	q.free++
+	q.retire(s.workspace, t)
+	q.dispatch()
+}
+
+// retire drops a workspace that is idle and has no more service than others,
+// so that the memory is bounded by the active workspaces.
+func (q *Queue) retire(workspace string, t *tenant) {
+	if len(t.line) == 0 && len(t.holding) == 0 && t.served <= q.floor {
+		delete(q.tenant, workspace)
+	}
+}
+
+// Close fails the waiting requests and those to come.
+func (q *Queue) Close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	for _, t := range q.tenant {
+		for _, w := range t.line {
+			w.err = ErrClosed
+			close(w.ready)
+		}
+		t.line = nil
+	}
+}
--- /dev/null
+++ b/internal/host/daisyhost/host.go
@@ -0,0 +1,373 @@
+// Package daisyhost assembles the parts of one host: the entry for callers,
+// the holder of databases, the keeper of the lease, on control hosts the
+// control log, and the HTTP interface.
+package daisyhost
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/backend/daisymember"
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisydisk"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisykeeper"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
+	"github.com/daisyglade/daisyglade/internal/entry/daisyentry"
+	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
+	"github.com/daisyglade/daisyglade/internal/holder/daisyholder"
+	"github.com/daisyglade/daisyglade/internal/host/daisyops"
+	"github.com/daisyglade/daisyglade/internal/security/daisycert"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+)
+
+// reportInterval is how often the holder's reports are compared, so that news
+// does not wait for the next heartbeat.
+const reportInterval = 50 * time.Millisecond
+
+// Host is one running host.
+type Host struct {
+	settings    daisysettings.Settings
+	incarnation uint64
+	log         log.Interface
+	view        *daisyfleet.View
+
+	links   *http.Server
+	tls     *tls.Config
+	dialer  *daisylink.Dialer
+	lanes   *daisyroute.Lanes
+	keeper  *daisykeeper.Keeper
+	holder  *daisyholder.Holder
+	entry   *daisyentry.Server
+	ops     *daisyops.Server
+	control *control
+	node    *daisyquorum.Node
+	disk    *daisydisk.Log
+	peers   *peers
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	mu      sync.Mutex
+	leaving bool
+}
+
+// Found creates the control log of a new fleet in the host's data folder, with
+// this host as its only replica. It is done once, on one host.
+func Found(s daisysettings.Settings) error {
+	return daisydisk.Create(s.DataFolder, daisylog.Found(newSeat(s)))
+}
+
+func newSeat(s daisysettings.Settings) daisylog.Seat {
+	return daisylog.Seat{Replica: daisylog.ReplicaID(rand.Uint64() | 1), Name: s.Host, Address: s.Link.Advertise}
+}
+
+// Open starts a host.
+func Open(s daisysettings.Settings, l log.Interface) (h *Host, err error) {
+	defer daisyerror.Annotate(&err, "start host %s", s.Host)
+	h = &Host{settings: s, incarnation: rand.Uint64() | 1, log: l.WithField("host", s.Host), view: daisyfleet.NewView()}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	if err := h.open(); err != nil {
+		return nil, errors.Join(err, h.Close())
+	}
+	return h, nil
+}
+
+// open starts the parts in the order in which they need each other.
+func (h *Host) open() (err error) {
+	s := &h.settings
+	files := daisycert.Files{Authority: s.Link.Authority, Certificate: s.Link.Certificate, Key: s.Link.Key}
+	if h.tls, err = files.Load(); err != nil {
+		return err
+	}
+	h.dialer = daisylink.NewDialer(h.tls)
+	h.lanes = daisyroute.New(h.dialer)
+	if s.Control.Enabled {
+		if err := h.openControl(); err != nil {
+			return err
+		}
+	}
+	h.holder = daisyholder.New(daisyholder.Options{
+		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h},
+		Limiter: unlimited{}, Credentials: credentials(s.Databases), Log: h.log,
+	})
+	if err := h.openLinks(); err != nil {
+		return err
+	}
+	h.keeper = daisykeeper.New(daisykeeper.Options{
+		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, View: h.view, Log: h.log,
+	})
+	h.wait.Go(h.watchReports)
+	if err := h.openEntry(); err != nil {
+		return err
+	}
+	h.ops, err = daisyops.Open(daisyops.Options{
+		Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
+		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
+		Propose: h.keeper.Propose, Status: h.status, Host: s.Host, Log: h.log,
+	})
+	return err
+}
+
+// lateRight is the keeper's lease; the keeper starts after the holder.
+type lateRight struct{ host *Host }
+
+// Valid implements daisyholder.Right.
+func (r lateRight) Valid() bool { return r.host.keeper != nil && r.host.keeper.Valid() }
+
+// unlimited takes no tokens.
+type unlimited struct{}
+
+// Take implements daisyholder.Limiter.
+func (unlimited) Take(context.Context, string, float64) time.Duration { return 0 }
+
+func credentials(databases []daisysettings.Database) map[string]daisymember.Credentials {
+	all := make(map[string]daisymember.Credentials)
+	for _, d := range databases {
+		all[d.Name] = daisymember.Credentials{User: d.User, Password: d.Password, Database: d.Database}
+	}
+	return all
+}
+
+// openControl starts the replica of the control log. A host whose folder holds
+// none is a newcomer and asks for a seat.
+func (h *Host) openControl() error {
+	s := &h.settings
+	disk, saved, err := daisydisk.Open(s.DataFolder)
+	if errors.Is(err, daisydisk.ErrNone) {
+		err = daisydisk.Create(s.DataFolder, daisylog.Saved{Replica: newSeat(*s).Replica})
+		if err == nil {
+			disk, saved, err = daisydisk.Open(s.DataFolder)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	h.disk = disk
+	h.peers = newPeers(h.dialer)
+	committed := daisyfleet.NewView()
+	h.node, err = daisyquorum.Open(daisyquorum.Options{
+		Self:  daisylog.Seat{Replica: saved.Replica, Name: s.Host, Address: s.Link.Advertise},
+		Peers: others(s.Control.Hosts, s.Link.Advertise), Saved: saved, Storage: disk, Transport: h.peers,
+		View: committed, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: h.log,
+	})
+	if err != nil {
+		return err
+	}
+	h.control = newControl(h.node, committed, s.Link.Advertise, h.log)
+	return nil
+}
+
+func others(hosts []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, a := range hosts {
+		if a != self {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// openLinks serves links from other hosts.
+func (h *Host) openLinks() error {
+	var mux daisylink.Mux
+	mux.Handle(daisylink.PathLane, func(ctx context.Context, c *daisylink.Conn) {
+		daisyroute.Serve(ctx, c, h.holder)
+	})
+	if h.control != nil {
+		mux.Handle(daisylink.PathBeat, h.control.serve)
+		mux.Handle(daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
+			serveLog(ctx, c, h.node.Step)
+		})
+	}
+	listener, err := (&net.ListenConfig{}).Listen(h.ctx, "tcp", h.settings.Link.Listen.String())
+	if err != nil {
+		return err
+	}
+	h.links = &http.Server{
+		Handler: &mux, ReadHeaderTimeout: linkHeaderTimeout, ErrorLog: quietLog(h.log),
+		BaseContext: func(net.Listener) context.Context { return h.ctx },
+	}
+	h.wait.Go(func() { _ = h.links.Serve(tls.NewListener(listener, h.tls)) })
+	return nil
+}
+
+// linkHeaderTimeout bounds the opening of a link.
+const linkHeaderTimeout = 5 * time.Second
+
+func (h *Host) openEntry() (err error) {
+	s := &h.settings
+	var callers *tls.Config
+	if s.Entry.Certificate != "" {
+		pair, err := tls.LoadX509KeyPair(s.Entry.Certificate, s.Entry.Key)
+		if err != nil {
+			return err
+		}
+		callers = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
+	}
+	h.entry, err = daisyentry.Open(daisyentry.Options{
+		Listen: s.Entry.Listen, Host: s.Host, TLS: callers, RequireTLS: s.Entry.RequireTLS,
+		MaxSessions: s.Entry.MaxSessions, MaxRequestBytes: s.Entry.MaxRequestBytes, View: h.view,
+		Right: h.keeper, Holder: h.holder, Lanes: h.lanes, Recorder: discard{}, Log: h.log,
+	})
+	return err
+}
+
+func (h *Host) opsTLS() *tls.Config {
+	if h.settings.Operations.Plain {
+		return nil
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS12, Certificates: h.tls.Certificates}
+}
+
+func (h *Host) dialControl(ctx context.Context, addr netip.AddrPort) (daisykeeper.Link, error) {
+	c, err := h.dialer.Dial(ctx, addr, daisylink.PathBeat)
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// report gathers what the next heartbeat says.
+func (h *Host) report() daisybeat.Beat {
+	s := &h.settings
+	b := daisybeat.Beat{
+		Host: s.Host, Incarnation: h.incarnation, Address: s.Link.Advertise,
+		FailureDomain: s.FailureDomain, Region: s.Region,
+	}
+	b.Claims, b.Suspicions, b.Released = h.holder.Reports()
+	if h.ops != nil {
+		b.Announcements = h.ops.Announcements()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b.Leaving = h.leaving
+	return b
+}
+
+// watchReports sends a heartbeat at once when there is news.
+func (h *Host) watchReports() {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	var before string
+	for {
+		select {
+		case <-ticker.C:
+		case <-h.ctx.Done():
+			return
+		}
+		claims, suspicions, released := h.holder.Reports()
+		if now := fmt.Sprint(claims, suspicions, released); now != before {
+			before = now
+			h.keeper.Wake()
+		}
+	}
+}
+
+// Ready reports whether the balancer may send callers here.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.leaving && h.keeper != nil && h.keeper.Valid()
+}
+
+// EntryAddress returns where callers connect.
+func (h *Host) EntryAddress() netip.AddrPort { return h.entry.Address() }
+
+// OperationsAddress returns where operators connect.
+func (h *Host) OperationsAddress() netip.AddrPort { return h.ops.Address() }
+
+// View returns the state that the host follows.
+func (h *Host) View() *daisyfleet.View { return h.view }
+
+func (h *Host) status() daisyops.Status {
+	status := daisyops.Status{Host: h.settings.Host, Ready: h.Ready(), Revision: h.view.Revision(), Sessions: h.entry.Sessions()}
+	if h.node != nil {
+		_, status.Leads = h.node.Leads()
+		for _, seat := range h.node.Seats() {
+			status.Seats = append(status.Seats, daisyops.Seat{Name: seat.Name, Address: seat.Address, Voting: seat.Voting})
+		}
+	}
+	return status
+}
+
+// Stop stops the host gracefully: readiness fails, callers finish what is
+// under way, tenures are handed back, and then everything ends. It takes at
+// most the stop limit and a moment.
+func (h *Host) Stop() error {
+	h.mu.Lock()
+	h.leaving = true
+	h.mu.Unlock()
+	h.log.Info("host: stopping")
+	ctx, cancel := context.WithTimeout(context.Background(), h.settings.StopLimit)
+	defer cancel()
+	h.keeper.Wake()
+	h.entry.Drain(ctx)
+	h.holder.Drain(ctx)
+	h.keeper.Wake()
+	h.awaitHandover(ctx)
+	return h.Close()
+}
+
+// awaitHandover waits until the tenures that were handed back are taken.
+func (h *Host) awaitHandover(ctx context.Context) {
+	for ctx.Err() == nil && h.keeper.Valid() && h.holder.Holding() {
+		changed := h.view.Changed()
+		select {
+		case <-changed:
+		case <-time.After(reportInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// Close stops the host at once and waits until nothing of it runs.
+func (h *Host) Close() error {
+	h.cancel()
+	var errs []error
+	if h.ops != nil {
+		errs = append(errs, h.ops.Close())
+	}
+	if h.entry != nil {
+		errs = append(errs, h.entry.Close())
+	}
+	if h.links != nil {
+		errs = append(errs, h.links.Close())
+	}
+	if h.keeper != nil {
+		errs = append(errs, h.keeper.Close())
+	}
+	if h.control != nil {
+		h.control.close()
+	}
+	if h.node != nil {
+		errs = append(errs, h.node.Close())
+	}
+	if h.peers != nil {
+		h.peers.close()
+	}
+	if h.lanes != nil {
+		errs = append(errs, h.lanes.Close())
+	}
+	if h.holder != nil {
+		errs = append(errs, h.holder.Close())
+	}
+	if h.disk != nil {
+		errs = append(errs, h.disk.Close())
+	}
+	h.wait.Wait()
+	return errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/host/daisyops/server.go
@@ -0,0 +1,236 @@
+// Package daisyops is the HTTP interface of a host with JSON: operators read
+// and change the control state, backend servers announce themselves, and the
+// platform's balancer asks whether the host is ready.
+package daisyops
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+const (
+	// bodyBytes bounds the body of a request.
+	bodyBytes = 1 << 20
+	// headerTimeout bounds the reading of a request's header, bodyTimeout of
+	// the whole request.
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 15 * time.Second
+	// proposeLimit bounds the wait for the outcome of a change.
+	proposeLimit = 10 * time.Second
+	// announcementLife is how long an announcement is passed on.
+	announcementLife = 5 * time.Second
+)
+
+// Seat is a control host as shown by the status.
+type Seat struct {
+	Name    string
+	Address netip.AddrPort
+	Voting  bool
+}
+
+// Status is what a host tells of itself.
+type Status struct {
+	Host     string
+	Ready    bool
+	Leads    bool
+	Revision uint64
+	Sessions int
+	Seats    []Seat
+}
+
+// Options configure a Server.
+type Options struct {
+	Listen        netip.AddrPort
+	TLS           *tls.Config // Nil serves without TLS.
+	OperatorToken string
+	AnnounceToken string
+	Host          string
+	View          *daisyfleet.View
+	Ready         func() bool
+	Status        func() Status
+	Propose       func(context.Context, daisyfleet.Change) (daisyfleet.Outcome, error)
+	Log           log.Interface
+}
+
+// Server serves the interface.
+type Server struct {
+	options Options
+	http    *http.Server
+	addr    netip.AddrPort
+	wait    sync.WaitGroup
+
+	mu        sync.Mutex
+	announced map[string]heard
+}
+
+type heard struct {
+	daisybeat.Announcement
+	at time.Time
+}
+
+// Open listens and serves.
+func Open(o Options) (s *Server, err error) {
+	defer daisyerror.Annotate(&err, "open operations")
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", o.Listen.String())
+	if err != nil {
+		return nil, err
+	}
+	s = &Server{options: o, announced: make(map[string]heard)}
+	if s.addr, err = netip.ParseAddrPort(listener.Addr().String()); err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	if o.TLS != nil {
+		listener = tls.NewListener(listener, o.TLS)
+	}
+	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout}
+	s.wait.Go(func() { _ = s.http.Serve(listener) })
+	return s, nil
+}
+
+// Address returns where the server listens.
+func (s *Server) Address() netip.AddrPort { return s.addr }
+
+// Close stops the server and waits for it.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	s.wait.Wait()
+	return err
+}
+
+func (s *Server) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /ready", s.ready)
+	mux.HandleFunc("GET /debug/vars", s.guard(s.options.OperatorToken, expvar.Handler().ServeHTTP))
+	mux.HandleFunc("GET /v1/status", s.guard(s.options.OperatorToken, s.status))
+	mux.HandleFunc("GET /v1/objects/{kind}", s.guard(s.options.OperatorToken, s.list))
+	mux.HandleFunc("POST /v1/changes", s.guard(s.options.OperatorToken, s.change))
+	mux.HandleFunc("POST /v1/announcements", s.guard(s.options.AnnounceToken, s.announce))
+	return mux
+}
+
+// guard lets only those pass who show the token.
+func (s *Server) guard(token string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		shown, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || subtle.ConstantTimeCompare([]byte(shown), []byte(token)) != 1 {
+			http.Error(w, "a valid token is required", http.StatusUnauthorized)
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, bodyBytes)
+		next(w, r)
+	}
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if !s.options.Ready() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) { reply(w, s.options.Status()) }
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	objects := []daisywire.Object{}
+	s.options.View.Read(func(state *daisyfleet.State) {
+		state.Each(daisyfleet.Kind(r.PathValue("kind")), func(o daisyfleet.Object) {
+			objects = append(objects, daisycodec.FromObject(o))
+		})
+	})
+	reply(w, objects)
+}
+
+func (s *Server) change(w http.ResponseWriter, r *http.Request) {
+	var wire daisywire.Change
+	if !decode(w, r, &wire) {
+		return
+	}
+	if wire.ID == "" {
+		http.Error(w, "ID is missing", http.StatusBadRequest)
+		return
+	}
+	change, err := daisycodec.ToChange(wire)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), proposeLimit)
+	defer cancel()
+	outcome, err := s.options.Propose(ctx, change)
+	if err != nil {
+		http.Error(w, "the outcome is not known, send the change again with the same ID: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	if !outcome.Accepted {
+		w.WriteHeader(http.StatusConflict)
+	}
+	reply(w, daisycodec.FromOutcome(outcome))
+}
+
+func (s *Server) announce(w http.ResponseWriter, r *http.Request) {
+	var wire daisywire.Announcement
+	if !decode(w, r, &wire) {
+		return
+	}
+	addr, err := netip.ParseAddrPort(wire.Address)
+	if err != nil || wire.Database == "" || wire.Member == "" {
+		http.Error(w, "Database, Member and Address are required", http.StatusBadRequest)
+		return
+	}
+	value := daisyfleet.Member{Database: wire.Database, Address: addr, FailureDomain: wire.FailureDomain, Leaving: wire.Leaving}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.announced[daisyfleet.MemberName(wire.Database, wire.Member)] = heard{
+		Announcement: daisybeat.Announcement{Member: wire.Member, Value: value}, at: time.Now(),
+	}
+}
+
+// Announcements returns the backend servers that announced themselves lately.
+func (s *Server) Announcements() []daisybeat.Announcement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []daisybeat.Announcement
+	for name, a := range s.announced {
+		if time.Since(a.at) > announcementLife {
+			delete(s.announced, name)
+			continue
+		}
+		a.Age = time.Since(a.at)
+		all = append(all, a.Announcement)
+	}
+	return all
+}
+
+func decode(w http.ResponseWriter, r *http.Request, v any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	if err := d.Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/daisystandin/group.go
@@ -0,0 +1,246 @@
+package daisystandin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+)
+
+// Credentials are what daisyglade must show to a member.
+type Credentials struct {
+	User     string
+	Password string
+}
+
+// Group is a database group whose members listen on loopback.
+type Group struct {
+	credentials Credentials
+	connections int // Per member.
+	refused     atomic.Int64
+	peak        atomic.Int64
+	mu          sync.Mutex
+	members     []*Member
+	listeners   map[*Member]net.Listener
+	addresses   map[*Member]netip.AddrPort
+	sessions    map[uint32]*session
+	nextPID     uint32
+	done        chan struct{}
+	wait        sync.WaitGroup
+}
+
+// Open starts a group of n members named m1, m2 and so on, each with at most
+// the number of connections. None is primary until one is promoted.
+func Open(n, connections int, c Credentials) (g *Group, err error) {
+	defer daisyerror.Annotate(&err, "open stand-in group")
+	g = &Group{
+		credentials: c,
+		connections: connections,
+		listeners:   make(map[*Member]net.Listener),
+		addresses:   make(map[*Member]netip.AddrPort),
+		sessions:    make(map[uint32]*session),
+		done:        make(chan struct{}),
+	}
+	for i := range n {
+		m := newMember(fmt.Sprintf("m%d", i+1))
+		g.members = append(g.members, m)
+		if err := g.listen(m, "127.0.0.1:0"); err != nil {
+			return nil, errors.Join(err, g.Close())
+		}
+		g.wait.Go(func() { m.replicate(g.done) })
+	}
+	return g, nil
+}
+
+func (g *Group) listen(m *Member, address string) error {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return err
+	}
+	addr, err := netip.ParseAddrPort(l.Addr().String())
+	if err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.listeners[m] = l
+	g.addresses[m] = addr
+	g.mu.Unlock()
+	g.wait.Go(func() { g.accepting(m, l) })
+	return nil
+}
+
+func (g *Group) accepting(m *Member, l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		g.wait.Go(func() { g.serve(m, conn) })
+	}
+}
+
+func (g *Group) serve(m *Member, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	g.mu.Lock()
+	g.nextPID++
+	s := &session{
+		server:    g,
+		member:    m,
+		conn:      conn,
+		backend:   pgproto3.NewBackend(conn, conn),
+		pid:       g.nextPID,
+		prepared:  make(map[string]string),
+		portals:   make(map[string]portal),
+		settings:  make(map[string]string),
+		cancelled: make(chan struct{}, 1),
+	}
+	g.sessions[s.pid] = s
+	g.mu.Unlock()
+	defer g.remove(s)
+	if s.startup() {
+		s.serve()
+	}
+}
+
+func (g *Group) remove(s *session) {
+	g.mu.Lock()
+	delete(g.sessions, s.pid)
+	g.mu.Unlock()
+	s.member.mu.Lock()
+	delete(s.member.conns, s)
+	s.member.mu.Unlock()
+}
+
+// admit counts the session towards the member's connections.
+func (g *Group) admit(s *session) bool {
+	m := s.member
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s.term != 0 && s.term < m.term {
+		return false
+	}
+	if len(m.conns) >= g.connections {
+		return false
+	}
+	m.conns[s] = true
+	g.peak.Store(max(g.peak.Load(), int64(len(m.conns))))
+	return true
+}
+
+func (g *Group) accept(user, password string) bool {
+	return user == g.credentials.User && password == g.credentials.Password
+}
+
+func (g *Group) cancel(pid uint32) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.sessions[pid]; s != nil {
+		select {
+		case s.cancelled <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (g *Group) follow(m *Member, term uint64, address string) error {
+	g.mu.Lock()
+	var primary *Member
+	for p, a := range g.addresses {
+		if a.String() == address {
+			primary = p
+		}
+	}
+	g.mu.Unlock()
+	if primary == nil {
+		return fmt.Errorf("no member listens on %s", address)
+	}
+	return m.follow(term, primary)
+}
+
+// Members returns the members in order.
+func (g *Group) Members() []*Member { return g.members }
+
+// Address returns where the member listens.
+func (g *Group) Address(m *Member) netip.AddrPort {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.addresses[m]
+}
+
+// Primary returns the primary of the highest term, or nil.
+func (g *Group) Primary() *Member {
+	var best *Member
+	var term uint64
+	for _, m := range g.members {
+		if s := m.Status(); s.Role == RolePrimary && s.Term >= term {
+			best, term = m, s.Term
+		}
+	}
+	return best
+}
+
+// Refused returns how many logins were refused, and Peak the most connections
+// that a member had at once.
+func (g *Group) Refused() int64 { return g.refused.Load() }
+
+// Peak returns the most connections that a member had at once.
+func (g *Group) Peak() int64 { return g.peak.Load() }
+
+// Stop cuts the member off: it accepts nothing, drops its sessions and stops
+// replicating. Its rows and its log stay.
+func (g *Group) Stop(m *Member) {
+	g.mu.Lock()
+	l := g.listeners[m]
+	delete(g.listeners, m)
+	g.mu.Unlock()
+	if l != nil {
+		_ = l.Close()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalled = true
+	m.endSessions(func(*session) bool { return true })
+	for _, other := range g.members {
+		if other != m {
+			other.drop(m)
+		}
+	}
+}
+
+// drop stops replicating from a stopped upstream.
+func (m *Member) drop(upstream *Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.upstream == upstream {
+		m.upstream = nil
+		m.notify()
+	}
+}
+
+// Start lets a stopped member listen again on its address.
+func (g *Group) Start(m *Member) error {
+	m.Stall(false)
+	return g.listen(m, g.Address(m).String())
+}
+
+// Close stops the group and waits until nothing of it runs.
+func (g *Group) Close() error {
+	close(g.done)
+	g.mu.Lock()
+	for _, l := range g.listeners {
+		_ = l.Close()
+	}
+	for _, s := range g.sessions {
+		_ = s.conn.Close()
+	}
+	g.mu.Unlock()
+	g.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/standin/daisystandin/member.go
@@ -0,0 +1,356 @@
+package daisystandin
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+)
+
+// Role is the part that a member plays in its group.
+type Role string
+
+// The roles.
+const (
+	RolePrimary Role = "primary"
+	RoleReplica Role = "replica"
+)
+
+var (
+	errFenced   = errors.New("a later term holds the group")
+	errReadOnly = errors.New("cannot execute a write in a read-only transaction")
+)
+
+// write is one row change: a deletion if gone is set.
+type write struct {
+	table, key, value string
+	gone              bool
+}
+
+type entry struct {
+	term   uint64
+	writes []write
+}
+
+// Member is one server of a group.
+type Member struct {
+	Name string
+
+	mu       sync.Mutex
+	changed  chan struct{}
+	term     uint64
+	role     Role
+	upstream *Member
+	log      []entry
+	applied  int
+	rows     map[string]map[string]string
+	lag      time.Duration // From received to applied.
+	delay    time.Duration // From written to received.
+	stalled  bool
+	leaving  bool
+	conns    map[*session]bool
+}
+
+func newMember(name string) *Member {
+	return &Member{
+		Name:    name,
+		changed: make(chan struct{}),
+		role:    RoleReplica,
+		rows:    make(map[string]map[string]string),
+		conns:   make(map[*session]bool),
+	}
+}
+
+// Status is what a member tells of itself.
+type Status struct {
+	Term     uint64
+	Role     Role
+	Received daisylane.Position
+	Applied  daisylane.Position
+}
+
+// notify wakes waiters; m.mu is held.
+func (m *Member) notify() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// position returns the position after n entries; m.mu is held.
+func (m *Member) position(n int) daisylane.Position {
+	if n == 0 {
+		return daisylane.Position{}
+	}
+	return daisylane.Position{Term: m.log[n-1].term, Offset: uint64(n)}
+}
+
+// Status returns the member's status.
+func (m *Member) Status() Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status()
+}
+
+func (m *Member) status() Status {
+	return Status{Term: m.term, Role: m.role, Received: m.position(len(m.log)), Applied: m.position(m.applied)}
+}
+
+// fence adopts the term, stops serving writes and ends older sessions.
+func (m *Member) fence(term uint64, keep *session) (Status, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if term < m.term {
+		return Status{}, errFenced
+	}
+	if term > m.term {
+		m.term = term
+		m.role = RoleReplica
+		m.upstream = nil
+		m.endSessions(func(s *session) bool { return s != keep && s.term < term })
+		m.notify()
+	}
+	return m.status(), nil
+}
+
+func (m *Member) endSessions(match func(*session) bool) {
+	for s := range m.conns {
+		if match(s) {
+			_ = s.conn.Close()
+		}
+	}
+}
+
+// promote makes the member the primary of the term.
+func (m *Member) promote(term uint64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if term != m.term {
+		return errFenced
+	}
+	if m.role == RolePrimary {
+		return nil
+	}
+	m.role = RolePrimary
+	m.upstream = nil
+	m.applyTo(len(m.log))
+	m.log = append(m.log, entry{term: term})
+	m.applied = len(m.log)
+	m.notify()
+	return nil
+}
+
+// follow makes the member a replica of the primary.
+func (m *Member) follow(term uint64, primary *Member) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if term != m.term {
+		return errFenced
+	}
+	m.role = RoleReplica
+	m.upstream = primary
+	m.notify()
+	return nil
+}
+
+// applyTo applies entries up to n; m.mu is held.
+func (m *Member) applyTo(n int) {
+	for _, e := range m.log[m.applied:n] {
+		for _, w := range e.writes {
+			m.applyWrite(w)
+		}
+	}
+	m.applied = n
+}
+
+func (m *Member) applyWrite(w write) {
+	table := m.rows[w.table]
+	if table == nil {
+		table = make(map[string]string)
+		m.rows[w.table] = table
+	}
+	if w.gone {
+		delete(table, w.key)
+		return
+	}
+	table[w.key] = w.value
+}
+
+// commit appends the writes to the log of the primary of the term.
+func (m *Member) commit(term uint64, writes []write) (daisylane.Position, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.role != RolePrimary {
+		return daisylane.Position{}, errReadOnly
+	}
+	if term != m.term {
+		return daisylane.Position{}, errFenced
+	}
+	m.log = append(m.log, entry{term: term, writes: writes})
+	m.applyTo(len(m.log))
+	m.notify()
+	return m.position(len(m.log)), nil
+}
+
+func (m *Member) get(table, key string) (string, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	v, ok := m.rows[table][key]
+	return v, ok
+}
+
+func (m *Member) count(table string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.rows[table])
+}
+
+func (m *Member) isPrimary() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.role == RolePrimary
+}
+
+// await returns once more than the given positions is received or applied, or
+// when the timeout has passed.
+func (m *Member) await(received, applied daisylane.Position, timeout time.Duration, done <-chan struct{}) Status {
+	expired := time.NewTimer(timeout)
+	defer expired.Stop()
+	for {
+		m.mu.Lock()
+		status, changed := m.status(), m.changed
+		m.mu.Unlock()
+		if received != status.Received || applied != status.Applied {
+			return status
+		}
+		select {
+		case <-changed:
+		case <-expired.C:
+			return status
+		case <-done:
+			return status
+		}
+	}
+}
+
+// replicate pulls from the upstream until done is closed.
+func (m *Member) replicate(done <-chan struct{}) {
+	for {
+		m.mu.Lock()
+		up, own := m.upstream, m.changed
+		stalled, delay := m.stalled, m.delay
+		m.mu.Unlock()
+		var theirs <-chan struct{}
+		if up != nil && !stalled {
+			if theirs = m.pull(up, delay, done); theirs == nil {
+				continue
+			}
+		}
+		select {
+		case <-own:
+		case <-theirs:
+		case <-done:
+			return
+		}
+	}
+}
+
+// pull copies what the upstream has more. It returns a channel that is closed
+// when there may be more, or nil if it copied something.
+func (m *Member) pull(up *Member, delay time.Duration, done <-chan struct{}) <-chan struct{} {
+	up.mu.Lock()
+	term, role, log, changed := up.term, up.role, up.log[:len(up.log):len(up.log)], up.changed
+	up.mu.Unlock()
+	m.mu.Lock()
+	same := role == RolePrimary && term == m.term && m.upstream == up
+	current := same && len(log) == len(m.log) && (len(log) == 0 || log[len(log)-1].term == m.log[len(log)-1].term)
+	m.mu.Unlock()
+	if !same || current {
+		return changed
+	}
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-done:
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.term != term || m.upstream != up {
+		return changed
+	}
+	m.receive(log)
+	return nil
+}
+
+// receive replaces the log with the upstream's; m.mu is held.
+func (m *Member) receive(log []entry) {
+	keep := commonPrefix(m.log, log)
+	if keep < m.applied {
+		m.rows = make(map[string]map[string]string)
+		m.applied = 0
+	}
+	m.log = append(slices.Clone(m.log[:keep]), log[keep:]...)
+	if m.applied == 0 && keep > 0 {
+		m.applyTo(keep)
+	}
+	m.notify()
+	length, term := len(m.log), m.term
+	if m.lag == 0 {
+		m.applyTo(length)
+		return
+	}
+	time.AfterFunc(m.lag, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if m.term == term && m.role == RoleReplica && length > m.applied && length <= len(m.log) {
+			m.applyTo(length)
+			m.notify()
+		}
+	})
+}
+
+func commonPrefix(a, b []entry) int {
+	n := min(len(a), len(b))
+	for i := range n {
+		if a[i].term != b[i].term {
+			return i
+		}
+	}
+	return n
+}
+
+// SetLag sets how long replication takes: delay until a write is received,
+// lag from then until it is applied.
+func (m *Member) SetLag(delay, lag time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delay, m.lag = delay, lag
+	m.notify()
+}
+
+// Stall stops or resumes replication to the member.
+func (m *Member) Stall(stalled bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalled = stalled
+	m.notify()
+}
+
+// Rows returns a copy of a table as the member has applied it.
+func (m *Member) Rows(table string) map[string]string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make(map[string]string)
+	for k, v := range m.rows[table] {
+		rows[k] = v
+	}
+	return rows
+}
+
+// String describes the member.
+func (m *Member) String() string {
+	s := m.Status()
+	return fmt.Sprintf("%s: %s of term %d, received %s, applied %s", m.Name, s.Role, s.Term, s.Received, s.Applied)
+}
--- /dev/null
+++ b/internal/try/daisytrial/trial.go
@@ -0,0 +1,305 @@
+// Package daisytrial sets up a small fleet on loopback in a folder: hosts with
+// certificates, tokens and settings files, a stand-in database group, and the
+// objects that a first caller needs.
+package daisytrial
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/config/daisyschema"
+	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/host/daisyhost"
+	"github.com/daisyglade/daisyglade/internal/security/daisycert"
+	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+)
+
+// Names of the objects that a trial creates.
+const (
+	Database      = "baskets1"
+	Workspace     = "pegwen"
+	ProfileWrite  = "booking"
+	ProfileRead   = "lookup"
+	groupMembers  = 3
+	connections   = 20
+	secretBytes   = 16
+	secretMode    = 0o600
+	setupLimit    = 30 * time.Second
+	setupInterval = 50 * time.Millisecond
+	requestWait   = 5 * time.Second
+)
+
+// domains are the failure domains of the trial's hosts and members, in turn.
+var domains = []string{"cardiff", "aberystwyth", "bangor"}
+
+// Plan is a fleet whose files are written but whose hosts do not run yet.
+type Plan struct {
+	Folder        string
+	SettingsFiles []string
+	Settings      []daisysettings.Settings
+	OperatorToken string
+	AnnounceToken string
+	Password      string // Of the stand-in group.
+	Key           string // Of the workspace, once Populate has run.
+}
+
+// NewPlan writes the files of a fleet with the number of hosts into the
+// folder. The first three keep the control log.
+func NewPlan(folder string, hosts int) (p *Plan, err error) {
+	defer daisyerror.Annotate(&err, "plan trial fleet")
+	p = &Plan{Folder: folder, OperatorToken: secret(), AnnounceToken: secret(), Password: secret()}
+	for name, text := range map[string]string{
+		"operator.token": p.OperatorToken, "announce.token": p.AnnounceToken, "backend.password": p.Password,
+	} {
+		if err := os.WriteFile(filepath.Join(folder, name), []byte(text+"\n"), secretMode); err != nil {
+			return nil, err
+		}
+	}
+	authority, err := daisycert.NewAuthority("daisyglade trial")
+	if err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(3 * hosts)
+	if err != nil {
+		return nil, err
+	}
+	control := ports[:min(hosts, len(domains))]
+	for i := range hosts {
+		if err := p.addHost(authority, i, control, ports[i], ports[hosts+i], ports[2*hosts+i]); err != nil {
+			return nil, err
+		}
+	}
+	return p, daisyhost.Found(p.Settings[0])
+}
+
+func (p *Plan) addHost(authority *daisycert.Authority, i int, control []string, link, entry, ops string) error {
+	name := fmt.Sprintf("h%d", i+1)
+	files, err := authority.Issue(p.Folder, name)
+	if err != nil {
+		return err
+	}
+	settings := daisyschema.Settings{
+		Host: name, FailureDomain: domains[i%len(domains)], Region: "wales",
+		Link:  daisyschema.Link{Listen: link, Authority: files.Authority, Certificate: files.Certificate, Key: files.Key},
+		Entry: daisyschema.Entry{Listen: entry, Certificate: files.Certificate, Key: files.Key},
+		Operations: daisyschema.Operations{
+			Listen: ops, Plain: true, OperatorTokenFile: "operator.token", AnnounceTokenFile: "announce.token",
+		},
+		Control: daisyschema.Control{Enabled: i < len(control), Hosts: control},
+		Databases: []daisyschema.Database{
+			{Name: Database, User: "daisyglade", PasswordFile: "backend.password"},
+		},
+		StopLimit: "5s",
+	}
+	if settings.Control.Enabled {
+		settings.DataFolder = name + "-data"
+	}
+	text, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(p.Folder, name+".jsonc")
+	if err := os.WriteFile(path, append(text, '\n'), secretMode); err != nil {
+		return err
+	}
+	checked, err := daisysettings.Read(path)
+	p.SettingsFiles = append(p.SettingsFiles, path)
+	p.Settings = append(p.Settings, checked)
+	return err
+}
+
+// URLs returns the base URLs of the hosts' HTTP interfaces.
+func (p *Plan) URLs() []string {
+	var urls []string
+	for _, s := range p.Settings {
+		urls = append(urls, "http://"+s.Operations.Listen.String())
+	}
+	return urls
+}
+
+// ConnString returns the connection string of a profile at a host.
+func (p *Plan) ConnString(host int, profile string) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=require", Workspace, p.Key, p.Settings[host].Entry.Listen, profile)
+}
+
+// OpenGroup starts the stand-in group that the plan's hosts expect.
+func (p *Plan) OpenGroup() (*daisystandin.Group, error) {
+	return daisystandin.Open(groupMembers, connections, daisystandin.Credentials{User: "daisyglade", Password: p.Password})
+}
+
+// Announce announces the group to the hosts until ctx ends.
+func (p *Plan) Announce(ctx context.Context, g *daisystandin.Group) {
+	a := daisystandin.Announcer{
+		Group: g, Database: Database, Domains: domains, Hosts: p.URLs(), Token: p.AnnounceToken,
+		Client: &http.Client{Timeout: time.Second},
+	}
+	a.Run(ctx)
+}
+
+// Populate creates the database, the profiles, the workspace and its key.
+func (p *Plan) Populate(ctx context.Context) (err error) {
+	defer daisyerror.Annotate(&err, "populate trial fleet")
+	key := daisyfleet.Key{Workspace: Workspace}
+	p.Key = "first." + secret()
+	key.Hash = sha256.Sum256([]byte(p.Key))
+	c := Client{URLs: p.URLs(), Token: p.OperatorToken, HTTP: &http.Client{Timeout: setupLimit}}
+	write := daisyfleet.Profile{Database: Database, Acknowledge: daisyfleet.AcknowledgeMajority, Cost: 1, Wait: requestWait, Objective: 0.999}
+	read := write
+	read.ReadOnly = true
+	change := daisyfleet.Change{ID: "trial", Operations: []daisyfleet.Operation{
+		create(Database, daisyfleet.Database{Connections: connections, Members: groupMembers}),
+		create(ProfileWrite, write),
+		create(ProfileRead, read),
+		create(Workspace, daisyfleet.Workspace{Home: Database, Rate: 20000, Burst: 20000}),
+		create("first", key),
+	}}
+	ctx, cancel := context.WithTimeout(ctx, setupLimit)
+	defer cancel()
+	return c.Change(ctx, change)
+}
+
+func create(name string, v daisyfleet.Value) daisyfleet.Operation {
+	return daisyfleet.Operation{ID: daisyfleet.ID{Kind: v.Kind(), Name: name}, Value: v}
+}
+
+// Client sends changes to the hosts' HTTP interfaces.
+type Client struct {
+	URLs  []string
+	Token string
+	HTTP  *http.Client
+}
+
+// Change sends the change to one host after the other until one decides it.
+func (c *Client) Change(ctx context.Context, change daisyfleet.Change) error {
+	body, err := json.Marshal(daisycodec.FromChange(change))
+	if err != nil {
+		return err
+	}
+	for i := 0; ; i++ {
+		err := post(ctx, c.HTTP, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(setupInterval):
+		case <-ctx.Done():
+			return errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+// Fleet is a trial that runs in this process.
+type Fleet struct {
+	*Plan
+	Group  *daisystandin.Group
+	Hosts  []*daisyhost.Host
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+}
+
+// Open runs a fleet with the number of hosts in this process and returns once
+// it serves.
+func Open(ctx context.Context, folder string, hosts int, l log.Interface) (f *Fleet, err error) {
+	defer daisyerror.Annotate(&err, "open trial fleet")
+	plan, err := NewPlan(folder, hosts)
+	if err != nil {
+		return nil, err
+	}
+	f = &Fleet{Plan: plan}
+	if f.Group, err = plan.OpenGroup(); err != nil {
+		return nil, err
+	}
+	announcing, cancel := context.WithCancel(context.Background())
+	f.cancel = cancel
+	f.wait.Go(func() { plan.Announce(announcing, f.Group) })
+	for _, s := range plan.Settings {
+		h, err := daisyhost.Open(s, l)
+		if err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+		f.Hosts = append(f.Hosts, h)
+	}
+	if err = errors.Join(plan.Populate(ctx), f.awaitService(ctx)); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	return f, nil
+}
+
+// awaitService waits until every host knows a serving holder.
+func (f *Fleet) awaitService(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, setupLimit)
+	defer cancel()
+	for _, h := range f.Hosts {
+		for {
+			changed := h.View().Changed()
+			if t, ok := h.View().Tenure(Database); ok && t.Primary != "" && h.Ready() {
+				break
+			}
+			select {
+			case <-changed:
+			case <-time.After(setupInterval):
+			case <-ctx.Done():
+				return fmt.Errorf("fleet does not serve: %w", ctx.Err())
+			}
+		}
+	}
+	return nil
+}
+
+// Close stops everything and waits for it.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, h := range f.Hosts {
+		errs = append(errs, h.Close())
+	}
+	f.cancel()
+	f.wait.Wait()
+	return errors.Join(append(errs, f.Group.Close())...)
+}
+
+func secret() string {
+	b := make([]byte, secretBytes)
+	_, _ = rand.Read(b)
+	return hex.EncodeToString(b)
+}
+
+// freePorts returns addresses on loopback that were free a moment ago.
+func freePorts(n int) ([]string, error) {
+	var listeners []net.Listener
+	var addrs []string
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		addr, err := netip.ParseAddrPort(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, addr.String())
+	}
+	return addrs, nil
+}
--- /dev/null
+++ b/internal/wire/daisycodec/beat.go
@@ -0,0 +1,182 @@
+package daisycodec
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+// EncodeBeat encodes a heartbeat.
+func EncodeBeat(b daisybeat.Beat) []byte {
+	w := &daisywire.Beat{
+		ID: b.ID, Host: b.Host, Incarnation: b.Incarnation, Address: b.Address.String(),
+		FailureDomain: b.FailureDomain, Region: b.Region, Revision: b.Revision, Leaving: b.Leaving,
+	}
+	for _, t := range b.Released {
+		w.Released = append(w.Released, daisywire.Tenancy(t))
+	}
+	for _, c := range b.Claims {
+		w.Claims = append(w.Claims, daisywire.Claimed{Database: c.Database, Term: c.Term, Primary: c.Primary, Note: c.Note})
+	}
+	for _, s := range b.Suspicions {
+		w.Suspicions = append(w.Suspicions, daisywire.Suspicion{Database: s.Database, Term: s.Term, Member: s.Member})
+	}
+	for _, a := range b.Announcements {
+		w.Announcements = append(w.Announcements, daisywire.Announcement{
+			Database: a.Value.Database, Member: a.Member, Address: a.Value.Address.String(),
+			FailureDomain: a.Value.FailureDomain, Leaving: a.Value.Leaving, Age: int64(a.Age),
+		})
+	}
+	return encode(daisywire.Frame{Beat: w})
+}
+
+func toBeat(w *daisywire.Beat) (b daisybeat.Beat, err error) {
+	defer daisyerror.Annotate(&err, "beat")
+	addr, err := netip.ParseAddrPort(w.Address)
+	if err != nil {
+		return b, err
+	}
+	b = daisybeat.Beat{
+		ID: w.ID, Host: w.Host, Incarnation: w.Incarnation, Address: addr,
+		FailureDomain: w.FailureDomain, Region: w.Region, Revision: w.Revision, Leaving: w.Leaving,
+	}
+	for _, t := range w.Released {
+		b.Released = append(b.Released, daisybeat.Tenancy(t))
+	}
+	for _, c := range w.Claims {
+		b.Claims = append(b.Claims, daisybeat.Claim{Tenancy: daisybeat.Tenancy{Database: c.Database, Term: c.Term}, Primary: c.Primary, Note: c.Note})
+	}
+	for _, s := range w.Suspicions {
+		b.Suspicions = append(b.Suspicions, daisybeat.Suspicion{Tenancy: daisybeat.Tenancy{Database: s.Database, Term: s.Term}, Member: s.Member})
+	}
+	for _, a := range w.Announcements {
+		addr, err := netip.ParseAddrPort(a.Address)
+		if err != nil {
+			return b, err
+		}
+		b.Announcements = append(b.Announcements, daisybeat.Announcement{
+			Member: a.Member, Age: time.Duration(a.Age),
+			Value: daisyfleet.Member{Database: a.Database, Address: addr, FailureDomain: a.FailureDomain, Leaving: a.Leaving},
+		})
+	}
+	return b, nil
+}
+
+// EncodeReply encodes the answer to a heartbeat.
+func EncodeReply(r daisybeat.Reply) []byte {
+	w := &daisywire.BeatReply{ID: r.ID, Lease: int64(r.Lease), Delta: fromDelta(r.Delta), Leader: formatAddr(r.Leader)}
+	return encode(daisywire.Frame{BeatReply: w})
+}
+
+func toReply(w *daisywire.BeatReply) (r daisybeat.Reply, err error) {
+	defer daisyerror.Annotate(&err, "beat reply")
+	delta, err := toDelta(w.Delta)
+	if err != nil {
+		return r, err
+	}
+	leader, err := parseAddr(w.Leader)
+	return daisybeat.Reply{ID: w.ID, Lease: time.Duration(w.Lease), Delta: delta, Leader: leader}, err
+}
+
+// Proposal asks the control leader to decide a change.
+type Proposal struct {
+	ID     uint64
+	Change daisyfleet.Change
+}
+
+// Decision answers a Proposal.
+type Decision struct {
+	ID      uint64
+	Outcome *daisyfleet.Outcome // Nil if there is none.
+	Leader  netip.AddrPort      // Where to turn to instead.
+	Message string              // Why there is no outcome.
+}
+
+// EncodeProposal encodes a proposal.
+func EncodeProposal(p Proposal) []byte {
+	return encode(daisywire.Frame{Propose: &daisywire.Propose{ID: p.ID, Change: FromChange(p.Change)}})
+}
+
+// EncodeDecision encodes a decision.
+func EncodeDecision(d Decision) []byte {
+	w := &daisywire.ProposeReply{ID: d.ID, Leader: formatAddr(d.Leader), Message: d.Message}
+	if d.Outcome != nil {
+		outcome := FromOutcome(*d.Outcome)
+		w.Outcome = &outcome
+	}
+	return encode(daisywire.Frame{ProposeReply: w})
+}
+
+func toDecision(w *daisywire.ProposeReply) (d Decision, err error) {
+	d = Decision{ID: w.ID, Message: w.Message}
+	if w.Outcome != nil {
+		outcome := ToOutcome(*w.Outcome)
+		d.Outcome = &outcome
+	}
+	d.Leader, err = parseAddr(w.Leader)
+	return d, err
+}
+
+// Upward is what a host sends to the control leader: exactly one is set.
+type Upward struct {
+	Beat     *daisybeat.Beat
+	Proposal *Proposal
+}
+
+// DecodeUpward decodes a message from a host to the control leader.
+func DecodeUpward(b []byte) (u Upward, err error) {
+	f, err := decode(b)
+	if err != nil {
+		return u, err
+	}
+	switch {
+	case f.Beat != nil:
+		beat, err := toBeat(f.Beat)
+		return Upward{Beat: &beat}, err
+	case f.Propose != nil:
+		c, err := ToChange(f.Propose.Change)
+		return Upward{Proposal: &Proposal{ID: f.Propose.ID, Change: c}}, err
+	}
+	return u, ErrKind
+}
+
+// Downward is what the control leader sends to a host: exactly one is set.
+type Downward struct {
+	Reply    *daisybeat.Reply
+	Decision *Decision
+}
+
+// DecodeDownward decodes a message from the control leader to a host.
+func DecodeDownward(b []byte) (d Downward, err error) {
+	f, err := decode(b)
+	if err != nil {
+		return d, err
+	}
+	switch {
+	case f.BeatReply != nil:
+		r, err := toReply(f.BeatReply)
+		return Downward{Reply: &r}, err
+	case f.ProposeReply != nil:
+		p, err := toDecision(f.ProposeReply)
+		return Downward{Decision: &p}, err
+	}
+	return d, ErrKind
+}
+
+func formatAddr(a netip.AddrPort) string {
+	if !a.IsValid() {
+		return ""
+	}
+	return a.String()
+}
+
+func parseAddr(s string) (netip.AddrPort, error) {
+	if s == "" {
+		return netip.AddrPort{}, nil
+	}
+	return netip.ParseAddrPort(s)
+}
--- /dev/null
+++ b/internal/wire/daisycodec/lane.go
@@ -0,0 +1,115 @@
+package daisycodec
+
+import (
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+// EncodeRequest encodes a request for a lane.
+func EncodeRequest(r *daisylane.Request) []byte {
+	w := &daisywire.Request{
+		ID:        r.ID,
+		Workspace: r.Workspace,
+		Key:       r.Key,
+		Profile:   r.Profile,
+		Floor:     fromPosition(r.Floor),
+		Arriving:  r.Arriving,
+		ReadOnly:  r.ReadOnly,
+		Wait:      int64(r.Wait),
+	}
+	for _, p := range r.Parts {
+		w.Parts = append(w.Parts, daisywire.Part{Uses: p.Uses, Defines: p.Defines, Bytes: p.Bytes})
+	}
+	for _, s := range r.Statements {
+		w.Statements = append(w.Statements, daisywire.Statement(s))
+	}
+	return encode(daisywire.Frame{Request: w})
+}
+
+// DecodeRequest decodes a request from a lane.
+func DecodeRequest(b []byte) (*daisylane.Request, error) {
+	f, err := decode(b)
+	if err != nil {
+		return nil, err
+	}
+	w := f.Request
+	if w == nil {
+		return nil, ErrKind
+	}
+	r := &daisylane.Request{
+		ID:        w.ID,
+		Workspace: w.Workspace,
+		Key:       w.Key,
+		Profile:   w.Profile,
+		Floor:     toPosition(w.Floor),
+		Arriving:  w.Arriving,
+		ReadOnly:  w.ReadOnly,
+		Wait:      time.Duration(w.Wait),
+	}
+	for _, p := range w.Parts {
+		r.Parts = append(r.Parts, daisylane.Part{Uses: p.Uses, Defines: p.Defines, Bytes: p.Bytes})
+	}
+	for _, s := range w.Statements {
+		r.Statements = append(r.Statements, daisylane.Statement(s))
+	}
+	return r, nil
+}
+
+// EncodeAnswer encodes a part of an answer for a lane.
+func EncodeAnswer(a *daisylane.Answer) []byte {
+	w := &daisywire.Answer{ID: a.ID, Bytes: a.Bytes, Final: a.Final, Replica: a.Replica}
+	if a.Final {
+		w.Status = string(rune(a.Status))
+		w.Floor = fromPosition(a.Floor)
+	}
+	if r := a.Refusal; r != nil {
+		w.Refusal = &daisywire.Refusal{Code: r.Code, Message: r.Message, RetryAfter: int64(r.RetryAfter), Cause: string(r.Cause)}
+	}
+	return encode(daisywire.Frame{Answer: w})
+}
+
+// DecodeAnswer decodes a part of an answer from a lane.
+func DecodeAnswer(b []byte) (*daisylane.Answer, error) {
+	f, err := decode(b)
+	if err != nil {
+		return nil, err
+	}
+	w := f.Answer
+	if w == nil {
+		return nil, ErrKind
+	}
+	a := &daisylane.Answer{ID: w.ID, Bytes: w.Bytes, Final: w.Final, Replica: w.Replica, Floor: toPosition(w.Floor)}
+	if w.Final {
+		if a.Status, err = toStatus(w.Status); err != nil {
+			return nil, err
+		}
+	}
+	if r := w.Refusal; r != nil {
+		a.Refusal = &daisylane.Refusal{Code: r.Code, Message: r.Message, RetryAfter: time.Duration(r.RetryAfter), Cause: daisylane.Cause(r.Cause)}
+	}
+	return a, nil
+}
+
+func toStatus(s string) (daisylane.Status, error) {
+	switch s {
+	case "I", "T", "E":
+		return daisylane.Status(s[0]), nil
+	}
+	return 0, unknown("transaction status", s)
+}
+
+func fromPosition(p daisylane.Position) *daisywire.Position {
+	if p.IsZero() {
+		return nil
+	}
+	return &daisywire.Position{Term: p.Term, Offset: p.Offset}
+}
+
+func toPosition(w *daisywire.Position) daisylane.Position {
+	if w == nil {
+		return daisylane.Position{}
+	}
+	return daisylane.Position{Term: w.Term, Offset: w.Offset}
+}
--- /dev/null
+++ b/internal/wire/daisycodec/log.go
@@ -0,0 +1,186 @@
+package daisycodec
+
+import (
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+// Record is one record of the log file.
+type Record struct {
+	Replica daisylog.ReplicaID
+	Ballot  *daisylog.Ballot
+	Image   *daisylog.Image
+	Entries []daisylog.Entry
+}
+
+// EncodeRecord encodes a record of the log file.
+func EncodeRecord(r Record) []byte {
+	w := &daisywire.Record{Replica: uint64(r.Replica), Image: fromImage(r.Image), Entries: fromEntries(r.Entries)}
+	if r.Ballot != nil {
+		w.Ballot = &daisywire.Ballot{Term: r.Ballot.Term, Vote: uint64(r.Ballot.Vote)}
+	}
+	return encode(daisywire.Frame{Record: w})
+}
+
+// DecodeRecord decodes a record of the log file.
+func DecodeRecord(b []byte) (r Record, err error) {
+	defer daisyerror.Annotate(&err, "decode record")
+	f, err := decode(b)
+	if err != nil {
+		return r, err
+	}
+	w := f.Record
+	if w == nil {
+		return r, ErrKind
+	}
+	r.Replica = daisylog.ReplicaID(w.Replica)
+	if w.Ballot != nil {
+		r.Ballot = &daisylog.Ballot{Term: w.Ballot.Term, Vote: daisylog.ReplicaID(w.Ballot.Vote)}
+	}
+	if r.Image, err = toImage(w.Image); err != nil {
+		return r, err
+	}
+	r.Entries, err = toEntries(w.Entries)
+	return r, err
+}
+
+// EncodeMessage encodes a message between replicas of the log.
+func EncodeMessage(m daisylog.Message) []byte {
+	w := &daisywire.Consensus{
+		Kind: string(m.Kind), From: uint64(m.From), To: uint64(m.To), Term: m.Term,
+		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Entries: fromEntries(m.Entries),
+		Reject: m.Reject, Round: m.Round, Image: fromImage(m.Image),
+	}
+	if m.Seat != nil {
+		seat := fromSeat(*m.Seat)
+		w.Seat = &seat
+	}
+	return encode(daisywire.Frame{Consensus: w})
+}
+
+// DecodeMessage decodes a message between replicas of the log.
+func DecodeMessage(b []byte) (m daisylog.Message, err error) {
+	defer daisyerror.Annotate(&err, "decode message")
+	f, err := decode(b)
+	if err != nil {
+		return m, err
+	}
+	w := f.Consensus
+	if w == nil {
+		return m, ErrKind
+	}
+	m = daisylog.Message{
+		Kind: daisylog.MessageKind(w.Kind), From: daisylog.ReplicaID(w.From), To: daisylog.ReplicaID(w.To), Term: w.Term,
+		Index: w.Index, LogTerm: w.LogTerm, Commit: w.Commit, Reject: w.Reject, Round: w.Round,
+	}
+	if m.Entries, err = toEntries(w.Entries); err != nil {
+		return m, err
+	}
+	if w.Seat != nil {
+		seat, err := toSeat(*w.Seat)
+		if err != nil {
+			return m, err
+		}
+		m.Seat = &seat
+	}
+	m.Image, err = toImage(w.Image)
+	return m, err
+}
+
+func fromSeat(s daisylog.Seat) daisywire.Seat {
+	return daisywire.Seat{Replica: uint64(s.Replica), Name: s.Name, Address: formatAddr(s.Address), Voting: s.Voting}
+}
+
+func toSeat(w daisywire.Seat) (daisylog.Seat, error) {
+	addr, err := parseAddr(w.Address)
+	return daisylog.Seat{Replica: daisylog.ReplicaID(w.Replica), Name: w.Name, Address: addr, Voting: w.Voting}, err
+}
+
+func fromSeats(seats []daisylog.Seat) []daisywire.Seat {
+	var ws []daisywire.Seat
+	for _, s := range seats {
+		ws = append(ws, fromSeat(s))
+	}
+	return ws
+}
+
+func toSeats(ws []daisywire.Seat) ([]daisylog.Seat, error) {
+	var seats []daisylog.Seat
+	for _, w := range ws {
+		s, err := toSeat(w)
+		if err != nil {
+			return nil, err
+		}
+		seats = append(seats, s)
+	}
+	return seats, nil
+}
+
+func fromEntries(entries []daisylog.Entry) []daisywire.Entry {
+	var ws []daisywire.Entry
+	for _, e := range entries {
+		w := daisywire.Entry{Index: e.Index, Term: e.Term, Seats: fromSeats(e.Seats)}
+		if e.Change != nil {
+			c := FromChange(*e.Change)
+			w.Change = &c
+		}
+		ws = append(ws, w)
+	}
+	return ws
+}
+
+func toEntries(ws []daisywire.Entry) ([]daisylog.Entry, error) {
+	var entries []daisylog.Entry
+	for _, w := range ws {
+		e := daisylog.Entry{Index: w.Index, Term: w.Term}
+		var err error
+		if e.Seats, err = toSeats(w.Seats); err != nil {
+			return nil, err
+		}
+		if w.Change != nil {
+			c, err := ToChange(*w.Change)
+			if err != nil {
+				return nil, err
+			}
+			e.Change = &c
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+func fromImage(img *daisylog.Image) *daisywire.Image {
+	if img == nil {
+		return nil
+	}
+	w := &daisywire.Image{
+		Index: img.Index, Term: img.Term, Seats: fromSeats(img.Seats),
+		Objects: fromObjects(img.State.Objects), Horizon: img.State.Horizon,
+	}
+	for _, o := range img.State.Outcomes {
+		w.Outcomes = append(w.Outcomes, FromOutcome(o))
+	}
+	return w
+}
+
+func toImage(w *daisywire.Image) (*daisylog.Image, error) {
+	if w == nil {
+		return nil, nil
+	}
+	seats, err := toSeats(w.Seats)
+	if err != nil {
+		return nil, err
+	}
+	objects, err := toObjects(w.Objects)
+	if err != nil {
+		return nil, err
+	}
+	img := &daisylog.Image{Index: w.Index, Term: w.Term, Seats: seats}
+	img.State = daisyfleet.Image{Revision: w.Index, Horizon: w.Horizon, Objects: objects}
+	for _, o := range w.Outcomes {
+		img.State.Outcomes = append(img.State.Outcomes, ToOutcome(o))
+	}
+	return img, nil
+}
--- /dev/null
+++ b/internal/wire/daisylink/link.go
@@ -0,0 +1,119 @@
+// Package daisylink carries messages between hosts of a fleet over WebSocket
+// with mutual TLS. Each message is one binary frame.
+package daisylink
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/security/daisycert"
+)
+
+// Path names what a link is used for.
+type Path string
+
+// The uses of a link.
+const (
+	PathLane  Path = "/lane"  // Requests from entry hosts to holders.
+	PathBeat  Path = "/beat"  // Heartbeats and proposals to the control leader.
+	PathLog   Path = "/log"   // Messages between replicas of the log.
+	PathGrant Path = "/grant" // Token requests to owners of buckets.
+)
+
+// limit returns the size in bytes up to which a frame is accepted.
+func (p Path) limit() int64 {
+	if p == PathLog || p == PathBeat {
+		return 64 << 20
+	}
+	return 24 << 20
+}
+
+const dialTimeout = 2 * time.Second
+
+// Conn is one link. Send may be called from several goroutines, Receive from one.
+type Conn struct {
+	ws   *websocket.Conn
+	peer string
+}
+
+// Peer returns the name of the host at the other end, proved by its certificate.
+func (c *Conn) Peer() string { return c.peer }
+
+// Send writes one message.
+func (c *Conn) Send(ctx context.Context, message []byte) error {
+	return c.ws.Write(ctx, websocket.MessageBinary, message)
+}
+
+// Receive reads one message. After an error the link is unusable.
+func (c *Conn) Receive(ctx context.Context) ([]byte, error) {
+	kind, message, err := c.ws.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if kind != websocket.MessageBinary {
+		return nil, errors.New("frame is not binary")
+	}
+	return message, nil
+}
+
+// Close ends the link without waiting for the other side.
+func (c *Conn) Close() { _ = c.ws.CloseNow() }
+
+// Dialer opens links.
+type Dialer struct {
+	client *http.Client
+}
+
+// NewDialer returns a dialer that shows the certificate in the configuration.
+func NewDialer(c *tls.Config) *Dialer {
+	return &Dialer{client: &http.Client{Transport: &http.Transport{TLSClientConfig: c}}}
+}
+
+// Dial opens a link to the address.
+func (d *Dialer) Dial(ctx context.Context, addr netip.AddrPort, path Path) (c *Conn, err error) {
+	defer daisyerror.Annotate(&err, "dial %s%s", addr, path)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	url := "https://" + addr.String() + string(path)
+	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: d.client}) //nolint:bodyclose // The library closes it.
+	if err != nil {
+		return nil, err
+	}
+	ws.SetReadLimit(path.limit())
+	return &Conn{ws: ws, peer: daisycert.PeerName(response.TLS)}, nil
+}
+
+// Handler serves one accepted link and returns when it is done with it.
+type Handler func(ctx context.Context, c *Conn)
+
+// Mux routes accepted links to handlers.
+type Mux struct {
+	http.ServeMux
+}
+
+// Handle registers the handler of a path. Peers without a host certificate of
+// the fleet are refused.
+func (m *Mux) Handle(path Path, h Handler) {
+	m.HandleFunc(string(path), func(w http.ResponseWriter, r *http.Request) {
+		peer := daisycert.PeerName(r.TLS)
+		if peer == "" {
+			http.Error(w, "host certificate required", http.StatusForbidden)
+			return
+		}
+		ws, err := websocket.Accept(w, r, nil)
+		if err != nil {
+			return
+		}
+		ws.SetReadLimit(path.limit())
+		c := &Conn{ws: ws, peer: peer}
+		defer c.Close()
+		h(r.Context(), c)
+	})
+}
--- /dev/null
+++ b/internal/wire/daisywire/doc.go
@@ -0,0 +1,3 @@
+// Package daisywire holds the wire types, generated from schema/wire.schema.json.
+// Package daisycodec maps them to the domain types.
+package daisywire
