--- a/internal/backend/daisymember/conn.go
+++ b/internal/backend/daisymember/conn.go
@@ -17,15 +17,17 @@
 
 // Conn is a connection for callers' statements.
 type Conn struct {
-	net    net.Conn
-	hijack *pgconn.HijackedConn
-	reader *daisymessage.Reader
+	backend Backend
+	addr    netip.AddrPort
+	net     net.Conn
+	hijack  *pgconn.HijackedConn
+	reader  *daisymessage.Reader
 }
 
 // Open opens a connection for statements of the term.
-func Open(ctx context.Context, addr netip.AddrPort, c Credentials, term uint64) (conn *Conn, err error) {
+func (b Backend) Open(ctx context.Context, addr netip.AddrPort, term uint64) (conn *Conn, err error) {
 	defer daisyerror.Annotate(&err, "open connection to %s", addr)
-	pg, err := connect(ctx, addr, c, term)
+	pg, err := b.connect(ctx, addr, term)
 	if err != nil {
 		return nil, err
 	}
@@ -33,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Conn{net: h.Conn, hijack: h, reader: daisymessage.NewReader(h.Conn)}, nil
+	return &Conn{backend: b, addr: addr, net: h.Conn, hijack: h, reader: daisymessage.NewReader(h.Conn)}, nil
 }
 
 // Write sends encoded frontend messages.
@@ -88,7 +90,9 @@
 	if err != nil {
 		return err
 	}
-	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", c.net.RemoteAddr().String())
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := c.backend.Network.Dial(ctx, c.addr)
 	if err != nil {
 		return err
 	}
@@ -100,9 +104,17 @@
 // Close ends the connection without waiting for the server.
 func (c *Conn) Close() { _ = c.net.Close() }
 
+// prober is a connection that knows whether its other side closed it.
+type prober interface {
+	Alive() bool
+}
+
 // Alive reports whether the connection is still open and silent, as an idle
 // connection must be. It does not block.
 func (c *Conn) Alive() bool {
+	if p, ok := c.net.(prober); ok {
+		return p.Alive()
+	}
 	tcp, ok := c.net.(*net.TCPConn)
 	if !ok {
 		return true
--- a/internal/backend/daisymember/control.go
+++ b/internal/backend/daisymember/control.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -16,6 +17,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
 	"github.com/daisyglade/daisyglade/internal/holder/daisytakeover"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Credentials are what the system shows to a member in place of a caller's key.
@@ -28,16 +30,23 @@
 // connectTimeout bounds the opening of a connection to a member.
 const connectTimeout = 2 * time.Second
 
-func connect(ctx context.Context, addr netip.AddrPort, c Credentials, term uint64) (*pgconn.PgConn, error) {
+// Backend reaches the members of one database group.
+type Backend struct {
+	Network     daisynet.Network
+	Credentials Credentials
+}
+
+func (b Backend) connect(ctx context.Context, addr netip.AddrPort, term uint64) (*pgconn.PgConn, error) {
 	config, err := pgconn.ParseConfig("sslmode=prefer")
 	if err != nil {
 		return nil, err
 	}
 	config.Host = addr.Addr().String()
 	config.Port = addr.Port()
-	config.User = c.User
-	config.Password = c.Password
-	config.Database = c.Database
+	config.User = b.Credentials.User
+	config.Password = b.Credentials.Password
+	config.Database = b.Credentials.Database
+	config.DialFunc = func(ctx context.Context, _, _ string) (net.Conn, error) { return b.Network.Dial(ctx, addr) }
 	config.TLSConfig = nil
 	config.Fallbacks = nil
 	config.ConnectTimeout = connectTimeout
@@ -48,17 +57,17 @@
 // Control calls the platform's functions on one member. It holds at most one
 // connection and opens it when first used.
 type Control struct {
-	addr        netip.AddrPort
-	credentials Credentials
-	term        uint64
+	backend Backend
+	addr    netip.AddrPort
+	term    uint64
 
 	mu   sync.Mutex
 	conn *pgconn.PgConn
 }
 
-// NewControl returns the control of the member at the address for a term.
-func NewControl(addr netip.AddrPort, c Credentials, term uint64) *Control {
-	return &Control{addr: addr, credentials: c, term: term}
+// Control returns the control of the member at the address for a term.
+func (b Backend) Control(addr netip.AddrPort, term uint64) *Control {
+	return &Control{backend: b, addr: addr, term: term}
 }
 
 // Close ends the connection.
@@ -83,7 +92,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.conn == nil {
-		if c.conn, err = connect(ctx, c.addr, c.credentials, c.term); err != nil {
+		if c.conn, err = c.backend.connect(ctx, c.addr, c.term); err != nil {
 			return s, err
 		}
 	}
--- a/internal/command/daisycli/host.go
+++ b/internal/command/daisycli/host.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/host/daisyhost"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/try/daisytrial"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 func newRun() *cobra.Command {
@@ -27,7 +28,7 @@
 			if err != nil {
 				return err
 			}
-			h, err := daisyhost.Open(s, newLogger(s.Log))
+			h, err := daisyhost.Open(s, daisynet.TCP{}, newLogger(s.Log))
 			if err != nil {
 				return err
 			}
@@ -108,7 +109,7 @@
 			if verbose {
 				level = log.DebugLevel
 			}
-			f, err := daisytrial.Open(c.Context(), folder, hosts, &log.Logger{Handler: text.New(os.Stderr), Level: level})
+			f, err := daisytrial.Open(c.Context(), daisynet.TCP{}, folder, hosts, &log.Logger{Handler: text.New(os.Stderr), Level: level})
 			if err != nil {
 				return err
 			}
--- a/internal/control/daisybeat/beat.go
+++ b/internal/control/daisybeat/beat.go
@@ -23,10 +23,18 @@
 	Note    string // What may have been lost, and why the member was chosen.
 }
 
-// Suspicion reports a primary that does not answer.
-type Suspicion struct {
+// Sight reports what a host sees of a primary.
+type Sight struct {
 	Tenancy
-	Member string
+	Member  string
+	Answers bool
+}
+
+// Probe asks a host to probe a primary.
+type Probe struct {
+	Tenancy
+	Member  string
+	Address netip.AddrPort
 }
 
 // Announcement is a backend server's word that it is there.
@@ -48,7 +56,7 @@
 	Leaving       bool
 	Released      []Tenancy
 	Claims        []Claim
-	Suspicions    []Suspicion
+	Sights        []Sight
 	Announcements []Announcement
 }
 
@@ -57,5 +65,6 @@
 	ID     uint64
 	Lease  time.Duration // Counted from the sending of the beat; 0 grants none.
 	Delta  *daisyfleet.Delta
+	Probes []Probe        // Primaries that the host is to probe now.
 	Leader netip.AddrPort // Where to turn to instead; invalid if unknown.
 }
--- a/internal/control/daisycontrol/leader.go
+++ b/internal/control/daisycontrol/leader.go
@@ -1,7 +1,6 @@
 package daisycontrol
 
 import (
-	"maps"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
@@ -16,8 +15,8 @@
 	LeaseDuration = 2 * time.Second
 	// DriftMargin is what clocks may gain on each other during a lease.
 	DriftMargin = 200 * time.Millisecond
-	// suspicionLife is how long an observer's report counts.
-	suspicionLife = 1500 * time.Millisecond
+	// sightLife is how long a host's report of a primary counts.
+	sightLife = 1200 * time.Millisecond
 	// announcementLife is how long a backend server lives without announcing.
 	announcementLife = 10 * time.Second
 )
@@ -29,11 +28,11 @@
 	condemned bool      // Given up; gets no lease until the log has decided.
 }
 
-// sight is an observer's report of a primary that does not answer.
+// sight is a host's report of what it sees of a primary.
 type sight struct {
-	suspicion daisybeat.Suspicion
-	domain    string
-	seen      time.Time
+	daisybeat.Sight
+	domain string
+	seen   time.Time
 }
 
 // announced is a backend server's last announcement.
@@ -53,7 +52,7 @@
 type Leader struct {
 	began     time.Time
 	records   map[process]*record
-	sights    map[string]map[string]sight // By database, then observer.
+	sights    map[string]map[string]sight // By database, then host.
 	announced map[string]announced        // By member object name.
 }
 
@@ -77,8 +76,8 @@
 		l.records[p] = r
 	}
 	r.beat = b
-	for _, suspicion := range b.Suspicions {
-		l.note(now, b, suspicion)
+	for _, seen := range b.Sights {
+		l.note(now, b, seen)
 	}
 	for _, a := range b.Announcements {
 		name := daisyfleet.MemberName(a.Value.Database, a.Member)
@@ -94,13 +93,13 @@
 	return LeaseDuration
 }
 
-func (l *Leader) note(now time.Time, b daisybeat.Beat, suspicion daisybeat.Suspicion) {
-	seen := l.sights[suspicion.Database]
+func (l *Leader) note(now time.Time, b daisybeat.Beat, s daisybeat.Sight) {
+	seen := l.sights[s.Database]
 	if seen == nil {
 		seen = make(map[string]sight)
-		l.sights[suspicion.Database] = seen
+		l.sights[s.Database] = seen
 	}
-	seen[b.Host] = sight{suspicion: suspicion, domain: b.FailureDomain, seen: now}
+	seen[b.Host] = sight{Sight: s, domain: b.FailureDomain, seen: now}
 }
 
 // expired reports whether every lease of the process has run out.
@@ -224,12 +223,3 @@
 func put(o daisyfleet.Object, v daisyfleet.Value, reason string) daisyfleet.Change {
 	return daisyfleet.Change{Reason: reason, Operations: []daisyfleet.Operation{{ID: o.ID, Against: o.Revision, Value: v}}}
 }
-
-// Suspected returns the databases whose primary is reported silent, for status.
-func (l *Leader) Suspected() []string {
-	var names []string
-	for name := range maps.Keys(l.sights) {
-		names = append(names, name)
-	}
-	return names
-}
--- a/internal/control/daisycontrol/tenure.go
+++ b/internal/control/daisycontrol/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
@@ -12,6 +13,9 @@
 // quorumDomains is how many failure domains must report a primary silent.
 const quorumDomains = 2
 
+// observerCount is how many hosts are asked to probe a primary in doubt.
+const observerCount = 2
+
 // dueTenures assigns databases to holders, records claims and starts new terms.
 func (l *Leader) dueTenures(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
 	hosts := candidates(s)
@@ -53,10 +57,26 @@
 		return assign(o, t, near, hosts, fmt.Sprintf("holder %s of %s handed it back", t.Holder, name))
 	case t.Primary == "":
 		return l.claim(o, t, name)
+	case t.Revoked:
+		return daisyfleet.Change{}, false
 	case members[t.Primary].Leaving && len(members) > 1:
 		return renew(o, t, fmt.Sprintf("primary %s of %s is leaving", t.Primary, name))
-	case l.silent(now, s, name, t):
-		return renew(o, t, fmt.Sprintf("primary %s of %s does not answer observers in %d failure domains", t.Primary, name, quorumDomains))
+	}
+	return l.doubtful(now, s, o, t)
+}
+
+// doubtful acts on a primary that its holder cannot reach: if hosts in other
+// failure domains cannot either, the primary is given up; if they can, the
+// holder is.
+func (l *Leader) doubtful(now time.Time, s *daisyfleet.State, o daisyfleet.Object, t daisyfleet.Tenure) (daisyfleet.Change, bool) {
+	silent, answering := l.views(now, o.Name, t)
+	switch {
+	case len(silent) >= min(quorumDomains, domainCount(s)):
+		reason := fmt.Sprintf("primary %s of %s answers nobody in %d failure domains", t.Primary, o.Name, len(silent))
+		return renew(o, t, reason)
+	case len(answering) > 0 && len(silent) > 0:
+		t.Revoked = true
+		return put(o, t, fmt.Sprintf("holder %s cannot reach the primary of %s, others can", t.Holder, o.Name)), true
 	}
 	return daisyfleet.Change{}, false
 }
@@ -119,18 +139,44 @@
 	return false
 }
 
-// silent reports whether observers in enough failure domains miss the primary.
-func (l *Leader) silent(now time.Time, s *daisyfleet.State, name string, t daisyfleet.Tenure) bool {
-	domains := make(map[string]bool)
-	for observer, seen := range l.sights[name] {
-		current := seen.suspicion.Term == t.Term && seen.suspicion.Member == t.Primary
-		if !current || now.Sub(seen.seen) > suspicionLife {
-			delete(l.sights[name], observer)
+// views returns the failure domains in which the primary does not answer and
+// those in which it does, as reported lately for the tenure.
+func (l *Leader) views(now time.Time, name string, t daisyfleet.Tenure) (silent, answering map[string]bool) {
+	silent, answering = make(map[string]bool), make(map[string]bool)
+	for host, seen := range l.sights[name] {
+		if seen.Term != t.Term || seen.Member != t.Primary || now.Sub(seen.seen) > sightLife {
+			delete(l.sights[name], host)
 			continue
 		}
-		domains[seen.domain] = true
+		if seen.Answers {
+			answering[seen.domain] = true
+		} else {
+			silent[seen.domain] = true
+		}
+	}
+	return silent, answering
+}
+
+// Probes returns the primaries that the host is to probe: those that their
+// holder cannot reach and that the host observes.
+func (l *Leader) Probes(now time.Time, s *daisyfleet.State, host string) []daisybeat.Probe {
+	var probes []daisybeat.Probe
+	for name := range l.sights {
+		o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name})
+		t, _ := o.Value.(daisyfleet.Tenure)
+		holder, known := lookupHost(s, t.Holder)
+		if silent, _ := l.views(now, name, t); !ok || !known || len(silent) == 0 {
+			continue
+		}
+		observers := daisyplace.Observers(name, holder.FailureDomain, observerCount, Candidates(s, nil))
+		member, _ := s.Get(daisyfleet.ID{Kind: daisyfleet.KindMember, Name: daisyfleet.MemberName(name, t.Primary)})
+		m, found := member.Value.(daisyfleet.Member)
+		if found && slices.Contains(observers, host) {
+			tenancy := daisybeat.Tenancy{Database: name, Term: t.Term}
+			probes = append(probes, daisybeat.Probe{Tenancy: tenancy, Member: t.Primary, Address: m.Address})
+		}
 	}
-	return len(domains) >= min(quorumDomains, domainCount(s))
+	return probes
 }
 
 // domainCount returns in how many failure domains hosts are up.
--- a/internal/control/daisyfleet/value.go
+++ b/internal/control/daisyfleet/value.go
@@ -193,7 +193,7 @@
 	Primary     string // The member that serves writes; empty while claiming.
 	Last        string // The primary before this term.
 	Avoid       string // The member that must not stay primary.
-	Released    bool   // The holder handed the right back.
+	Revoked     bool   // The holder is to hand the right back.
 }
 
 // Kind implements Value.
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -42,9 +42,10 @@
 
 // Options configure a Keeper.
 type Options struct {
-	Hosts  []netip.AddrPort      // The control hosts.
-	Dial   Dial                  // Opens links.
-	Report func() daisybeat.Beat // The host's present reports; ID and Revision are filled in.
+	Hosts  []netip.AddrPort        // The control hosts.
+	Dial   Dial                    // Opens links.
+	Report func() daisybeat.Beat   // The host's present reports; ID and Revision are filled in.
+	Probe  func([]daisybeat.Probe) // Told of the primaries to probe.
 	View   *daisyfleet.View
 	Log    log.Interface
 }
@@ -219,6 +220,9 @@
 			return true // The next heartbeat tells the revision held.
 		}
 	}
+	if len(r.Probes) > 0 {
+		k.options.Probe(r.Probes)
+	}
 	if r.ID == 0 {
 		return true
 	}
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -197,8 +197,12 @@
 		r.tickLeader(now)
 		return
 	}
-	if !now.Before(r.deadline) && r.voting() {
+	switch {
+	case now.Before(r.deadline):
+	case r.voting():
 		r.preVote(now)
+	default:
+		r.postpone(now)
 	}
 }
 
--- a/internal/entry/daisyentry/server.go
+++ b/internal/entry/daisyentry/server.go
@@ -17,6 +17,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Right tells whether the host's lease is valid at this moment.
@@ -37,6 +38,7 @@
 
 // Options configure a Server.
 type Options struct {
+	Network         daisynet.Network
 	Listen          netip.AddrPort
 	Host            string
 	TLS             *tls.Config // Nil offers no TLS.
@@ -68,14 +70,14 @@
 // Open listens and starts to serve callers.
 func Open(o Options) (s *Server, err error) {
 	defer daisyerror.Annotate(&err, "open entry")
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", o.Listen.String())
+	listener, err := o.Network.Listen(context.Background(), o.Listen)
 	if err != nil {
 		return nil, err
 	}
 	s = &Server{options: o, listener: listener, sessions: make(map[uint32]*session)}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.wait.Go(s.accept)
-	s.wait.Go(s.watchKeys)
+	s.wait.Go(s.watch)
 	return s, nil
 }
 
@@ -159,14 +161,16 @@
 // checked against the host's lease.
 const leaseCheckInterval = 250 * time.Millisecond
 
-// watchKeys ends sessions whose key is withdrawn, and those with a request
-// under way when the host's lease has run out.
-func (s *Server) watchKeys() {
+// watch ends sessions whose key is withdrawn, stops attempts at holders that
+// have lost their database, and ends sessions with a request under way when
+// the host's lease has run out.
+func (s *Server) watch() {
 	tick := time.NewTicker(leaseCheckInterval)
 	defer tick.Stop()
 	for {
 		changed := s.options.View.Changed()
 		s.endSessions(func(c *session) bool { return c.key != "" && !c.keyGranted() }, "the key was withdrawn")
+		s.leaveHolders()
 		select {
 		case <-changed:
 		case <-tick.C:
@@ -179,6 +183,25 @@
 	}
 }
 
+// leaveHolders stops attempts whose tenure is no longer in force.
+func (s *Server) leaveHolders() {
+	terms := make(map[string]uint64)
+	current := func(database string) uint64 {
+		term, ok := terms[database]
+		if !ok {
+			tenure, _ := s.options.View.Tenure(database)
+			term = tenure.Term
+			terms[database] = term
+		}
+		return term
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.sessions {
+		c.leaveHolder(current)
+	}
+}
+
 func (s *Server) endSessions(match func(*session) bool, why string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/daisyentry/session.go
+++ b/internal/entry/daisyentry/session.go
@@ -11,6 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
 )
 
@@ -49,10 +50,13 @@
 	floor      daisylane.Position
 	arriving   bool
 
-	mu      sync.Mutex
-	working bool // A request is under way or a transaction is open.
-	stop    context.CancelFunc
-	ending  string
+	mu        sync.Mutex
+	working   bool               // A request is under way or a transaction is open.
+	stop      context.CancelFunc // Ends the attempt under way; nil if there is none.
+	database  string             // Of the attempt.
+	term      uint64             // The tenure to which the attempt goes.
+	cancelled bool               // The caller asked to cancel the request.
+	ending    string
 }
 
 func newSession(s *Server, conn net.Conn) *session {
@@ -112,15 +116,47 @@
 	_ = c.conn.SetReadDeadline(time.Now())
 }
 
-// cancelRequest stops the request under way.
+// cancelRequest stops the request under way because its caller asked for it.
 func (c *session) cancelRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.cancelled = true
 	if c.stop != nil {
 		c.stop()
 	}
 }
 
+// leaveHolder stops an attempt at a holder that has lost the database, since
+// its answer may never come.
+func (c *session) leaveHolder(current func(database string) uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stop != nil && c.term != current(c.database) {
+		c.stop()
+	}
+}
+
+// beginAttempt notes where the request goes and returns the context for it.
+func (c *session) beginAttempt(database string, term uint64) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.database, c.term, c.stop = database, term, cancel
+	return ctx, cancel
+}
+
+func (c *session) endAttempt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stop = nil
+}
+
+func (c *session) wasCancelled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancelled
+}
+
 func (c *session) close() {
 	c.cancel()
 	if c.lane != nil {
@@ -227,27 +263,26 @@
 		return nil, errUnsupported("the profile was removed")
 	}
 	r.Workspace, r.Key, r.Profile = c.workspace, c.key, c.profile
-	ctx, cancel := context.WithCancel(c.ctx)
-	defer cancel()
+	r.ReadOnly = r.ReadOnly || profile.ReadOnly
 	c.mu.Lock()
-	c.stop = cancel
+	c.cancelled = false
 	c.mu.Unlock()
 	deadline := time.Now().Add(profile.Wait)
 	for {
 		r.Floor, r.Arriving, r.Wait = c.floor, c.arriving, time.Until(deadline)
 		changed := c.server.options.View.Changed()
-		final, err := c.attempt(ctx, profile.Database, r)
+		final, err := c.attempt(profile.Database, r)
 		if err != nil {
 			return nil, err
 		}
-		if !again(final) || time.Until(deadline) < routeRetry {
+		if !again(final) || c.wasCancelled() || time.Until(deadline) < routeRetry {
 			return final, c.deliver(final)
 		}
 		select {
 		case <-changed:
 		case <-time.After(routeRetry):
-		case <-ctx.Done():
-			return nil, ctx.Err()
+		case <-c.ctx.Done():
+			return nil, c.ctx.Err()
 		}
 	}
 }
@@ -258,43 +293,64 @@
 }
 
 // attempt runs the request once. The last part is returned, not written.
-func (c *session) attempt(ctx context.Context, database string, r *daisylane.Request) (final *daisylane.Answer, err error) {
+func (c *session) attempt(database string, r *daisylane.Request) (final *daisylane.Answer, err error) {
+	tenure, _ := c.server.options.View.Tenure(database)
+	if c.lane != nil && tenure.Term != c.term {
+		return c.lostTransaction(), nil
+	}
 	inside := c.lane != nil
+	ctx, cancel := c.beginAttempt(database, tenure.Term)
+	defer cancel()
+	defer c.endAttempt()
 	if !inside {
-		lane, unreachable := c.open(ctx, database)
+		lane, unreachable := c.open(ctx, tenure)
 		if unreachable != nil {
-			return c.refused(daisylane.CauseMoved), nil
+			return c.refused(daisylane.CauseMoved), c.ctx.Err()
 		}
 		c.lane = lane
 	}
+	emitted := false
 	err = c.lane.Do(ctx, r, func(a *daisylane.Answer) error {
 		if a.Final {
 			final = a
 			return nil
 		}
+		emitted = true
 		return c.write(a.Bytes)
 	})
 	if err != nil || final.Status == daisylane.StatusIdle {
 		c.lane.Close()
 		c.lane = nil
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		return final, nil
-	}
-	if c.ctx.Err() != nil {
+	case c.ctx.Err() != nil:
 		return nil, err
+	case r.ReadOnly && !inside && !emitted:
+		return c.refused(daisylane.CauseMoved), nil
 	}
 	return c.unknown(r.ReadOnly, err), nil
 }
 
+// lostTransaction ends a transaction whose holder has lost the database. Its
+// statements are rolled back, since a commit was never sent.
+func (c *session) lostTransaction() *daisylane.Answer {
+	c.lane.Close()
+	c.lane = nil
+	a := c.refused(daisylane.CauseBackend)
+	a.Refusal.Code = "40001"
+	a.Refusal.Message = "not run: the transaction was rolled back when the database moved"
+	return a
+}
+
 // open returns a lane to the holder of the database.
-func (c *session) open(ctx context.Context, database string) (daisylane.Lane, error) {
+func (c *session) open(ctx context.Context, tenure daisyfleet.Tenure) (daisylane.Lane, error) {
 	o := &c.server.options
-	if !o.Right.Valid() {
+	switch {
+	case !o.Right.Valid():
 		return nil, errors.New("host has no lease")
-	}
-	tenure, ok := o.View.Tenure(database)
-	if !ok {
+	case tenure.Holder == "":
 		return nil, errors.New("database has no holder")
 	}
 	if tenure.Holder == o.Host {
--- a/internal/holder/daisyholder/group.go
+++ b/internal/holder/daisyholder/group.go
@@ -102,12 +102,13 @@
 	}
 }
 
-func (g *group) credentials() daisymember.Credentials {
-	return g.holder.options.Credentials[g.database]
+func (g *group) backend() daisymember.Backend {
+	o := &g.holder.options
+	return daisymember.Backend{Network: o.Network, Credentials: o.Credentials[g.database]}
 }
 
 func (g *group) control(m daisyfleet.Member) *daisymember.Control {
-	return daisymember.NewControl(m.Address, g.credentials(), g.term)
+	return g.backend().Control(m.Address, g.term)
 }
 
 // takeOver tries until the group has a primary of this term.
--- a/internal/holder/daisyholder/holder.go
+++ b/internal/holder/daisyholder/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Right tells whether the host's lease is valid at this moment.
@@ -32,6 +34,7 @@
 	View        *daisyfleet.View
 	Right       Right
 	Limiter     Limiter
+	Network     daisynet.Network
 	Credentials map[string]daisymember.Credentials // By database.
 	Log         log.Interface
 }
@@ -75,7 +78,7 @@
 	h.options.View.Read(func(s *daisyfleet.State) {
 		s.Each(daisyfleet.KindTenure, func(o daisyfleet.Object) {
 			t, ok := o.Value.(daisyfleet.Tenure)
-			if ok && t.Holder == h.options.Host && t.Incarnation == h.options.Incarnation && !t.Released {
+			if ok && t.Holder == h.options.Host && t.Incarnation == h.options.Incarnation {
 				mine[o.Name] = t
 			}
 		})
@@ -88,13 +91,33 @@
 			delete(h.groups, name)
 		}
 	}
+	h.released = slices.DeleteFunc(h.released, func(r daisybeat.Tenancy) bool { return mine[r.Database].Term != r.Term })
 	for name, t := range mine {
-		if h.groups[name] == nil {
+		switch {
+		case t.Revoked:
+			h.revoke(name, t.Term)
+		case h.groups[name] == nil && !h.draining:
 			h.groups[name] = h.start(name, t)
 		}
 	}
 }
 
+// revoke ends a group that is to be handed back; h.mu is held.
+func (h *Holder) revoke(name string, term uint64) {
+	if g := h.groups[name]; g != nil {
+		g.close()
+		delete(h.groups, name)
+	}
+	h.release(daisybeat.Tenancy{Database: name, Term: term})
+}
+
+// release reports a tenure as handed back; h.mu is held.
+func (h *Holder) release(t daisybeat.Tenancy) {
+	if !slices.Contains(h.released, t) {
+		h.released = append(h.released, t)
+	}
+}
+
 func (h *Holder) group(database string) *group {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -105,7 +128,7 @@
 func (h *Holder) Holds(database string) bool { return h.group(database) != nil }
 
 // Reports returns what the next heartbeat says of the tenures.
-func (h *Holder) Reports() (claims []daisybeat.Claim, suspicions []daisybeat.Suspicion, released []daisybeat.Tenancy) {
+func (h *Holder) Reports() (claims []daisybeat.Claim, sights []daisybeat.Sight, released []daisybeat.Tenancy) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, g := range h.groups {
@@ -118,10 +141,10 @@
 			claims = append(claims, daisybeat.Claim{Tenancy: tenancy, Primary: primary, Note: note})
 		}
 		if suspected {
-			suspicions = append(suspicions, daisybeat.Suspicion{Tenancy: tenancy, Member: primary})
+			sights = append(sights, daisybeat.Sight{Tenancy: tenancy, Member: primary})
 		}
 	}
-	return claims, suspicions, h.released
+	return claims, sights, slices.Clone(h.released)
 }
 
 // Holding reports whether the host holds any database.
@@ -144,7 +167,7 @@
 	for _, g := range groups {
 		g.drain(ctx)
 		h.mu.Lock()
-		h.released = append(h.released, daisybeat.Tenancy{Database: g.database, Term: g.term})
+		h.release(daisybeat.Tenancy{Database: g.database, Term: g.term})
 		h.mu.Unlock()
 	}
 }
--- a/internal/holder/daisyholder/pool.go
+++ b/internal/holder/daisyholder/pool.go
@@ -73,7 +73,7 @@
 	if c := p.pop(); c != nil {
 		return c, nil
 	}
-	c, err := daisymember.Open(ctx, p.addr, p.group.credentials(), p.group.term)
+	c, err := p.group.backend().Open(ctx, p.addr, p.group.term)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/daisyhost/control.go
+++ b/internal/host/daisyhost/control.go
@@ -36,6 +36,8 @@
 	wait   sync.WaitGroup
 	wake   chan struct{}
 
+	doubt broadcast // A host reported what it sees of a primary.
+
 	mu     sync.Mutex
 	leader *daisycontrol.Leader // Nil while this host does not lead.
 	term   uint64
@@ -125,12 +127,16 @@
 	r := daisybeat.Reply{ID: b.ID, Leader: c.self}
 	c.view.Read(func(s *daisyfleet.State) {
 		r.Lease = leader.Beat(now, s, b)
+		r.Probes = leader.Probes(now, s, b.Host)
 		if b.Revision != s.Revision() {
 			delta := s.Delta(b.Revision)
 			r.Delta = &delta
 		}
 	})
-	if r.Lease == 0 || len(b.Claims)+len(b.Suspicions)+len(b.Released) > 0 {
+	if len(b.Sights) > 0 {
+		c.doubt.announce()
+	}
+	if r.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released) > 0 {
 		c.wakeUp()
 	}
 	return r
@@ -198,7 +204,7 @@
 func (c *control) push(ctx context.Context, link *daisylink.Conn, held <-chan uint64) {
 	var from uint64
 	for {
-		changed := c.view.Changed()
+		changed, doubted := c.view.Changed(), c.doubt.next()
 		if from != 0 && from < c.view.Revision() {
 			if _, ok := c.node.Leads(); ok {
 				var delta daisyfleet.Delta
@@ -211,6 +217,10 @@
 		}
 		select {
 		case <-changed:
+		case <-doubted:
+			if probes := c.probes(link.Peer()); len(probes) > 0 {
+				_ = link.Send(ctx, daisycodec.EncodeReply(daisybeat.Reply{Probes: probes}))
+			}
 		case from = <-held:
 		case <-ctx.Done():
 			return
@@ -218,6 +228,19 @@
 	}
 }
 
+// probes returns the primaries that the host is to probe now.
+func (c *control) probes(host string) (probes []daisybeat.Probe) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	leader := c.leading(now)
+	if leader == nil {
+		return nil
+	}
+	c.view.Read(func(s *daisyfleet.State) { probes = leader.Probes(now, s, host) })
+	return probes
+}
+
 // answer decides a proposal.
 func (c *control) answer(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
 	d := daisycodec.Decision{ID: p.ID}
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -26,12 +26,14 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisykeeper"
 	"github.com/daisyglade/daisyglade/internal/control/daisylog"
 	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
+	"github.com/daisyglade/daisyglade/internal/control/daisywatch"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyentry"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyholder"
 	"github.com/daisyglade/daisyglade/internal/host/daisyops"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // reportInterval is how often the holder's reports are compared, so that news
@@ -41,15 +43,18 @@
 // Host is one running host.
 type Host struct {
 	settings    daisysettings.Settings
+	network     daisynet.Network
 	incarnation uint64
 	log         log.Interface
 	view        *daisyfleet.View
 
+	mux     daisylink.Mux
 	links   *http.Server
 	tls     *tls.Config
 	dialer  *daisylink.Dialer
 	lanes   *daisyroute.Lanes
 	keeper  *daisykeeper.Keeper
+	watcher *daisywatch.Watcher
 	holder  *daisyholder.Holder
 	entry   *daisyentry.Server
 	ops     *daisyops.Server
@@ -76,9 +81,9 @@
 }
 
 // Open starts a host.
-func Open(s daisysettings.Settings, l log.Interface) (h *Host, err error) {
+func Open(s daisysettings.Settings, n daisynet.Network, l log.Interface) (h *Host, err error) {
 	defer daisyerror.Annotate(&err, "start host %s", s.Host)
-	h = &Host{settings: s, incarnation: rand.Uint64() | 1, log: l.WithField("host", s.Host), view: daisyfleet.NewView()}
+	h = &Host{settings: s, network: n, incarnation: rand.Uint64() | 1, log: l.WithField("host", s.Host), view: daisyfleet.NewView()}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	if err := h.open(); err != nil {
 		return nil, errors.Join(err, h.Close())
@@ -93,7 +98,7 @@
 	if h.tls, err = files.Load(); err != nil {
 		return err
 	}
-	h.dialer = daisylink.NewDialer(h.tls)
+	h.dialer = daisylink.NewDialer(h.tls, h.network)
 	h.lanes = daisyroute.New(h.dialer)
 	if s.Control.Enabled {
 		if err := h.openControl(); err != nil {
@@ -102,20 +107,21 @@
 	}
 	h.holder = daisyholder.New(daisyholder.Options{
 		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h},
-		Limiter: unlimited{}, Credentials: credentials(s.Databases), Log: h.log,
+		Limiter: unlimited{}, Network: h.network, Credentials: credentials(s.Databases), Log: h.log,
 	})
 	if err := h.openLinks(); err != nil {
 		return err
 	}
+	h.watcher = daisywatch.New(daisymember.Prober{Network: h.network}, h.wake)
 	h.keeper = daisykeeper.New(daisykeeper.Options{
-		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, View: h.view, Log: h.log,
+		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, Probe: h.watcher.Ask, View: h.view, Log: h.log,
 	})
 	h.wait.Go(h.watchReports)
 	if err := h.openEntry(); err != nil {
 		return err
 	}
 	h.ops, err = daisyops.Open(daisyops.Options{
-		Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
+		Network: h.network, Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
 		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
 		Propose: h.keeper.Propose, Status: h.status, Host: s.Host, Log: h.log,
 	})
@@ -183,7 +189,7 @@
 
 // openLinks serves links from other hosts.
 func (h *Host) openLinks() error {
-	var mux daisylink.Mux
+	mux := &h.mux
 	mux.Handle(daisylink.PathLane, func(ctx context.Context, c *daisylink.Conn) {
 		daisyroute.Serve(ctx, c, h.holder)
 	})
@@ -193,12 +199,12 @@
 			serveLog(ctx, c, h.node.Step)
 		})
 	}
-	listener, err := (&net.ListenConfig{}).Listen(h.ctx, "tcp", h.settings.Link.Listen.String())
+	listener, err := h.network.Listen(h.ctx, h.settings.Link.Listen)
 	if err != nil {
 		return err
 	}
 	h.links = &http.Server{
-		Handler: &mux, ReadHeaderTimeout: linkHeaderTimeout, ErrorLog: quietLog(h.log),
+		Handler: mux, ReadHeaderTimeout: linkHeaderTimeout, ErrorLog: quietLog(h.log),
 		BaseContext: func(net.Listener) context.Context { return h.ctx },
 	}
 	h.wait.Go(func() { _ = h.links.Serve(tls.NewListener(listener, h.tls)) })
@@ -219,7 +225,7 @@
 		callers = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{pair}}
 	}
 	h.entry, err = daisyentry.Open(daisyentry.Options{
-		Listen: s.Entry.Listen, Host: s.Host, TLS: callers, RequireTLS: s.Entry.RequireTLS,
+		Network: h.network, Listen: s.Entry.Listen, Host: s.Host, TLS: callers, RequireTLS: s.Entry.RequireTLS,
 		MaxSessions: s.Entry.MaxSessions, MaxRequestBytes: s.Entry.MaxRequestBytes, View: h.view,
 		Right: h.keeper, Holder: h.holder, Lanes: h.lanes, Recorder: discard{}, Log: h.log,
 	})
@@ -241,6 +247,9 @@
 	return c, nil
 }
 
+// wake sends the next heartbeat at once.
+func (h *Host) wake() { h.keeper.Wake() }
+
 // report gathers what the next heartbeat says.
 func (h *Host) report() daisybeat.Beat {
 	s := &h.settings
@@ -248,7 +257,8 @@
 		Host: s.Host, Incarnation: h.incarnation, Address: s.Link.Advertise,
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
-	b.Claims, b.Suspicions, b.Released = h.holder.Reports()
+	b.Claims, b.Sights, b.Released = h.holder.Reports()
+	b.Sights = append(b.Sights, h.watcher.Sights()...)
 	if h.ops != nil {
 		b.Announcements = h.ops.Announcements()
 	}
@@ -269,8 +279,8 @@
 		case <-h.ctx.Done():
 			return
 		}
-		claims, suspicions, released := h.holder.Reports()
-		if now := fmt.Sprint(claims, suspicions, released); now != before {
+		claims, sights, released := h.holder.Reports()
+		if now := fmt.Sprint(claims, sights, released); now != before {
 			before = now
 			h.keeper.Wake()
 		}
@@ -346,6 +356,10 @@
 	}
 	if h.links != nil {
 		errs = append(errs, h.links.Close())
+		h.mux.Wait()
+	}
+	if h.watcher != nil {
+		errs = append(errs, h.watcher.Close())
 	}
 	if h.keeper != nil {
 		errs = append(errs, h.keeper.Close())
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -10,7 +10,6 @@
 	"encoding/json"
 	"errors"
 	"expvar"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -23,6 +22,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
 )
 
@@ -58,6 +58,7 @@
 
 // Options configure a Server.
 type Options struct {
+	Network       daisynet.Network
 	Listen        netip.AddrPort
 	TLS           *tls.Config // Nil serves without TLS.
 	OperatorToken string
@@ -89,7 +90,7 @@
 // Open listens and serves.
 func Open(o Options) (s *Server, err error) {
 	defer daisyerror.Annotate(&err, "open operations")
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", o.Listen.String())
+	listener, err := o.Network.Listen(context.Background(), o.Listen)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/daisystandin/group.go
+++ b/internal/standin/daisystandin/group.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Credentials are what daisyglade must show to a member.
@@ -22,6 +23,7 @@
 
 // Group is a database group whose members listen on loopback.
 type Group struct {
+	network     daisynet.Network
 	credentials Credentials
 	connections int // Per member.
 	refused     atomic.Int64
@@ -38,9 +40,10 @@
 
 // Open starts a group of n members named m1, m2 and so on, each with at most
 // the number of connections. None is primary until one is promoted.
-func Open(n, connections int, c Credentials) (g *Group, err error) {
+func Open(network daisynet.Network, n, connections int, c Credentials) (g *Group, err error) {
 	defer daisyerror.Annotate(&err, "open stand-in group")
 	g = &Group{
+		network:     network,
 		credentials: c,
 		connections: connections,
 		listeners:   make(map[*Member]net.Listener),
@@ -51,7 +54,7 @@
 	for i := range n {
 		m := newMember(fmt.Sprintf("m%d", i+1))
 		g.members = append(g.members, m)
-		if err := g.listen(m, "127.0.0.1:0"); err != nil {
+		if err := g.listen(m, netip.AddrPortFrom(loopback, 0)); err != nil {
 			return nil, errors.Join(err, g.Close())
 		}
 		g.wait.Go(func() { m.replicate(g.done) })
@@ -59,8 +62,11 @@
 	return g, nil
 }
 
-func (g *Group) listen(m *Member, address string) error {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+// loopback is where the members listen.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+func (g *Group) listen(m *Member, address netip.AddrPort) error {
+	l, err := g.network.Listen(context.Background(), address)
 	if err != nil {
 		return err
 	}
@@ -227,7 +233,7 @@
 // Start lets a stopped member listen again on its address.
 func (g *Group) Start(m *Member) error {
 	m.Stall(false)
-	return g.listen(m, g.Address(m).String())
+	return g.listen(m, g.Address(m))
 }
 
 // Close stops the group and waits until nothing of it runs.
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -13,17 +13,23 @@
 const value = `('[^']*'|\$\d+|\d+(?:\.\d+)?)`
 
 var (
-	insertForm   = regexp.MustCompile(`(?is)^insert into (\w+) values \(\s*` + value + `\s*,\s*` + value + `\s*\)$`)
-	updateForm   = regexp.MustCompile(`(?is)^update (\w+) set value = ` + value + ` where key = ` + value + `$`)
-	deleteForm   = regexp.MustCompile(`(?is)^delete from (\w+) where key = ` + value + `$`)
-	selectForm   = regexp.MustCompile(`(?is)^select value from (\w+) where key = ` + value + `$`)
-	countForm    = regexp.MustCompile(`(?is)^select count\(\*\) from (\w+)$`)
-	seriesForm   = regexp.MustCompile(`(?is)^select repeat\('(\w)', (\d+)\) from generate_series\(1, ` + value + `\)$`)
-	sleepForm    = regexp.MustCompile(`(?is)^select pg_sleep\(` + value + `\)$`)
-	platformForm = regexp.MustCompile(`(?is)^select platform\.(\w+)\(([^)]*)\)$`)
+	insertForm   = form(`insert into (\w+) values \(\s*` + value + `\s*,\s*` + value + `\s*\)`)
+	updateForm   = form(`update (\w+) set value = ` + value + ` where key = ` + value)
+	deleteForm   = form(`delete from (\w+) where key = ` + value)
+	selectForm   = form(`select value from (\w+) where key = ` + value)
+	countForm    = form(`select count\(\*\) from (\w+)`)
+	seriesForm   = form(`select repeat\('(\w)', (\d+)\) from generate_series\(1,\s*` + value + `\s*\)`)
+	sleepForm    = form(`select pg_sleep\(\s*` + value + `\s*\)`)
+	platformForm = form(`select platform\.(\w+)\(([^)]*)\)`)
 	paramForm    = regexp.MustCompile(`\$(\d+)`)
 )
 
+// form compiles the pattern of a statement, in which a space stands for any
+// white space.
+func form(pattern string) *regexp.Regexp {
+	return regexp.MustCompile(`(?is)^` + strings.ReplaceAll(pattern, " ", `\s+`) + `$`)
+}
+
 // sqlError is an error with an SQLSTATE.
 type sqlError struct {
 	code    string
@@ -136,7 +142,7 @@
 		{selectForm, 2, s.selectValue},
 		{countForm, 2, s.selectCount},
 		{sleepForm, 1, s.sleep},
-		{seriesForm, 1, s.series},
+		{seriesForm, 2, s.series},
 	}
 	for _, f := range forms {
 		m := f.form.FindStringSubmatch(sql)
--- /dev/null
+++ b/internal/try/daisytrial/process_test.go
@@ -0,0 +1,238 @@
+package daisytrial_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
+	"github.com/daisyglade/daisyglade/internal/try/daisytrial"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+)
+
+// processes is a fleet of real processes with a stand-in group in the test.
+type processes struct {
+	t        *testing.T
+	plan     *daisytrial.Plan
+	group    *daisystandin.Group
+	commands []*exec.Cmd
+	binary   string
+}
+
+func startProcesses(t *testing.T) *processes {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	p := &processes{t: t, binary: filepath.Join(t.TempDir(), "daisyglade")}
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", p.binary, "github.com/daisyglade/daisyglade/cmd/daisyglade")
+	output, err := build.CombinedOutput()
+	assert.NilError(t, err, string(output))
+	p.plan, err = daisytrial.NewPlan(daisynet.TCP{}, t.TempDir(), 3)
+	assert.NilError(t, err)
+	p.group, err = p.plan.OpenGroup()
+	assert.NilError(t, err)
+	var announcing sync.WaitGroup
+	ctx, cancel := context.WithCancel(context.Background())
+	announcing.Go(func() { p.plan.Announce(ctx, p.group) })
+	p.commands = make([]*exec.Cmd, len(p.plan.Settings))
+	t.Cleanup(func() {
+		for i := range p.commands {
+			p.signal(i, syscall.SIGKILL)
+		}
+		cancel()
+		announcing.Wait()
+		assert.Check(t, p.group.Close())
+	})
+	for i := range p.commands {
+		p.start(i)
+	}
+	assert.NilError(t, p.plan.Populate(t.Context()))
+	p.awaitService()
+	return p
+}
+
+func (p *processes) start(i int) {
+	c := exec.CommandContext(context.Background(), p.binary, "run", "--settings", p.plan.SettingsFiles[i])
+	log, err := os.Create(filepath.Join(p.plan.Folder, fmt.Sprintf("h%d-%d.log", i+1, time.Now().UnixNano())))
+	assert.NilError(p.t, err)
+	c.Stderr = log
+	assert.NilError(p.t, c.Start())
+	assert.NilError(p.t, log.Close())
+	p.commands[i] = c
+}
+
+// signal sends a signal to the process and, if that ends it, waits for it.
+func (p *processes) signal(i int, s syscall.Signal) {
+	c := p.commands[i]
+	if c == nil {
+		return
+	}
+	_ = c.Process.Signal(s)
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		_ = c.Wait()
+		p.commands[i] = nil
+	}
+}
+
+// awaitService waits until every running host serves a statement.
+func (p *processes) awaitService() {
+	for i, c := range p.commands {
+		if c == nil {
+			continue
+		}
+		p.await(func(ctx context.Context) error {
+			conn, err := pgx.Connect(ctx, p.plan.ConnString(i, daisytrial.ProfileWrite))
+			if err != nil {
+				return err
+			}
+			_, err = conn.Exec(ctx, "SELECT 1")
+			return errors.Join(err, conn.Close(ctx))
+		})
+	}
+}
+
+// await calls try until it succeeds.
+func (p *processes) await(try func(ctx context.Context) error) {
+	ctx, cancel := context.WithTimeout(p.t.Context(), time.Minute)
+	defer cancel()
+	for {
+		err := try(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-ctx.Done():
+			assert.NilError(p.t, err)
+		}
+	}
+}
+
+func (p *processes) connect(i int, mode pgx.QueryExecMode) *pgx.Conn {
+	config, err := pgx.ParseConfig(p.plan.ConnString(i, daisytrial.ProfileWrite))
+	assert.NilError(p.t, err)
+	config.DefaultQueryExecMode = mode
+	conn, err := pgx.ConnectConfig(p.t.Context(), config)
+	assert.NilError(p.t, err)
+	return conn
+}
+
+func TestProcessesServe(t *testing.T) {
+	p := startProcesses(t)
+	modes := []struct {
+		name string
+		mode pgx.QueryExecMode
+	}{
+		{"Simple", pgx.QueryExecModeSimpleProtocol},
+		{"Extended", pgx.QueryExecModeExec},
+		{"Cached", pgx.QueryExecModeCacheStatement},
+		{"Described", pgx.QueryExecModeDescribeExec},
+	}
+	for _, m := range modes {
+		for host := range p.commands {
+			t.Run(fmt.Sprintf("%s%d", m.name, host+1), func(t *testing.T) {
+				conn := p.connect(host, m.mode)
+				checkTransactions(t, conn, fmt.Sprintf("%s%d", m.name, host))
+				checkLargeAnswer(t, conn)
+				checkErrors(t, conn)
+				assert.NilError(t, conn.Close(t.Context()))
+			})
+		}
+	}
+	t.Run("Sessions", func(t *testing.T) { checkSessions(t, p) })
+}
+
+func checkTransactions(t *testing.T, conn *pgx.Conn, key string) {
+	ctx := t.Context()
+	tx, err := conn.Begin(ctx)
+	assert.NilError(t, err)
+	for i := range 3 {
+		_, err = tx.Exec(ctx, "INSERT INTO rounds VALUES ($1, $2)", fmt.Sprintf("%s-%d", key, i), "stop")
+		assert.NilError(t, err)
+	}
+	assert.NilError(t, tx.Commit(ctx))
+	tx, err = conn.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = tx.Exec(ctx, "UPDATE rounds SET value = $1 WHERE key = $2", "skipped", key+"-0")
+	assert.NilError(t, err)
+	assert.NilError(t, tx.Rollback(ctx))
+	var value string
+	for range 3 {
+		assert.NilError(t, conn.QueryRow(ctx, "SELECT value FROM rounds WHERE key = $1", key+"-0").Scan(&value))
+		assert.Equal(t, value, "stop")
+	}
+	read, err := conn.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	assert.NilError(t, err)
+	assert.NilError(t, read.QueryRow(ctx, "SELECT value FROM rounds WHERE key = $1", key+"-2").Scan(&value))
+	_, err = read.Exec(ctx, "INSERT INTO rounds VALUES ($1, $2)", key+"-x", "no")
+	assert.ErrorContains(t, err, "25006")
+	assert.NilError(t, read.Rollback(ctx))
+}
+
+func checkLargeAnswer(t *testing.T, conn *pgx.Conn) {
+	const rows, width = 10240, 1024
+	answer, err := conn.Query(t.Context(), fmt.Sprintf("SELECT repeat('x', %d) FROM generate_series(1, %d)", width, rows))
+	assert.NilError(t, err)
+	size := 0
+	for answer.Next() {
+		size += len(answer.RawValues()[0])
+	}
+	assert.NilError(t, answer.Err())
+	assert.Equal(t, size, rows*width)
+}
+
+func checkErrors(t *testing.T, conn *pgx.Conn) {
+	_, err := conn.Exec(t.Context(), "SELECT nonsense from nowhere at all")
+	assert.ErrorContains(t, err, "42601")
+	_, err = conn.Exec(t.Context(), "SET statement_timeout = 5")
+	assert.ErrorContains(t, err, "0A000")
+	_, err = conn.Exec(t.Context(), "SELECT 1")
+	assert.NilError(t, err)
+}
+
+// checkSessions runs 200 sessions at once that each write and read back.
+func checkSessions(t *testing.T, p *processes) {
+	const sessions, rounds = 200, 5
+	var wait sync.WaitGroup
+	errs := make(chan error, sessions)
+	for s := range sessions {
+		wait.Go(func() { errs <- p.session(t.Context(), s, rounds) })
+	}
+	wait.Wait()
+	close(errs)
+	for err := range errs {
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(p.group.Primary().Rows("sessions")), sessions*rounds)
+}
+
+func (p *processes) session(ctx context.Context, s, rounds int) error {
+	conn, err := pgx.Connect(ctx, p.plan.ConnString(s%len(p.commands), daisytrial.ProfileWrite))
+	if err != nil {
+		return err
+	}
+	for i := range rounds {
+		key := fmt.Sprintf("%d-%d", s, i)
+		if _, err := conn.Exec(ctx, "INSERT INTO sessions VALUES ($1, $2)", key, key); err != nil {
+			return err
+		}
+		var value string
+		if err := conn.QueryRow(ctx, "SELECT value FROM sessions WHERE key = $1", key).Scan(&value); err != nil {
+			return err
+		}
+		if value != key {
+			return fmt.Errorf("read %q in place of %q", value, key)
+		}
+	}
+	return conn.Close(ctx)
+}
--- a/internal/try/daisytrial/trial.go
+++ b/internal/try/daisytrial/trial.go
@@ -29,6 +29,7 @@
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Names of the objects that a trial creates.
@@ -51,6 +52,7 @@
 
 // Plan is a fleet whose files are written but whose hosts do not run yet.
 type Plan struct {
+	Network       daisynet.Network
 	Folder        string
 	SettingsFiles []string
 	Settings      []daisysettings.Settings
@@ -62,9 +64,9 @@
 
 // NewPlan writes the files of a fleet with the number of hosts into the
 // folder. The first three keep the control log.
-func NewPlan(folder string, hosts int) (p *Plan, err error) {
+func NewPlan(n daisynet.Network, folder string, hosts int) (p *Plan, err error) {
 	defer daisyerror.Annotate(&err, "plan trial fleet")
-	p = &Plan{Folder: folder, OperatorToken: secret(), AnnounceToken: secret(), Password: secret()}
+	p = &Plan{Network: n, Folder: folder, OperatorToken: secret(), AnnounceToken: secret(), Password: secret()}
 	for name, text := range map[string]string{
 		"operator.token": p.OperatorToken, "announce.token": p.AnnounceToken, "backend.password": p.Password,
 	} {
@@ -76,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(3 * hosts)
+	ports, err := freePorts(n, 3*hosts)
 	if err != nil {
 		return nil, err
 	}
@@ -141,25 +143,37 @@
 
 // OpenGroup starts the stand-in group that the plan's hosts expect.
 func (p *Plan) OpenGroup() (*daisystandin.Group, error) {
-	return daisystandin.Open(groupMembers, connections, daisystandin.Credentials{User: "daisyglade", Password: p.Password})
+	return daisystandin.Open(p.Network, groupMembers, connections, daisystandin.Credentials{User: "daisyglade", Password: p.Password})
 }
 
 // Announce announces the group to the hosts until ctx ends.
 func (p *Plan) Announce(ctx context.Context, g *daisystandin.Group) {
 	a := daisystandin.Announcer{
 		Group: g, Database: Database, Domains: domains, Hosts: p.URLs(), Token: p.AnnounceToken,
-		Client: &http.Client{Timeout: time.Second},
+		Client: p.httpClient(time.Second),
 	}
 	a.Run(ctx)
 }
 
+// httpClient returns a client of the hosts' HTTP interfaces.
+func (p *Plan) httpClient(timeout time.Duration) *http.Client {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return p.Network.Dial(ctx, addr)
+	}
+	return &http.Client{Timeout: timeout, Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+}
+
 // Populate creates the database, the profiles, the workspace and its key.
 func (p *Plan) Populate(ctx context.Context) (err error) {
 	defer daisyerror.Annotate(&err, "populate trial fleet")
 	key := daisyfleet.Key{Workspace: Workspace}
 	p.Key = "first." + secret()
 	key.Hash = sha256.Sum256([]byte(p.Key))
-	c := Client{URLs: p.URLs(), Token: p.OperatorToken, HTTP: &http.Client{Timeout: setupLimit}}
+	c := Client{URLs: p.URLs(), Token: p.OperatorToken, HTTP: p.httpClient(requestWait)}
 	write := daisyfleet.Profile{Database: Database, Acknowledge: daisyfleet.AcknowledgeMajority, Cost: 1, Wait: requestWait, Objective: 0.999}
 	read := write
 	read.ReadOnly = true
@@ -216,9 +230,9 @@
 
 // Open runs a fleet with the number of hosts in this process and returns once
 // it serves.
-func Open(ctx context.Context, folder string, hosts int, l log.Interface) (f *Fleet, err error) {
+func Open(ctx context.Context, n daisynet.Network, folder string, hosts int, l log.Interface) (f *Fleet, err error) {
 	defer daisyerror.Annotate(&err, "open trial fleet")
-	plan, err := NewPlan(folder, hosts)
+	plan, err := NewPlan(n, folder, hosts)
 	if err != nil {
 		return nil, err
 	}
@@ -230,7 +244,7 @@
 	f.cancel = cancel
 	f.wait.Go(func() { plan.Announce(announcing, f.Group) })
 	for _, s := range plan.Settings {
-		h, err := daisyhost.Open(s, l)
+		h, err := daisyhost.Open(s, n, l)
 		if err != nil {
 			return nil, errors.Join(err, f.Close())
 		}
@@ -281,7 +295,7 @@
 }
 
 // freePorts returns addresses on loopback that were free a moment ago.
-func freePorts(n int) ([]string, error) {
+func freePorts(network daisynet.Network, n int) ([]string, error) {
 	var listeners []net.Listener
 	var addrs []string
 	defer func() {
@@ -290,7 +304,7 @@
 		}
 	}()
 	for range n {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+		l, err := network.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/try/daisytrial/trial_test.go
+++ b/internal/try/daisytrial/trial_test.go
@@ -11,12 +11,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/try/daisytrial"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 func TestFleetServesStatements(t *testing.T) {
 	logger := &log.Logger{Handler: text.New(t.Output()), Level: log.DebugLevel}
 	ctx := context.Background()
-	f, err := daisytrial.Open(ctx, t.TempDir(), 3, logger)
+	f, err := daisytrial.Open(ctx, daisynet.TCP{}, t.TempDir(), 3, logger)
 	assert.NilError(t, err)
 	defer func() { assert.NilError(t, f.Close()) }()
 	for host := range f.Hosts {
--- a/internal/wire/daisycodec/beat.go
+++ b/internal/wire/daisycodec/beat.go
@@ -22,8 +22,8 @@
 	for _, c := range b.Claims {
 		w.Claims = append(w.Claims, daisywire.Claimed{Database: c.Database, Term: c.Term, Primary: c.Primary, Note: c.Note})
 	}
-	for _, s := range b.Suspicions {
-		w.Suspicions = append(w.Suspicions, daisywire.Suspicion{Database: s.Database, Term: s.Term, Member: s.Member})
+	for _, s := range b.Sights {
+		w.Suspicions = append(w.Suspicions, daisywire.Suspicion{Database: s.Database, Term: s.Term, Member: s.Member, Answers: s.Answers})
 	}
 	for _, a := range b.Announcements {
 		w.Announcements = append(w.Announcements, daisywire.Announcement{
@@ -51,7 +51,7 @@
 		b.Claims = append(b.Claims, daisybeat.Claim{Tenancy: daisybeat.Tenancy{Database: c.Database, Term: c.Term}, Primary: c.Primary, Note: c.Note})
 	}
 	for _, s := range w.Suspicions {
-		b.Suspicions = append(b.Suspicions, daisybeat.Suspicion{Tenancy: daisybeat.Tenancy{Database: s.Database, Term: s.Term}, Member: s.Member})
+		b.Sights = append(b.Sights, daisybeat.Sight{Tenancy: daisybeat.Tenancy{Database: s.Database, Term: s.Term}, Member: s.Member, Answers: s.Answers})
 	}
 	for _, a := range w.Announcements {
 		addr, err := netip.ParseAddrPort(a.Address)
@@ -69,6 +69,9 @@
 // EncodeReply encodes the answer to a heartbeat.
 func EncodeReply(r daisybeat.Reply) []byte {
 	w := &daisywire.BeatReply{ID: r.ID, Lease: int64(r.Lease), Delta: fromDelta(r.Delta), Leader: formatAddr(r.Leader)}
+	for _, p := range r.Probes {
+		w.Probes = append(w.Probes, daisywire.Probe{Database: p.Database, Term: p.Term, Member: p.Member, Address: formatAddr(p.Address)})
+	}
 	return encode(daisywire.Frame{BeatReply: w})
 }
 
@@ -78,8 +81,17 @@
 	if err != nil {
 		return r, err
 	}
-	leader, err := parseAddr(w.Leader)
-	return daisybeat.Reply{ID: w.ID, Lease: time.Duration(w.Lease), Delta: delta, Leader: leader}, err
+	r = daisybeat.Reply{ID: w.ID, Lease: time.Duration(w.Lease), Delta: delta}
+	for _, p := range w.Probes {
+		addr, err := parseAddr(p.Address)
+		if err != nil {
+			return r, err
+		}
+		tenancy := daisybeat.Tenancy{Database: p.Database, Term: p.Term}
+		r.Probes = append(r.Probes, daisybeat.Probe{Tenancy: tenancy, Member: p.Member, Address: addr})
+	}
+	r.Leader, err = parseAddr(w.Leader)
+	return r, err
 }
 
 // Proposal asks the control leader to decide a change.
--- a/internal/wire/daisycodec/fleet.go
+++ b/internal/wire/daisycodec/fleet.go
@@ -33,7 +33,7 @@
 	case daisyfleet.Tenure:
 		w.Tenure = &daisywire.Tenure{
 			Term: v.Term, Holder: v.Holder, Incarnation: v.Incarnation,
-			Primary: v.Primary, Last: v.Last, Avoid: v.Avoid, Released: v.Released,
+			Primary: v.Primary, Last: v.Last, Avoid: v.Avoid, Revoked: v.Revoked,
 		}
 	}
 }
@@ -65,7 +65,7 @@
 		if v := w.Tenure; v != nil {
 			return daisyfleet.Tenure{
 				Term: v.Term, Holder: v.Holder, Incarnation: v.Incarnation,
-				Primary: v.Primary, Last: v.Last, Avoid: v.Avoid, Released: v.Released,
+				Primary: v.Primary, Last: v.Last, Avoid: v.Avoid, Revoked: v.Revoked,
 			}, nil
 		}
 	default:
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -6,14 +6,17 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
 
 // Path names what a link is used for.
@@ -72,8 +75,15 @@
 }
 
 // NewDialer returns a dialer that shows the certificate in the configuration.
-func NewDialer(c *tls.Config) *Dialer {
-	return &Dialer{client: &http.Client{Transport: &http.Transport{TLSClientConfig: c}}}
+func NewDialer(c *tls.Config, n daisynet.Network) *Dialer {
+	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
+		addr, err := netip.ParseAddrPort(address)
+		if err != nil {
+			return nil, err
+		}
+		return n.Dial(ctx, addr)
+	}
+	return &Dialer{client: &http.Client{Transport: &http.Transport{TLSClientConfig: c, DialContext: dial}}}
 }
 
 // Dial opens a link to the address.
@@ -96,8 +106,12 @@
 // Mux routes accepted links to handlers.
 type Mux struct {
 	http.ServeMux
+	wait sync.WaitGroup
 }
 
+// Wait returns once no handler runs.
+func (m *Mux) Wait() { m.wait.Wait() }
+
 // Handle registers the handler of a path. Peers without a host certificate of
 // the fleet are refused.
 func (m *Mux) Handle(path Path, h Handler) {
@@ -112,6 +126,8 @@
 			return
 		}
 		ws.SetReadLimit(path.limit())
+		m.wait.Add(1)
+		defer m.wait.Done()
 		c := &Conn{ws: ws, peer: peer}
 		defer c.Close()
 		h(r.Context(), c)
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -109,6 +109,9 @@
 	// How long the lease lasts from the sending of the beat, in nanoseconds; 0 if
 	// none.
 	Lease int64 `json:"Lease,omitempty,omitzero"`
+
+	// Primaries that the host is to probe now.
+	Probes []Probe `json:"Probes,omitempty,omitzero"`
 }
 
 // An atomic set of operations.
@@ -423,6 +426,21 @@
 	Term uint64 `json:"Term"`
 }
 
+// A primary that a host is asked to probe.
+type Probe struct {
+	// IP and port.
+	Address string `json:"Address"`
+
+	// The group.
+	Database string `json:"Database"`
+
+	// The primary.
+	Member string `json:"Member"`
+
+	// The term.
+	Term uint64 `json:"Term"`
+}
+
 // How requests of a kind are treated.
 type Profile struct {
 	// Majority or Primary.
@@ -560,8 +578,11 @@
 	Parse []byte `json:"Parse"`
 }
 
-// An observer's report of an unreachable primary.
+// What a host sees of a primary.
 type Suspicion struct {
+	// Whether the primary answers the host.
+	Answers bool `json:"Answers,omitempty,omitzero"`
+
 	// The group.
 	Database string `json:"Database"`
 
@@ -598,8 +619,8 @@
 	// The member that serves writes; empty while claiming.
 	Primary string `json:"Primary,omitempty,omitzero"`
 
-	// Whether the holder handed the right back.
-	Released bool `json:"Released,omitempty,omitzero"`
+	// Whether the holder is to hand the right back.
+	Revoked bool `json:"Revoked,omitempty,omitzero"`
 
 	// The term.
 	Term uint64 `json:"Term"`
