Prove the control log and strike the fleet twice

Cause: (1) answers of newcomers to the log were dropped because they knew no seat to send them to, so one replica kept all votes and its loss was the fleet's; (2) a replica whose disk failed ticked in a busy loop; (3) a restarted host was declared up and down in turns, since its lease was counted from the beginning of the leadership. Change: messages carry the sender's address; a failed node stops ticking; every heartbeat of a process counts towards the time of its last lease.

--- a/internal/control/daisycontrol/leader.go
+++ b/internal/control/daisycontrol/leader.go
@@ -24,7 +24,7 @@
 // record is what the leader knows of a host's process beyond the state.
 type record struct {
 	beat      daisybeat.Beat
-	heard     time.Time // When the last lease began at the latest.
+	heard     time.Time // The last heartbeat; no lease began later.
 	condemned bool      // Given up; gets no lease until the log has decided.
 }
 
@@ -85,11 +85,16 @@
 			l.announced[name] = announced{Announcement: a, seen: seen}
 		}
 	}
-	host, ok := lookupHost(s, b.Host)
-	if !ok || !host.Up || host.Incarnation != b.Incarnation || r.condemned {
+	if r.condemned {
 		return 0
 	}
+	// Noted also without a lease, so that a process that is declared up has a
+	// whole lease's time before it is found missing.
 	r.heard = now
+	host, ok := lookupHost(s, b.Host)
+	if !ok || !host.Up || host.Incarnation != b.Incarnation {
+		return 0
+	}
 	return LeaseDuration
 }
 
@@ -159,7 +164,7 @@
 func (l *Leader) stale(now time.Time, p process, s *daisyfleet.State) bool {
 	h, ok := lookupHost(s, p.host)
 	gone := ok && (!h.Up || h.Incarnation != p.incarnation)
-	return gone && l.records[p].heard != l.began && l.expired(now, p)
+	return gone && l.expired(now, p)
 }
 
 // arrival returns the change that declares a process up, or false if it is up
--- /dev/null
+++ b/internal/control/daisydisk/disk_test.go
@@ -0,0 +1,135 @@
+package daisydisk_test
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisydisk"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+)
+
+const logFile = "control.log"
+
+func entry(index uint64) daisylog.Entry {
+	change := daisyfleet.Change{ID: fmt.Sprint(index), Operations: []daisyfleet.Operation{{
+		ID:    daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: "w"},
+		Value: daisyfleet.Workspace{Home: "d", Rate: 1, Burst: 2},
+	}}}
+	return daisylog.Entry{Index: index, Term: 1, Change: &change}
+}
+
+// written returns a folder with a log of three records after the first.
+func written(t *testing.T) string {
+	t.Helper()
+	folder := t.TempDir()
+	assert.NilError(t, daisydisk.Create(folder, daisylog.Found(daisylog.Seat{Replica: 7, Name: "c1"})))
+	l, _, err := daisydisk.Open(folder)
+	assert.NilError(t, err)
+	for i := range uint64(3) {
+		assert.NilError(t, l.Append(&daisylog.Ballot{Term: i + 2, Vote: 7}, []daisylog.Entry{entry(i + 2)}))
+	}
+	assert.NilError(t, l.Close())
+	return folder
+}
+
+func TestReopen(t *testing.T) {
+	l, s, err := daisydisk.Open(written(t))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Replica, daisylog.ReplicaID(7))
+	assert.Equal(t, s.Ballot, daisylog.Ballot{Term: 4, Vote: 7})
+	assert.DeepEqual(t, s.Entries, []daisylog.Entry{entry(2), entry(3), entry(4)})
+	assert.NilError(t, l.Close())
+}
+
+func TestEntriesReplaceLaterOnes(t *testing.T) {
+	folder := written(t)
+	l, _, err := daisydisk.Open(folder)
+	assert.NilError(t, err)
+	replaced := entry(3)
+	replaced.Term = 5
+	assert.NilError(t, l.Append(nil, []daisylog.Entry{replaced}))
+	assert.NilError(t, l.Close())
+	l, s, err := daisydisk.Open(folder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Entries, []daisylog.Entry{entry(2), replaced})
+	assert.NilError(t, l.Close())
+}
+
+// TestCutOffAtEveryByte cuts the file after every byte: all whole records are
+// found, and the log can be appended to again.
+func TestCutOffAtEveryByte(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join(written(t), logFile))
+	assert.NilError(t, err)
+	whole := 0
+	for length := len(content); length > 0; length-- {
+		folder := t.TempDir()
+		assert.NilError(t, os.WriteFile(filepath.Join(folder, logFile), content[:length], 0o600))
+		l, s, err := daisydisk.Open(folder)
+		if err != nil {
+			assert.ErrorIs(t, err, daisydisk.ErrCorrupt)
+			assert.Equal(t, whole, 0, "a log with whole records was refused")
+			continue
+		}
+		whole = len(s.Entries)
+		next := entry(uint64(whole) + 2)
+		assert.NilError(t, l.Append(nil, []daisylog.Entry{next}))
+		assert.NilError(t, l.Close())
+		l, s, err = daisydisk.Open(folder)
+		assert.NilError(t, err)
+		assert.Equal(t, len(s.Entries), whole+1)
+		assert.NilError(t, l.Close())
+	}
+}
+
+// TestFlippedByteIsRefused flips every byte before the last record: what was
+// counted must never be dropped silently.
+func TestFlippedByteIsRefused(t *testing.T) {
+	folder := written(t)
+	content, err := os.ReadFile(filepath.Join(folder, logFile))
+	assert.NilError(t, err)
+	l, _, err := daisydisk.Open(folder)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Append(nil, []daisylog.Entry{entry(5)}))
+	assert.NilError(t, l.Close())
+	longer, err := os.ReadFile(filepath.Join(folder, logFile))
+	assert.NilError(t, err)
+	for i := range content {
+		damaged := append([]byte(nil), longer...)
+		damaged[i] ^= 0x20
+		assert.NilError(t, os.WriteFile(filepath.Join(folder, logFile), damaged, 0o600))
+		_, _, err := daisydisk.Open(folder)
+		assert.ErrorIs(t, err, daisydisk.ErrCorrupt, "byte %d", i)
+	}
+}
+
+func TestReplaceKeepsIdentity(t *testing.T) {
+	folder := written(t)
+	l, s, err := daisydisk.Open(folder)
+	assert.NilError(t, err)
+	img := daisylog.Image{Index: 3, Term: 1, Seats: s.Image.Seats, State: daisyfleet.Image{
+		Revision: 3, Objects: []daisyfleet.Object{{
+			ID: daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: "w"}, Revision: 3, Value: daisyfleet.Workspace{Home: "d", Rate: 1, Burst: 2},
+		}}, Outcomes: []daisyfleet.Outcome{{ID: "3", Accepted: true, Revision: 3}},
+	}}
+	assert.NilError(t, l.Replace(s.Ballot, img, []daisylog.Entry{entry(4)}))
+	assert.NilError(t, l.Append(nil, []daisylog.Entry{entry(5)}))
+	assert.NilError(t, l.Close())
+	l, s, err = daisydisk.Open(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Replica, daisylog.ReplicaID(7))
+	assert.DeepEqual(t, s.Image, img, cmpopts.EquateComparable(netip.AddrPort{}))
+	assert.DeepEqual(t, s.Entries, []daisylog.Entry{entry(4), entry(5)})
+	assert.NilError(t, l.Close())
+}
+
+func TestCreateRefusesExisting(t *testing.T) {
+	err := daisydisk.Create(written(t), daisylog.Found(daisylog.Seat{Replica: 8}))
+	assert.ErrorIs(t, err, daisydisk.ErrExists)
+}
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -75,6 +75,7 @@
 type Message struct {
 	Kind    MessageKind
 	From    ReplicaID
+	Address netip.AddrPort // Where the sender listens; filled in by the owner.
 	To      ReplicaID
 	Term    uint64
 	Index   uint64 // Append: the entry before. Votes: the last entry. Replies: the match, or a hint.
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -77,6 +77,7 @@
 	mu      sync.Mutex
 	replica *daisylog.Replica
 	waiters map[uint64]waiter
+	known   map[daisylog.ReplicaID]netip.AddrPort // Where senders listen.
 	applied uint64
 	failed  error // The disk failed; the node does nothing more.
 	role    daisylog.Role
@@ -85,7 +86,7 @@
 // Open starts a node from what its storage had saved.
 func Open(o Options) (n *Node, err error) {
 	defer daisyerror.Annotate(&err, "open control log")
-	n = &Node{options: o, wake: make(chan struct{}, 1), waiters: make(map[uint64]waiter)}
+	n = &Node{options: o, wake: make(chan struct{}, 1), waiters: make(map[uint64]waiter), known: make(map[daisylog.ReplicaID]netip.AddrPort)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.replica = daisylog.New(time.Now(), o.Saved, o.Random)
 	n.restore(o.Saved.Image)
@@ -104,9 +105,9 @@
 	})
 }
 
-// run ticks the replica.
+// run ticks the replica until the node is closed or its storage fails.
 func (n *Node) run() {
-	for {
+	for n.Failed() == nil {
 		n.mu.Lock()
 		next := n.replica.Next()
 		n.mu.Unlock()
@@ -151,7 +152,10 @@
 
 // Step handles a message from another replica.
 func (n *Node) Step(m daisylog.Message) {
-	n.with(func(now time.Time) { n.replica.Step(now, m) })
+	n.with(func(now time.Time) {
+		n.known[m.From] = m.Address
+		n.replica.Step(now, m)
+	})
 }
 
 // with runs f on the replica and carries out what follows from it.
@@ -201,12 +205,13 @@
 }
 
 func (n *Node) send(messages []daisylog.Message) {
-	seats := n.replica.Seats()
+	for _, s := range n.replica.Seats() {
+		n.known[s.Replica] = s.Address
+	}
 	for _, m := range messages {
-		for _, s := range seats {
-			if s.Replica == m.To {
-				n.options.Transport.Send(s.Address, m)
-			}
+		m.Address = n.options.Self.Address
+		if to := n.known[m.To]; to.IsValid() {
+			n.options.Transport.Send(to, m)
 		}
 	}
 }
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -294,6 +294,29 @@
 	return !h.leaving && h.keeper != nil && h.keeper.Valid()
 }
 
+// Leads reports whether the host leads the control log for certain.
+func (h *Host) Leads() bool {
+	if h.node == nil {
+		return false
+	}
+	_, leads := h.node.Leads()
+	return leads
+}
+
+// Voters returns how many replicas of the control log vote, as this host knows.
+func (h *Host) Voters() int {
+	if h.node == nil {
+		return 0
+	}
+	voters := 0
+	for _, seat := range h.node.Seats() {
+		if seat.Voting {
+			voters++
+		}
+	}
+	return voters
+}
+
 // EntryAddress returns where callers connect.
 func (h *Host) EntryAddress() netip.AddrPort { return h.entry.Address() }
 
@@ -305,8 +328,8 @@
 
 func (h *Host) status() daisyops.Status {
 	status := daisyops.Status{Host: h.settings.Host, Ready: h.Ready(), Revision: h.view.Revision(), Sessions: h.entry.Sessions()}
+	status.Leads = h.Leads()
 	if h.node != nil {
-		_, status.Leads = h.node.Leads()
 		for _, seat := range h.node.Seats() {
 			status.Seats = append(status.Seats, daisyops.Seat{Name: seat.Name, Address: seat.Address, Voting: seat.Voting})
 		}
--- a/internal/standin/daisystandin/group.go
+++ b/internal/standin/daisystandin/group.go
@@ -232,6 +232,9 @@
 
 // Start lets a stopped member listen again on its address.
 func (g *Group) Start(m *Member) error {
+	if g.listens(m) {
+		return nil
+	}
 	m.Stall(false)
 	return g.listen(m, g.Address(m))
 }
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -26,20 +26,23 @@
 
 const callerPlace, groupPlace = "caller", "group"
 
+// controlHosts is how many hosts of a trial keep the control log.
+const controlHosts = 3
+
 // callerTimeout is how long a caller waits for an answer before it gives up.
 const callerTimeout = 6 * time.Second
 
 // fleet is a fleet on a network in memory, whose hosts can be killed and cut.
 type fleet struct {
-	t        *testing.T
-	network  *memory
-	plan     *daisytrial.Plan
-	group    *daisystandin.Group
-	hosts    []*daisyhost.Host // Nil while killed.
-	logger   *log.Logger
-	cancel   context.CancelFunc
-	wait     sync.WaitGroup
-	refusals int
+	t       *testing.T
+	network *memory
+	plan    *daisytrial.Plan
+	group   *daisystandin.Group
+	hosts   []*daisyhost.Host // Nil while killed.
+	logger  *log.Logger
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+	lost    int // Disks lost and not yet replaced by a newcomer with a vote.
 }
 
 func hostName(i int) string { return fmt.Sprintf("h%d", i+1) }
@@ -122,12 +125,20 @@
 
 func (f *fleet) awaitService() {
 	for range 2000 {
-		if t := f.tenure(); t.Primary != "" && f.allReady() {
+		if t := f.tenure(); t.Primary != "" && f.allReady() && f.voters() == min(len(f.hosts), controlHosts) {
 			return
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	f.t.Fatal("fleet does not serve")
+	f.t.Fatalf("fleet does not serve: leader %d, %d voters, tenure %+v", f.leader(), f.voters(), f.tenure())
+}
+
+// voters returns how many replicas of the control log vote.
+func (f *fleet) voters() int {
+	if i := f.leader(); i >= 0 {
+		return f.hosts[i].Voters()
+	}
+	return 0
 }
 
 func (f *fleet) allReady() bool {
--- /dev/null
+++ b/internal/wire/daisycodec/codec_test.go
@@ -0,0 +1,150 @@
+package daisycodec_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+)
+
+var cmpAddr = cmpopts.EquateComparable(netip.AddrPort{}, netip.Addr{})
+
+var addr = netip.MustParseAddrPort("10.1.2.3:7401")
+
+// values holds one value of every kind with no field left zero.
+var values = []daisyfleet.Value{
+	daisyfleet.Profile{Database: "d", ReadOnly: true, MaxAge: time.Second, Acknowledge: daisyfleet.AcknowledgePrimary, Cost: 2, Wait: time.Second, Objective: 0.9},
+	daisyfleet.Workspace{Home: "d", Rate: 1.5, Burst: 3},
+	daisyfleet.Key{Workspace: "w", Hash: [32]byte{1, 2}},
+	daisyfleet.Database{Connections: 20, Members: 3},
+	daisyfleet.Member{Database: "d", Address: addr, FailureDomain: "f", Leaving: true},
+	daisyfleet.Host{Incarnation: 9, Address: addr, FailureDomain: "f", Region: "r", Up: true, Leaving: true},
+	daisyfleet.Tenure{Term: 3, Holder: "h", Incarnation: 9, Primary: "m", Last: "l", Avoid: "a", Revoked: true},
+}
+
+func change() daisyfleet.Change {
+	c := daisyfleet.Change{ID: "c", Reason: "r"}
+	for _, v := range values {
+		c.Operations = append(c.Operations, daisyfleet.Operation{ID: daisyfleet.ID{Kind: v.Kind(), Name: "n"}, Against: 4, Value: v})
+	}
+	c.Operations = append(c.Operations, daisyfleet.Operation{ID: daisyfleet.ID{Kind: daisyfleet.KindKey, Name: "gone"}, Against: 5})
+	return c
+}
+
+func image() daisylog.Image {
+	img := daisylog.Image{Index: 9, Term: 2, Seats: []daisylog.Seat{{Replica: 3, Name: "h", Address: addr, Voting: true}}}
+	img.State = daisyfleet.Image{Revision: 9, Horizon: 1, Outcomes: []daisyfleet.Outcome{{ID: "c", Accepted: true, Revision: 8, Message: "m"}}}
+	for _, v := range values {
+		img.State.Objects = append(img.State.Objects, daisyfleet.Object{ID: daisyfleet.ID{Kind: v.Kind(), Name: "n"}, Revision: 7, Value: v})
+	}
+	return img
+}
+
+func TestRequestRoundTrip(t *testing.T) {
+	want := &daisylane.Request{
+		ID: 1, Workspace: "w", Key: "k", Profile: "p", Floor: daisylane.Position{Term: 2, Offset: 3}, Arriving: true, ReadOnly: true,
+		Wait: time.Second, Parts: []daisylane.Part{{Uses: "s", Defines: true, Bytes: []byte{1}}}, Statements: []daisylane.Statement{{Name: "s", Parse: []byte{2}}},
+	}
+	got, err := daisycodec.DecodeRequest(daisycodec.EncodeRequest(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
+func TestAnswerRoundTrip(t *testing.T) {
+	want := &daisylane.Answer{
+		ID: 1, Bytes: []byte{1}, Final: true, Status: daisylane.StatusOpen, Floor: daisylane.Position{Term: 2, Offset: 3}, Replica: true,
+		Refusal: &daisylane.Refusal{Code: "c", Message: "m", RetryAfter: time.Second, Cause: daisylane.CauseLimit},
+	}
+	got, err := daisycodec.DecodeAnswer(daisycodec.EncodeAnswer(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want)
+}
+
+func TestBeatRoundTrip(t *testing.T) {
+	tenancy := daisybeat.Tenancy{Database: "d", Term: 4}
+	want := daisybeat.Beat{
+		ID: 1, Host: "h", Incarnation: 2, Address: addr, FailureDomain: "f", Region: "r", Revision: 3, Leaving: true,
+		Released: []daisybeat.Tenancy{tenancy}, Claims: []daisybeat.Claim{{Tenancy: tenancy, Primary: "m", Note: "n"}},
+		Sights:        []daisybeat.Sight{{Tenancy: tenancy, Member: "m", Answers: true}},
+		Announcements: []daisybeat.Announcement{{Member: "m", Age: time.Second, Value: daisyfleet.Member{Database: "d", Address: addr, FailureDomain: "f", Leaving: true}}},
+	}
+	got, err := daisycodec.DecodeUpward(daisycodec.EncodeBeat(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *got.Beat, want, cmpAddr)
+}
+
+func TestReplyRoundTrip(t *testing.T) {
+	img := image()
+	want := daisybeat.Reply{
+		ID: 1, Lease: time.Second, Leader: addr, Delta: &daisyfleet.Delta{From: 1, To: 9, Objects: img.State.Objects},
+		Probes: []daisybeat.Probe{{Tenancy: daisybeat.Tenancy{Database: "d", Term: 4}, Member: "m", Address: addr}},
+	}
+	got, err := daisycodec.DecodeDownward(daisycodec.EncodeReply(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, *got.Reply, want, cmpAddr)
+}
+
+func TestMessageRoundTrip(t *testing.T) {
+	c, img := change(), image()
+	seat := img.Seats[0]
+	want := daisylog.Message{
+		Kind: daisylog.KindImage, From: 1, Address: addr, To: 2, Term: 3, Index: 4, LogTerm: 5, Commit: 6, Reject: true, Round: 7, Image: &img, Seat: &seat,
+		Entries: []daisylog.Entry{{Index: 1, Term: 2, Change: &c}, {Index: 2, Term: 2, Seats: img.Seats}},
+	}
+	got, err := daisycodec.DecodeMessage(daisycodec.EncodeMessage(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want, cmpAddr)
+}
+
+func TestRecordRoundTrip(t *testing.T) {
+	c, img := change(), image()
+	want := daisycodec.Record{Replica: 3, Ballot: &daisylog.Ballot{Term: 2, Vote: 1}, Image: &img, Entries: []daisylog.Entry{{Index: 1, Term: 2, Change: &c}}}
+	got, err := daisycodec.DecodeRecord(daisycodec.EncodeRecord(want))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got, want, cmpAddr)
+}
+
+func TestDecodersRefuse(t *testing.T) {
+	request := daisycodec.EncodeRequest(&daisylane.Request{ID: 1})
+	tests := []struct {
+		name  string
+		bytes []byte
+	}{
+		{"Empty", nil},
+		{"OtherKind", daisycodec.EncodeBeat(daisybeat.Beat{Address: addr})},
+		{"Trailing", append(request, 0)},
+		{"Truncated", request[:len(request)-1]},
+		{"UnknownField", []byte{0xa1, 0x63, 'F', 'o', 'o', 0x01}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, err := daisycodec.DecodeRequest(test.bytes)
+			assert.Check(t, err != nil)
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	c, img := change(), image()
+	f.Add(daisycodec.EncodeRequest(&daisylane.Request{ID: 1, Parts: []daisylane.Part{{Bytes: []byte{1}}}}))
+	f.Add(daisycodec.EncodeAnswer(&daisylane.Answer{ID: 1, Final: true, Status: 'I'}))
+	f.Add(daisycodec.EncodeBeat(daisybeat.Beat{Address: addr}))
+	f.Add(daisycodec.EncodeMessage(daisylog.Message{Kind: daisylog.KindAppend, Image: &img, Entries: []daisylog.Entry{{Index: 1, Change: &c}}}))
+	f.Add(daisycodec.EncodeRecord(daisycodec.Record{Replica: 3, Image: &img}))
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = daisycodec.DecodeRequest(b)
+		_, _ = daisycodec.DecodeAnswer(b)
+		_, _ = daisycodec.DecodeUpward(b)
+		_, _ = daisycodec.DecodeDownward(b)
+		_, _ = daisycodec.DecodeMessage(b)
+		_, _ = daisycodec.DecodeRecord(b)
+	})
+}
--- a/internal/wire/daisycodec/log.go
+++ b/internal/wire/daisycodec/log.go
@@ -49,7 +49,7 @@
 // EncodeMessage encodes a message between replicas of the log.
 func EncodeMessage(m daisylog.Message) []byte {
 	w := &daisywire.Consensus{
-		Kind: string(m.Kind), From: uint64(m.From), To: uint64(m.To), Term: m.Term,
+		Kind: string(m.Kind), From: uint64(m.From), Address: formatAddr(m.Address), To: uint64(m.To), Term: m.Term,
 		Index: m.Index, LogTerm: m.LogTerm, Commit: m.Commit, Entries: fromEntries(m.Entries),
 		Reject: m.Reject, Round: m.Round, Image: fromImage(m.Image),
 	}
@@ -75,6 +75,9 @@
 		Kind: daisylog.MessageKind(w.Kind), From: daisylog.ReplicaID(w.From), To: daisylog.ReplicaID(w.To), Term: w.Term,
 		Index: w.Index, LogTerm: w.LogTerm, Commit: w.Commit, Reject: w.Reject, Round: w.Round,
 	}
+	if m.Address, err = parseAddr(w.Address); err != nil {
+		return m, err
+	}
 	if m.Entries, err = toEntries(w.Entries); err != nil {
 		return m, err
 	}
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -143,6 +143,9 @@
 
 // A message between replicas of the log.
 type Consensus struct {
+	// Where the sender listens.
+	Address string `json:"Address,omitempty,omitzero"`
+
 	// The sender's commit index.
 	Commit uint64 `json:"Commit,omitempty,omitzero"`
 
