Let callers name requests and settle unknown outcomes

Cause: a caller that was told that an outcome is unknown could not learn it. Ruled out: an index of requests kept by the fleet (it would not be atomic with the write and would be lost with a promotion). Change: a comment at the head of a statement names the request; the name is recorded in the same transaction, so it is stored if and only if the request took effect, on whatever member becomes primary. Recording the name in the request's place settles that it never runs. The stand-in checks unique keys again at commit; two sessions could both insert one.

--- a/internal/entry/daisyentry/batch.go
+++ b/internal/entry/daisyentry/batch.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"regexp"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -177,7 +178,7 @@
 
 // request returns the gathered request.
 func (b *batch) request() *daisylane.Request {
-	r := &daisylane.Request{Parts: b.parts, ReadOnly: beginsReadOnly(b.first)}
+	r := &daisylane.Request{Parts: b.parts, ReadOnly: beginsReadOnly(b.first), Name: requestName(b.first)}
 	for _, s := range b.needed {
 		r.Statements = append(r.Statements, s)
 	}
@@ -208,3 +209,15 @@
 	}
 	return strings.Contains(" "+strings.Join(words, " ")+" ", " read only ")
 }
+
+// namePattern matches the comment with which a caller names a request.
+var namePattern = regexp.MustCompile(`^/\* daisyglade\.request=([A-Za-z0-9_.:-]{1,64}) \*/`)
+
+// requestName returns the name that the statement begins with, or "".
+func requestName(sql string) string {
+	m := namePattern.FindStringSubmatch(sql)
+	if m == nil {
+		return ""
+	}
+	return m[1]
+}
--- a/internal/entry/daisyentry/session.go
+++ b/internal/entry/daisyentry/session.go
@@ -339,7 +339,7 @@
 	c.lane.Close()
 	c.lane = nil
 	a := c.refused(daisylane.CauseBackend)
-	a.Refusal.Code = "40001"
+	a.Refusal.Code = daisylane.CodeRolledBack
 	a.Refusal.Message = "not run: the transaction was rolled back when the database moved"
 	return a
 }
--- a/internal/holder/daisyholder/transaction.go
+++ b/internal/holder/daisyholder/transaction.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -17,6 +18,15 @@
 // positionParameter is the parameter in which a member reports own commits.
 const positionParameter = "platform.position"
 
+// requestTable is the table of two text columns, key and value, in which the
+// names of requests are recorded. Its key is unique.
+const requestTable = "daisyglade_requests"
+
+const (
+	codeUniqueViolation = "23505"
+	messageHeader       = 5 // Bytes before the body of a message.
+)
+
 // sessionTags are the command tags of statements that outlive a transaction.
 // Outside one they are refused, since the next may run on another connection.
 var sessionTags = map[string]bool{
@@ -55,6 +65,7 @@
 	chunk    []byte
 	emitted  bool
 	skip     bool // The answer to the prefix is being skipped.
+	naming   bool // The answer to the recording of the name is being skipped.
 	muted    bool // The rest of the answer is dropped after a refusal.
 	swallow  []swallowed
 	position daisylane.Position
@@ -115,6 +126,9 @@
 			x.skip = true
 		}
 	}
+	if x.request.Name != "" && !t.readOnly {
+		b = x.record(b)
+	}
 	definitions := make(map[string][]byte, len(x.request.Statements))
 	for _, s := range x.request.Statements {
 		definitions[s.Name] = s.Parse
@@ -133,6 +147,25 @@
 	return b
 }
 
+// record appends the statement that records the request's name. It runs in the
+// transaction of the request, so that the name is stored if and only if the
+// request takes effect, and at most once.
+func (x *exchange) record(b []byte) []byte {
+	x.naming = true
+	statement := fmt.Sprintf("INSERT INTO %s VALUES ('%s', 'recorded')", requestTable, x.request.Name)
+	first := &x.request.Parts[0]
+	if first.Bytes[0] == 'Q' {
+		var q pgproto3.Query
+		if q.Decode(first.Bytes[messageHeader:]) == nil {
+			first.Bytes = appendMessage(nil, &pgproto3.Query{String: statement + "; " + q.String})
+		}
+		return b
+	}
+	b = appendMessage(b, &pgproto3.Parse{Query: statement})
+	b = appendMessage(b, &pgproto3.Bind{})
+	return appendMessage(b, &pgproto3.Execute{})
+}
+
 // define appends a Parse message, after a Close if the name is taken.
 func (x *exchange) define(b []byte, name string, parse []byte, pass bool) []byte {
 	if x.tx.prepared[name] {
@@ -161,6 +194,9 @@
 
 // pass handles one message of the answer other than the last.
 func (x *exchange) pass(m daisymessage.Message) error {
+	if x.naming && !x.skip && m.Type != daisymessage.TypeParameterStatus {
+		return x.passRecord(m)
+	}
 	switch m.Type {
 	case daisymessage.TypeReady:
 		x.skip = false
@@ -192,6 +228,28 @@
 	return nil
 }
 
+// passRecord skips the answer to the recording of the name. If the name was
+// recorded before, the caller is told so.
+func (x *exchange) passRecord(m daisymessage.Message) error {
+	switch m.Type {
+	case daisymessage.TypeCommandComplete:
+		x.naming = false
+	case daisymessage.TypeError:
+		x.naming = false
+		var e pgproto3.ErrorResponse
+		if err := e.Decode(m.Body()); err != nil {
+			return err
+		}
+		if e.Code == codeUniqueViolation {
+			e.Code = daisylane.CodeRecorded
+			e.Message = "request " + x.request.Name + " was recorded before and is not run again"
+			e.Detail, e.Hint = "", ""
+		}
+		x.chunk, _ = e.Encode(x.chunk)
+	}
+	return nil
+}
+
 func (x *exchange) flush() error {
 	x.emitted = true
 	err := x.emit(&daisylane.Answer{ID: x.request.ID, Bytes: x.chunk})
--- a/internal/holder/daisylane/lane.go
+++ b/internal/holder/daisylane/lane.go
@@ -79,8 +79,9 @@
 	Key        string // The identifier of the key.
 	Profile    string
 	Floor      Position
-	Arriving   bool // The session has no floor yet.
-	ReadOnly   bool // The transaction is declared read-only.
+	Arriving   bool   // The session has no floor yet.
+	ReadOnly   bool   // The transaction is declared read-only.
+	Name       string // The name under which the caller may settle the request.
 	Wait       time.Duration
 	Parts      []Part
 	Statements []Statement
@@ -151,4 +152,6 @@
 	CodeTooLarge       = "54000" // program_limit_exceeded
 	CodeProtocol       = "08P01" // protocol_violation
 	CodeShutdown       = "57P01" // admin_shutdown
+	CodeRolledBack     = "40001" // serialization_failure
+	CodeRecorded       = "DG001" // The named request was recorded before.
 )
--- a/internal/standin/daisystandin/member.go
+++ b/internal/standin/daisystandin/member.go
@@ -20,14 +20,16 @@
 )
 
 var (
-	errFenced   = errors.New("a later term holds the group")
-	errReadOnly = errors.New("cannot execute a write in a read-only transaction")
+	errFenced    = errors.New("a later term holds the group")
+	errDuplicate = errors.New("duplicate key")
+	errReadOnly  = errors.New("cannot execute a write in a read-only transaction")
 )
 
 // write is one row change: a deletion if gone is set.
 type write struct {
 	table, key, value string
 	gone              bool
+	fresh             bool // The key must not exist.
 }
 
 type entry struct {
@@ -187,6 +189,11 @@
 	if term != m.term {
 		return daisylane.Position{}, errFenced
 	}
+	for _, w := range writes {
+		if _, taken := m.rows[w.table][w.key]; w.fresh && taken {
+			return daisylane.Position{}, errDuplicate
+		}
+	}
 	m.log = append(m.log, entry{term: term, writes: writes})
 	m.applyTo(len(m.log))
 	m.notify()
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -1,6 +1,7 @@
 package daisystandin
 
 import (
+	"errors"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -97,6 +98,9 @@
 // run executes one statement of the session.
 func (s *session) run(sql string, params []string) (*result, error) {
 	sql = strings.TrimSpace(strings.TrimRight(strings.TrimSpace(sql), ";"))
+	if _, rest, ok := strings.Cut(sql, "*/"); ok && strings.HasPrefix(sql, "/*") {
+		sql = strings.TrimSpace(rest)
+	}
 	words := strings.Fields(strings.ToLower(sql))
 	if len(words) == 0 {
 		return &result{}, nil
@@ -195,7 +199,7 @@
 	if _, ok := s.lookup(table, args[0]); ok {
 		return nil, &sqlError{"23505", fmt.Sprintf("duplicate key %q in %s", args[0], table)}
 	}
-	err := s.stage(write{table: table, key: args[0], value: args[1]})
+	err := s.stage(write{table: table, key: args[0], value: args[1], fresh: true})
 	return &result{tag: "INSERT 0 1"}, err
 }
 
@@ -277,7 +281,10 @@
 	}
 	p, err := s.member.commit(s.term, s.writes)
 	s.writes = nil
-	if err != nil {
+	switch {
+	case errors.Is(err, errDuplicate):
+		return &sqlError{"23505", err.Error()}
+	case err != nil:
 		return &sqlError{"25006", err.Error()}
 	}
 	s.committed = p
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -187,15 +187,22 @@
 	acknowledged fate = iota
 	notRun            // Refused with the word that it was not run.
 	unknown
+	recorded // The name was recorded before.
+)
+
+const (
+	settleAttempts = 40
+	settleInterval = 500 * time.Millisecond
 )
 
 // witness sees what callers saw and checks it against what the members hold.
 type witness struct {
-	t    *testing.T
-	mu   sync.Mutex
-	fate map[string]fate
-	acks []time.Time
-	lost []string // Acknowledged writes that a later read did not find.
+	t       *testing.T
+	mu      sync.Mutex
+	fate    map[string]fate
+	settled int // Outcomes that were unknown at first.
+	acks    []time.Time
+	lost    []string // Acknowledged writes that a later read did not find.
 }
 
 func newWitness(t *testing.T) *witness { return &witness{t: t, fate: make(map[string]fate)} }
@@ -203,6 +210,9 @@
 func (w *witness) note(key string, f fate) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.fate[key] == unknown {
+		w.settled++
+	}
 	w.fate[key] = f
 	if f == acknowledged {
 		w.acks = append(w.acks, time.Now())
@@ -268,7 +278,7 @@
 	random := rand.New(rand.NewPCG(uint64(id), 7))
 	for n := 0; ctx.Err() == nil; n++ {
 		key := fmt.Sprintf("c%d-%d", id, n)
-		w.note(key, f.book(ctx, random, key))
+		w.note(key, f.book(ctx, random, w, key))
 		if w.fateOf(key) == acknowledged {
 			f.readBack(ctx, random, w, key)
 		}
@@ -284,7 +294,37 @@
 
 func (f *fleet) anyHost(random *rand.Rand) int { return random.IntN(len(f.hosts)) }
 
-func (f *fleet) book(ctx context.Context, random *rand.Rand, key string) fate {
+// book inserts a booking under its name. If the outcome is unknown the caller
+// settles it, so that in the end it knows.
+func (f *fleet) book(ctx context.Context, random *rand.Rand, w *witness, key string) fate {
+	statement := fmt.Sprintf("/* daisyglade.request=%s */ INSERT INTO bookings VALUES ($1, $2)", key)
+	result := f.execute(ctx, random, statement, key, "once")
+	if result != unknown {
+		return result
+	}
+	w.note(key, unknown)
+	again := statement
+	if random.IntN(2) == 0 {
+		// Recording the name in the request's place settles that it never runs.
+		again = "INSERT INTO daisyglade_requests VALUES ($1, $2)"
+	}
+	for range settleAttempts {
+		time.Sleep(settleInterval)
+		result = f.execute(ctx, random, again, key, "once")
+		switch {
+		case result == recorded:
+			return acknowledged
+		case result == acknowledged && again == statement:
+			return acknowledged
+		case result == acknowledged:
+			return notRun
+		}
+	}
+	return unknown
+}
+
+// execute runs one statement through any host.
+func (f *fleet) execute(ctx context.Context, random *rand.Rand, statement string, args ...any) fate {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callerTimeout)
 	defer cancel()
 	conn, err := f.connect(ctx, f.anyHost(random), daisytrial.ProfileWrite)
@@ -292,7 +332,7 @@
 		return notRun
 	}
 	defer f.hangUp(conn)
-	_, err = conn.Exec(ctx, "INSERT INTO bookings VALUES ($1, $2)", key, "once")
+	_, err = conn.Exec(ctx, statement, append([]any{pgx.QueryExecModeExec}, args...)...)
 	return fateFor(err)
 }
 
@@ -308,6 +348,8 @@
 	switch {
 	case err == nil:
 		return acknowledged
+	case errors.As(err, &refusal) && (refusal.Code == "DG001" || refusal.Code == "23505"):
+		return recorded
 	case errors.As(err, &refusal) && len(refusal.Message) > 7 && refusal.Message[:7] == "not run":
 		return notRun
 	}
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -50,7 +50,7 @@
 
 func TestRequestRoundTrip(t *testing.T) {
 	want := &daisylane.Request{
-		ID: 1, Workspace: "w", Key: "k", Profile: "p", Floor: daisylane.Position{Term: 2, Offset: 3}, Arriving: true, ReadOnly: true,
+		ID: 1, Workspace: "w", Key: "k", Profile: "p", Floor: daisylane.Position{Term: 2, Offset: 3}, Arriving: true, ReadOnly: true, Name: "n",
 		Wait: time.Second, Parts: []daisylane.Part{{Uses: "s", Defines: true, Bytes: []byte{1}}}, Statements: []daisylane.Statement{{Name: "s", Parse: []byte{2}}},
 	}
 	got, err := daisycodec.DecodeRequest(daisycodec.EncodeRequest(want))
--- a/internal/wire/daisycodec/lane.go
+++ b/internal/wire/daisycodec/lane.go
@@ -17,6 +17,7 @@
 		Floor:     fromPosition(r.Floor),
 		Arriving:  r.Arriving,
 		ReadOnly:  r.ReadOnly,
+		Name:      r.Name,
 		Wait:      int64(r.Wait),
 	}
 	for _, p := range r.Parts {
@@ -46,6 +47,7 @@
 		Floor:     toPosition(w.Floor),
 		Arriving:  w.Arriving,
 		ReadOnly:  w.ReadOnly,
+		Name:      w.Name,
 		Wait:      time.Duration(w.Wait),
 	}
 	for _, p := range w.Parts {
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -538,6 +538,9 @@
 	// The identifier of the key, never the key.
 	Key string `json:"Key"`
 
+	// The name under which the caller may settle the request.
+	Name string `json:"Name,omitempty,omitzero"`
+
 	// The frontend messages in order.
 	Parts []Part `json:"Parts"`
 
