Limit workspaces across the fleet with an owned bucket and purses

Cause: nothing limited a workspace. Change: the holder of a workspace's home database owns its bucket; other hosts draw expiring tokens into purses. A new owner begins empty and leaves room for what its predecessor may have granted. Retry hints for the whole want held requests back to their deadline; the hint is now for one token and claims that cannot make it are refused at once.

--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -31,6 +31,7 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyholder"
 	"github.com/daisyglade/daisyglade/internal/host/daisyops"
+	"github.com/daisyglade/daisyglade/internal/limit/daisylimiter"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
@@ -55,6 +56,8 @@
 	lanes   *daisyroute.Lanes
 	keeper  *daisykeeper.Keeper
 	watcher *daisywatch.Watcher
+	limiter *daisylimiter.Limiter
+	asker   *asker
 	holder  *daisyholder.Holder
 	entry   *daisyentry.Server
 	ops     *daisyops.Server
@@ -105,9 +108,13 @@
 			return err
 		}
 	}
+	h.asker = newAsker(h.dialer)
+	h.limiter = daisylimiter.New(daisylimiter.Options{
+		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h}, Asker: h.asker,
+	})
 	h.holder = daisyholder.New(daisyholder.Options{
 		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h},
-		Limiter: unlimited{}, Network: h.network, Credentials: credentials(s.Databases), Log: h.log,
+		Limiter: h.limiter, Network: h.network, Credentials: credentials(s.Databases), Log: h.log,
 	})
 	if err := h.openLinks(); err != nil {
 		return err
@@ -134,12 +141,6 @@
 // Valid implements daisyholder.Right.
 func (r lateRight) Valid() bool { return r.host.keeper != nil && r.host.keeper.Valid() }
 
-// unlimited takes no tokens.
-type unlimited struct{}
-
-// Take implements daisyholder.Limiter.
-func (unlimited) Take(context.Context, string, float64) time.Duration { return 0 }
-
 func credentials(databases []daisysettings.Database) map[string]daisymember.Credentials {
 	all := make(map[string]daisymember.Credentials)
 	for _, d := range databases {
@@ -193,6 +194,9 @@
 	mux.Handle(daisylink.PathLane, func(ctx context.Context, c *daisylink.Conn) {
 		daisyroute.Serve(ctx, c, h.holder)
 	})
+	mux.Handle(daisylink.PathGrant, func(ctx context.Context, c *daisylink.Conn) {
+		serveGrants(ctx, c, h.limiter)
+	})
 	if h.control != nil {
 		mux.Handle(daisylink.PathBeat, h.control.serve)
 		mux.Handle(daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
@@ -399,6 +403,10 @@
 	if h.lanes != nil {
 		errs = append(errs, h.lanes.Close())
 	}
+	if h.limiter != nil {
+		errs = append(errs, h.limiter.Close())
+		h.asker.close()
+	}
 	if h.holder != nil {
 		errs = append(errs, h.holder.Close())
 	}
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -44,6 +44,8 @@
 // ErrKind is returned for a frame that does not hold the message asked for.
 var ErrKind = errors.New("frame holds another kind of message")
 
+var errNegative = errors.New("amount is negative")
+
 func encode(f daisywire.Frame) []byte {
 	b, err := encMode.Marshal(f)
 	if err != nil {
