--- a/internal/holder/daisyholder/holder.go
+++ b/internal/holder/daisyholder/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -154,6 +155,13 @@
 	return len(h.groups) > 0
 }
 
+// Databases returns the names of the databases that the host holds, in order.
+func (h *Holder) Databases() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.groups))
+}
+
 // Drain refuses new transactions, waits for those under way until ctx ends and
 // hands the tenures back.
 func (h *Holder) Drain(ctx context.Context) {
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -331,7 +331,7 @@
 func (h *Host) View() *daisyfleet.View { return h.view }
 
 func (h *Host) status() daisyops.Status {
-	status := daisyops.Status{Host: h.settings.Host, Ready: h.Ready(), Revision: h.view.Revision(), Sessions: h.entry.Sessions()}
+	status := daisyops.Status{Host: h.settings.Host, Ready: h.Ready(), Revision: h.view.Revision(), Sessions: h.entry.Sessions(), Holds: h.holder.Databases()}
 	status.Leads = h.Leads()
 	if h.node != nil {
 		for _, seat := range h.node.Seats() {
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -53,6 +53,7 @@
 	Leads    bool
 	Revision uint64
 	Sessions int
+	Holds    []string // The databases that the host holds.
 	Seats    []Seat
 }
 
--- a/internal/try/daisytrial/failover_test.go
+++ b/internal/try/daisytrial/failover_test.go
@@ -1,8 +1,6 @@
 package daisytrial_test
 
 import (
-	"context"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,20 +11,6 @@
 // gapLimit is the longest gap in service that the target allows.
 const gapLimit = 12 * time.Second
 
-// load runs callers for the duration and calls strike in between.
-func (f *fleet) load(w *witness, callers int, before, after time.Duration, strike func()) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wait sync.WaitGroup
-	for i := range callers {
-		wait.Go(func() { f.caller(ctx, w, i) })
-	}
-	time.Sleep(before)
-	strike()
-	time.Sleep(after)
-	cancel()
-	wait.Wait()
-}
-
 func TestFaultsUnderLoad(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/internal/try/daisytrial/process_test.go
+++ b/internal/try/daisytrial/process_test.go
@@ -22,6 +22,7 @@
 
 // processes is a fleet of real processes with a stand-in group in the test.
 type processes struct {
+	callers
 	t        *testing.T
 	plan     *daisytrial.Plan
 	group    *daisystandin.Group
@@ -45,12 +46,21 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	announcing.Go(func() { p.plan.Announce(ctx, p.group) })
 	p.commands = make([]*exec.Cmd, len(p.plan.Settings))
+	p.callers = callers{count: len(p.commands), connect: func(ctx context.Context, host int, profile string) (*pgx.Conn, error) {
+		config, err := pgx.ParseConfig(p.plan.ConnString(host, profile))
+		if err != nil {
+			return nil, err
+		}
+		config.ConnectTimeout = time.Second
+		return pgx.ConnectConfig(ctx, config)
+	}}
 	t.Cleanup(func() {
 		for i := range p.commands {
 			p.signal(i, syscall.SIGKILL)
 		}
 		cancel()
 		announcing.Wait()
+		p.showLogs()
 		assert.Check(t, p.group.Close())
 	})
 	for i := range p.commands {
@@ -71,6 +81,18 @@
 	p.commands[i] = c
 }
 
+// showLogs prints what the processes logged if the test failed.
+func (p *processes) showLogs() {
+	if !p.t.Failed() {
+		return
+	}
+	files, _ := filepath.Glob(filepath.Join(p.plan.Folder, "*.log"))
+	for _, file := range files {
+		text, _ := os.ReadFile(file)
+		p.t.Logf("%s:\n%s", filepath.Base(file), text)
+	}
+}
+
 // signal sends a signal to the process and, if that ends it, waits for it.
 func (p *processes) signal(i int, s syscall.Signal) {
 	c := p.commands[i]
@@ -103,7 +125,7 @@
 
 // await calls try until it succeeds.
 func (p *processes) await(try func(ctx context.Context) error) {
-	ctx, cancel := context.WithTimeout(p.t.Context(), time.Minute)
+	ctx, cancel := context.WithTimeout(p.t.Context(), 20*time.Second)
 	defer cancel()
 	for {
 		err := try(ctx)
@@ -118,7 +140,7 @@
 	}
 }
 
-func (p *processes) connect(i int, mode pgx.QueryExecMode) *pgx.Conn {
+func (p *processes) open(i int, mode pgx.QueryExecMode) *pgx.Conn {
 	config, err := pgx.ParseConfig(p.plan.ConnString(i, daisytrial.ProfileWrite))
 	assert.NilError(p.t, err)
 	config.DefaultQueryExecMode = mode
@@ -141,7 +163,7 @@
 	for _, m := range modes {
 		for host := range p.commands {
 			t.Run(fmt.Sprintf("%s%d", m.name, host+1), func(t *testing.T) {
-				conn := p.connect(host, m.mode)
+				conn := p.open(host, m.mode)
 				checkTransactions(t, conn, fmt.Sprintf("%s%d", m.name, host))
 				checkLargeAnswer(t, conn)
 				checkErrors(t, conn)
@@ -236,3 +258,83 @@
 	}
 	return conn.Close(ctx)
 }
+
+// TestProcessesFail strikes real processes under load: what the decisions
+// promise must hold in the shells around them.
+func TestProcessesFail(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(p *processes, holder, leader int)
+	}{
+		{"KillHolder", func(p *processes, holder, _ int) {
+			p.signal(holder, syscall.SIGKILL)
+			time.Sleep(3 * time.Second)
+			p.start(holder)
+		}},
+		{"KillLeaderAndLoseDisk", func(p *processes, _, leader int) {
+			p.signal(leader, syscall.SIGKILL)
+			assert.Check(p.t, os.RemoveAll(p.plan.Settings[leader].DataFolder))
+			time.Sleep(3 * time.Second)
+			p.start(leader)
+		}},
+		{"FreezeHolder", func(p *processes, holder, _ int) {
+			p.signal(holder, syscall.SIGSTOP)
+			time.Sleep(5 * time.Second)
+			p.signal(holder, syscall.SIGCONT)
+		}},
+		{"FreezeHolderAndStopPrimary", func(p *processes, holder, _ int) {
+			p.signal(holder, syscall.SIGSTOP)
+			primary := p.group.Primary()
+			p.group.Stop(primary)
+			time.Sleep(5 * time.Second)
+			p.signal(holder, syscall.SIGCONT)
+			assert.Check(p.t, p.group.Start(primary))
+		}},
+		{"StopHolderGracefully", func(p *processes, holder, _ int) {
+			p.signal(holder, syscall.SIGTERM)
+			p.start(holder)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			p := startProcesses(t)
+			w := newWitness(t)
+			holder, leader := p.roles()
+			p.load(w, 8, time.Second, time.Second, func() {
+				test.strike(p, holder, leader)
+				p.awaitService()
+			})
+			w.check(p.group.Primary().Rows("bookings"))
+			t.Logf("acknowledged %d, not run %d, settled %d, longest gap %s",
+				w.count(acknowledged), w.count(notRun), w.settled, w.gap(time.Now()))
+			assert.Equal(t, w.count(unknown), 0)
+		})
+	}
+}
+
+// roles returns which processes hold the database and lead the control log.
+func (p *processes) roles() (holder, leader int) {
+	holder, leader = -1, -1
+	operator := p.plan.Operator()
+	p.await(func(ctx context.Context) error {
+		for i := range p.commands {
+			status, err := operator.Status(ctx, i)
+			if err != nil {
+				return err
+			}
+			if status.Leads {
+				leader = i
+			}
+			for _, database := range status.Holds {
+				if database == daisytrial.Database {
+					holder = i
+				}
+			}
+		}
+		if holder < 0 || leader < 0 {
+			return errors.New("no holder or no leader")
+		}
+		return nil
+	})
+	return holder, leader
+}
--- a/internal/try/daisytrial/trial.go
+++ b/internal/try/daisytrial/trial.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -26,6 +27,7 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/host/daisyhost"
+	"github.com/daisyglade/daisyglade/internal/host/daisyops"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
@@ -212,7 +214,7 @@
 		return err
 	}
 	for i := 0; ; i++ {
-		err := post(ctx, c.HTTP, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
+		_, err := send(ctx, c.HTTP, http.MethodPost, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
 		if err == nil {
 			return nil
 		}
@@ -224,6 +226,16 @@
 	}
 }
 
+// Status asks one host for its status.
+func (c *Client) Status(ctx context.Context, host int) (s daisyops.Status, err error) {
+	defer daisyerror.Annotate(&err, "status of %s", c.URLs[host])
+	text, err := send(ctx, c.HTTP, http.MethodGet, c.URLs[host]+"/v1/status", c.Token, nil)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(text, &s)
+}
+
 // Fleet is a trial that runs in this process.
 type Fleet struct {
 	*Plan
@@ -299,26 +311,31 @@
 	return hex.EncodeToString(b)
 }
 
-// freePorts returns addresses on loopback that were free a moment ago.
+// Ports from which a trial takes its own. They lie below those that the system
+// gives to outgoing connections, so that a host that restarts finds its ports free.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+// freePorts returns addresses on loopback that were free a moment ago. The
+// search begins at a random port, so that trials do not meet.
 func freePorts(network daisynet.Network, n int) ([]string, error) {
-	var listeners []net.Listener
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	begin := randv2.IntN(portCount)
 	var addrs []string
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
-		}
-	}()
-	for range n {
-		l, err := network.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	for i := range portCount {
+		addr := netip.AddrPortFrom(loopback, uint16(firstPort+(begin+i)%portCount))
+		l, err := network.Listen(context.Background(), addr)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		listeners = append(listeners, l)
-		addr, err := netip.ParseAddrPort(l.Addr().String())
-		if err != nil {
+		if err := l.Close(); err != nil {
 			return nil, err
 		}
-		addrs = append(addrs, addr.String())
+		if addrs = append(addrs, addr.String()); len(addrs) == n {
+			return addrs, nil
+		}
 	}
-	return addrs, nil
+	return nil, errors.New("too few ports are free")
 }
