Keep the cost of control independent of the size of the state

Cause: every tick of the leader sorted every object several times; every heartbeat repeated every announcement; idle lanes stayed for ever. Ruled out: caching the sorted order (the decisions need no order). Change: objects are kept by kind and walked unsorted; announcements are passed on when new and every 3 s; lanes idle for a minute are closed. Hostile callers get tests and a fuzz target.

--- a/internal/control/daisycontrol/tenure.go
+++ b/internal/control/daisycontrol/tenure.go
@@ -21,7 +21,7 @@
 	hosts := candidates(s)
 	members := membersByDatabase(s)
 	var changes []daisyfleet.Change
-	s.Each(daisyfleet.KindDatabase, func(o daisyfleet.Object) {
+	s.EachSorted(daisyfleet.KindDatabase, func(o daisyfleet.Object) {
 		database, ok := o.Value.(daisyfleet.Database)
 		if !ok {
 			return
@@ -204,7 +204,7 @@
 // Candidates returns the hosts that are up and not leaving.
 func Candidates(s *daisyfleet.State, load map[string]int) []daisyplace.Host {
 	var hosts []daisyplace.Host
-	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
+	s.EachSorted(daisyfleet.KindHost, func(o daisyfleet.Object) {
 		h, ok := o.Value.(daisyfleet.Host)
 		if ok && h.Up && !h.Leaving {
 			hosts = append(hosts, daisyplace.Host{
--- a/internal/control/daisyfleet/state.go
+++ b/internal/control/daisyfleet/state.go
@@ -3,8 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
-	"strings"
 )
 
 const (
@@ -85,7 +85,7 @@
 type State struct {
 	revision uint64
 	horizon  uint64 // Deltas from before this revision are not available.
-	objects  map[ID]Object
+	objects  map[Kind]map[string]Object
 	recent   []touch
 	outcomes map[string]Outcome
 	order    []string
@@ -96,14 +96,24 @@
 
 // Get returns the live object with the identity.
 func (s *State) Get(id ID) (Object, bool) {
-	o, ok := s.objects[id]
+	o, ok := s.objects[id.Kind][id.Name]
 	return o, ok && !o.Deleted()
 }
 
-// Each calls f for every live object of the kind, in the order of names.
+// Each calls f for every live object of the kind, in no particular order.
 func (s *State) Each(kind Kind, f func(Object)) {
-	for _, o := range s.sorted() {
-		if o.Kind == kind && !o.Deleted() {
+	for _, o := range s.objects[kind] {
+		if !o.Deleted() {
+			f(o)
+		}
+	}
+}
+
+// EachSorted calls f for every live object of the kind, in the order of names.
+func (s *State) EachSorted(kind Kind, f func(Object)) {
+	objects := s.objects[kind]
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
+		if o := objects[name]; !o.Deleted() {
 			f(o)
 		}
 	}
@@ -168,9 +178,12 @@
 
 func (s *State) put(o Object) {
 	if s.objects == nil {
-		s.objects = make(map[ID]Object)
+		s.objects = make(map[Kind]map[string]Object)
 	}
-	s.objects[o.ID] = o
+	if s.objects[o.Kind] == nil {
+		s.objects[o.Kind] = make(map[string]Object)
+	}
+	s.objects[o.Kind][o.Name] = o
 	s.recent = append(s.recent, touch{revision: o.Revision, id: o.ID})
 	if len(s.recent) > recentLimit {
 		s.forget(len(s.recent) - recentLimit)
@@ -181,8 +194,8 @@
 func (s *State) forget(n int) {
 	for _, t := range s.recent[:n] {
 		s.horizon = max(s.horizon, t.revision)
-		if o := s.objects[t.id]; o.Deleted() && o.Revision == t.revision {
-			delete(s.objects, t.id)
+		if o := s.objects[t.id.Kind][t.id.Name]; o.Deleted() && o.Revision == t.revision {
+			delete(s.objects[t.id.Kind], t.id.Name)
 		}
 	}
 	s.recent = slices.Clone(s.recent[n:])
@@ -214,7 +227,7 @@
 		return compare(t.revision, r)
 	})
 	for _, t := range s.recent[start:] {
-		if o := s.objects[t.id]; o.Revision == t.revision {
+		if o := s.objects[t.id.Kind][t.id.Name]; o.Revision == t.revision {
 			d.Objects = append(d.Objects, o)
 		}
 	}
@@ -245,7 +258,7 @@
 
 // Image returns the whole state, tombstones and outcomes included.
 func (s *State) Image() Image {
-	img := Image{Revision: s.revision, Horizon: s.horizon, Objects: s.sorted()}
+	img := Image{Revision: s.revision, Horizon: s.horizon, Objects: s.all()}
 	for _, id := range s.order {
 		img.Outcomes = append(img.Outcomes, s.outcomes[id])
 	}
@@ -266,21 +279,18 @@
 }
 
 func (s *State) live() []Object {
-	all := s.sorted()
-	return slices.DeleteFunc(all, Object.Deleted)
+	return slices.DeleteFunc(s.all(), Object.Deleted)
 }
 
-func (s *State) sorted() []Object {
-	all := make([]Object, 0, len(s.objects))
-	for _, o := range s.objects {
-		all = append(all, o)
-	}
-	slices.SortFunc(all, func(a, b Object) int {
-		if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
-			return c
+// all returns every object, tombstones too, in the order of kinds and names.
+func (s *State) all() []Object {
+	var all []Object
+	for _, kind := range slices.Sorted(maps.Keys(s.objects)) {
+		objects := s.objects[kind]
+		for _, name := range slices.Sorted(maps.Keys(objects)) {
+			all = append(all, objects[name])
 		}
-		return strings.Compare(a.Name, b.Name)
-	})
+	}
 	return all
 }
 
--- a/internal/control/daisyfleet/state_test.go
+++ b/internal/control/daisyfleet/state_test.go
@@ -110,7 +110,7 @@
 
 func objects(s *daisyfleet.State) []daisyfleet.Object {
 	var all []daisyfleet.Object
-	s.Each(daisyfleet.KindWorkspace, func(o daisyfleet.Object) { all = append(all, o) })
+	s.EachSorted(daisyfleet.KindWorkspace, func(o daisyfleet.Object) { all = append(all, o) })
 	return all
 }
 
--- a/internal/control/daisyfleet/view.go
+++ b/internal/control/daisyfleet/view.go
@@ -95,10 +95,9 @@
 	prefix := database + "/"
 	members := make(map[string]Member)
 	v.Read(func(s *State) {
-		for id, o := range s.objects {
-			m, ok := o.Value.(Member)
-			if ok && m.Database == database {
-				members[id.Name[len(prefix):]] = m
+		for name, o := range s.objects[KindMember] {
+			if m, ok := o.Value.(Member); ok && m.Database == database {
+				members[name[len(prefix):]] = m
 			}
 		}
 	})
--- /dev/null
+++ b/internal/entry/daisyentry/entry_test.go
@@ -0,0 +1,349 @@
+package daisyentry_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/text"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/entry/daisyentry"
+	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+)
+
+const key = "k.secret"
+
+// echo is a holder that notes requests and answers with nothing but readiness.
+type echo struct {
+	mu       sync.Mutex
+	requests []*daisylane.Request
+	answer   func(r *daisylane.Request, emit func(*daisylane.Answer) error) error
+}
+
+func (e *echo) Holds(string) bool    { return true }
+func (e *echo) Lane() daisylane.Lane { return e }
+func (e *echo) Close()               {}
+
+func (e *echo) Do(_ context.Context, r *daisylane.Request, emit func(*daisylane.Answer) error) error {
+	e.mu.Lock()
+	copied := *r
+	e.requests = append(e.requests, &copied)
+	e.mu.Unlock()
+	if e.answer != nil {
+		return e.answer(r, emit)
+	}
+	ready, _ := (&pgproto3.ReadyForQuery{TxStatus: 'I'}).Encode(nil)
+	return emit(&daisylane.Answer{Final: true, Status: daisylane.StatusIdle, Bytes: ready, Floor: daisylane.Position{Term: 1, Offset: 7}})
+}
+
+func (e *echo) last() *daisylane.Request {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.requests[len(e.requests)-1]
+}
+
+type always bool
+
+func (a always) Valid() bool { return bool(a) }
+
+type forget struct{}
+
+func (forget) Record(string, string, daisylane.Cause, time.Duration, bool) {}
+
+func openServer(t testing.TB, h *echo) *daisyentry.Server {
+	t.Helper()
+	view := daisyfleet.NewView()
+	objects := []daisyfleet.Object{
+		{ID: daisyfleet.ID{Kind: daisyfleet.KindKey, Name: "k"}, Revision: 1, Value: daisyfleet.Key{Workspace: "w", Hash: sha256.Sum256([]byte(key))}},
+		{ID: daisyfleet.ID{Kind: daisyfleet.KindProfile, Name: "p"}, Revision: 1, Value: daisyfleet.Profile{Database: "db", Wait: 100 * time.Millisecond}},
+		{ID: daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: "db"}, Revision: 1, Value: daisyfleet.Tenure{Term: 1, Holder: "h"}},
+	}
+	assert.NilError(t, view.Update(func(s *daisyfleet.State) error { return s.Merge(daisyfleet.Delta{To: 1, Objects: objects}) }))
+	s, err := daisyentry.Open(daisyentry.Options{
+		Network: daisynet.TCP{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Host: "h", MaxSessions: 3, MaxRequestBytes: 1 << 16,
+		View: view, Right: always(true), Holder: h, Lanes: daisyroute.New(nil), Recorder: forget{}, Log: &log.Logger{Handler: text.New(io.Discard)},
+	})
+	assert.NilError(t, err)
+	return s
+}
+
+// caller speaks the protocol by hand.
+type caller struct {
+	t        *testing.T
+	conn     net.Conn
+	frontend *pgproto3.Frontend
+}
+
+func dial(t *testing.T, s *daisyentry.Server) *caller {
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", s.Address().String())
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	return &caller{t: t, conn: conn, frontend: pgproto3.NewFrontend(conn, conn)}
+}
+
+func (c *caller) send(messages ...pgproto3.FrontendMessage) {
+	for _, m := range messages {
+		c.frontend.Send(m)
+	}
+	assert.NilError(c.t, c.frontend.Flush())
+}
+
+// until receives messages up to one that the function takes.
+func (c *caller) until(done func(pgproto3.BackendMessage) bool) {
+	for {
+		m, err := c.frontend.Receive()
+		assert.NilError(c.t, err)
+		if done(m) {
+			return
+		}
+	}
+}
+
+func isReady(m pgproto3.BackendMessage) bool {
+	_, ok := m.(*pgproto3.ReadyForQuery)
+	return ok
+}
+
+func (c *caller) login() {
+	c.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "w", "database": "p"}})
+	c.until(func(m pgproto3.BackendMessage) bool {
+		_, ok := m.(*pgproto3.AuthenticationCleartextPassword)
+		return ok
+	})
+	c.send(&pgproto3.PasswordMessage{Password: key})
+	c.until(isReady)
+}
+
+// errorCode receives up to an error and returns its code; the connection must
+// end after it.
+func (c *caller) errorCode() (code string) {
+	c.until(func(m pgproto3.BackendMessage) bool {
+		e, ok := m.(*pgproto3.ErrorResponse)
+		if ok {
+			code = e.Code
+		}
+		return ok
+	})
+	_, err := c.frontend.Receive()
+	assert.Check(c.t, err != nil, "the connection stays open")
+	return code
+}
+
+func startup(user, database string) []byte {
+	b, _ := (&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": user, "database": database}}).Encode(nil)
+	return b
+}
+
+func password(text string) []byte {
+	b, _ := (&pgproto3.PasswordMessage{Password: text}).Encode(nil)
+	return b
+}
+
+func TestBadLogins(t *testing.T) {
+	tests := []struct {
+		name  string
+		bytes []byte
+		code  string
+	}{
+		{"Garbage", bytes.Repeat([]byte{0x16, 3, 1}, 20), daisylane.CodeProtocol},
+		{"HugeLength", []byte{0x7f, 0xff, 0xff, 0xff, 0, 3, 0, 0}, daisylane.CodeProtocol},
+		{"OldVersion", []byte{0, 0, 0, 8, 0, 2, 0, 0}, daisylane.CodeProtocol},
+		{"WrongKey", append(startup("w", "p"), password("k.other")...), daisylane.CodeKey},
+		{"NoKey", append(startup("w", "p"), password("")...), daisylane.CodeKey},
+		{"OtherWorkspace", append(startup("v", "p"), password(key)...), daisylane.CodeKey},
+		{"UnknownProfile", append(startup("w", "q"), password(key)...), "3D000"},
+		{"LongKey", append(startup("w", "p"), password(string(make([]byte, 4096)))...), daisylane.CodeProtocol},
+		{"QueryForPassword", append(startup("w", "p"), 'Q', 0, 0, 0, 5, 0), daisylane.CodeProtocol},
+	}
+	s := openServer(t, &echo{})
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := dial(t, s)
+			defer func() { assert.NilError(t, c.conn.Close()) }()
+			_, err := c.conn.Write(test.bytes)
+			assert.NilError(t, err)
+			assert.Equal(t, c.errorCode(), test.code)
+		})
+	}
+	assert.NilError(t, s.Close())
+}
+
+func TestBadRequests(t *testing.T) {
+	tests := []struct {
+		name string
+		send []pgproto3.FrontendMessage
+		code string
+	}{
+		{"LargeMessage", []pgproto3.FrontendMessage{&pgproto3.Query{String: strings.Repeat("x", 1<<17)}}, daisylane.CodeTooLarge},
+		{"ManyMessages", []pgproto3.FrontendMessage{
+			&pgproto3.Parse{Query: strings.Repeat("x", 40_000)}, &pgproto3.Parse{Query: strings.Repeat("x", 40_000)}, &pgproto3.Sync{},
+		}, daisylane.CodeTooLarge},
+		{"Flush", []pgproto3.FrontendMessage{&pgproto3.Flush{}}, daisylane.CodeUnsupported},
+		{"FunctionCall", []pgproto3.FrontendMessage{&pgproto3.FunctionCall{}}, daisylane.CodeUnsupported},
+	}
+	s := openServer(t, &echo{})
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := dial(t, s)
+			defer func() { assert.NilError(t, c.conn.Close()) }()
+			c.login()
+			c.send(test.send...)
+			assert.Equal(t, c.errorCode(), test.code)
+		})
+	}
+	assert.NilError(t, s.Close())
+}
+
+func TestTooManySessions(t *testing.T) {
+	s := openServer(t, &echo{})
+	var open []*caller
+	for range 3 {
+		c := dial(t, s)
+		c.login()
+		open = append(open, c)
+	}
+	c := dial(t, s)
+	assert.Equal(t, c.errorCode(), daisylane.CodeNoConnection)
+	for _, c := range append(open, c) {
+		assert.NilError(t, c.conn.Close())
+	}
+	assert.NilError(t, s.Close())
+}
+
+// TestStatementsCarryTheirDefinition checks that a prepared statement reaches
+// whichever connection runs it, under a name of the fleet's.
+func TestStatementsCarryTheirDefinition(t *testing.T) {
+	h := &echo{}
+	s := openServer(t, h)
+	c := dial(t, s)
+	c.login()
+	c.send(&pgproto3.Parse{Name: "mine", Query: "SELECT 1"}, &pgproto3.Sync{})
+	c.until(isReady)
+	defined := h.last().Parts[0]
+	assert.Check(t, defined.Defines && defined.Uses != "mine")
+	c.send(&pgproto3.Bind{PreparedStatement: "mine"}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	c.until(isReady)
+	r := h.last()
+	assert.Equal(t, r.Parts[0].Uses, defined.Uses)
+	assert.DeepEqual(t, r.Statements, []daisylane.Statement{{Name: defined.Uses, Parse: defined.Bytes}})
+	assert.Equal(t, r.Floor, daisylane.Position{Term: 1, Offset: 7})
+	assert.Check(t, !r.Arriving)
+	assert.NilError(t, c.conn.Close())
+	assert.NilError(t, s.Close())
+}
+
+func TestReadOnlyIsDeclared(t *testing.T) {
+	tests := []struct {
+		sql  string
+		want bool
+	}{
+		{"BEGIN READ ONLY", true},
+		{"begin isolation level repeatable read read only;", true},
+		{"START TRANSACTION READ ONLY, DEFERRABLE", true},
+		{"BEGIN", false},
+		{"BEGIN READ WRITE", false},
+		{"BEGIN READ ONLY; COMMIT; DELETE FROM bookings", false},
+		{"begin read only; insert into t values (1)", false},
+		{"SELECT 'begin read only'", false},
+		{"SELECT 1", false},
+		{"BEGIN /* read only */", false},
+	}
+	h := &echo{}
+	s := openServer(t, h)
+	c := dial(t, s)
+	c.login()
+	for _, test := range tests {
+		c.send(&pgproto3.Query{String: test.sql})
+		c.until(isReady)
+		assert.Equal(t, h.last().ReadOnly, test.want, test.sql)
+	}
+	assert.NilError(t, c.conn.Close())
+	assert.NilError(t, s.Close())
+}
+
+func TestRequestNames(t *testing.T) {
+	tests := []struct{ sql, want string }{
+		{"/* daisyglade.request=a-1 */ INSERT", "a-1"},
+		{"INSERT /* daisyglade.request=a-1 */", ""},
+		{"/* daisyglade.request=a'; DROP TABLE x; -- */ INSERT", ""},
+		{"/* daisyglade.request= */ INSERT", ""},
+	}
+	h := &echo{}
+	s := openServer(t, h)
+	c := dial(t, s)
+	c.login()
+	for _, test := range tests {
+		c.send(&pgproto3.Query{String: test.sql})
+		c.until(isReady)
+		assert.Equal(t, h.last().Name, test.want, test.sql)
+	}
+	assert.NilError(t, c.conn.Close())
+	assert.NilError(t, s.Close())
+}
+
+// TestRefusalTellsWhenToComeBack checks the error that a caller sees.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	h := &echo{answer: func(_ *daisylane.Request, emit func(*daisylane.Answer) error) error {
+		return emit(&daisylane.Answer{Final: true, Status: daisylane.StatusIdle, Refusal: &daisylane.Refusal{
+			Code: daisylane.CodeLimit, Message: "not run: over the rate", RetryAfter: 1500 * time.Millisecond, Cause: daisylane.CauseLimit,
+		}})
+	}}
+	s := openServer(t, h)
+	c := dial(t, s)
+	c.login()
+	c.send(&pgproto3.Query{String: "SELECT 1"})
+	c.until(func(m pgproto3.BackendMessage) bool {
+		e, ok := m.(*pgproto3.ErrorResponse)
+		if ok {
+			assert.Equal(t, e.Code, daisylane.CodeLimit)
+			assert.Equal(t, e.Hint, "retry after 1500 ms")
+		}
+		return ok
+	})
+	c.until(isReady)
+	assert.NilError(t, c.conn.Close())
+	assert.NilError(t, s.Close())
+}
+
+// FuzzCaller sends arbitrary bytes after a login: the server must neither
+// panic nor hang.
+func FuzzCaller(f *testing.F) {
+	f.Add([]byte("Q\x00\x00\x00\x05\x00"))
+	f.Add(binary.BigEndian.AppendUint32([]byte{'P'}, 0))
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Parse{Name: "a", Query: "SELECT 1"}, &pgproto3.Bind{PreparedStatement: "a"}, &pgproto3.Describe{ObjectType: 'S', Name: "a"},
+		&pgproto3.Close{ObjectType: 'S', Name: "a"}, &pgproto3.Execute{}, &pgproto3.Sync{}, &pgproto3.CopyData{Data: []byte{1}},
+	} {
+		b, _ := m.Encode(nil)
+		f.Add(b)
+	}
+	s := openServer(f, &echo{})
+	f.Cleanup(func() { _ = s.Close() })
+	f.Fuzz(func(t *testing.T, b []byte) {
+		c := dial(t, s)
+		c.login()
+		_, _ = c.conn.Write(b)
+		if tcp, ok := c.conn.(*net.TCPConn); ok {
+			_ = tcp.CloseWrite()
+		}
+		if _, err := io.Copy(io.Discard, c.conn); err != nil {
+			_ = fmt.Sprint(err) // A reset is as good as an end.
+		}
+		_ = c.conn.Close()
+	})
+}
--- a/internal/entry/daisyroute/route.go
+++ b/internal/entry/daisyroute/route.go
@@ -8,14 +8,19 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 )
 
-// idleLimit bounds the lanes kept open to one host.
-const idleLimit = 64
+const (
+	// idleLimit bounds the lanes kept open to one host.
+	idleLimit = 64
+	// idleLife is how long a lane is kept without use.
+	idleLife = time.Minute
+)
 
 // Dialer opens links to other hosts.
 type Dialer interface {
@@ -27,13 +32,36 @@
 	dialer Dialer
 
 	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*Remote
+	idle   map[netip.AddrPort][]*Remote // The last used last.
 	closed bool
+	expiry *time.Timer
 }
 
 // New returns an empty set of lanes.
 func New(d Dialer) *Lanes {
-	return &Lanes{dialer: d, idle: make(map[netip.AddrPort][]*Remote)}
+	l := &Lanes{dialer: d, idle: make(map[netip.AddrPort][]*Remote)}
+	l.expiry = time.AfterFunc(idleLife, l.expire)
+	return l
+}
+
+// expire ends the lanes that have been idle for long.
+func (l *Lanes) expire() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	for addr, lanes := range l.idle {
+		for len(lanes) > 0 && time.Since(lanes[0].used) > idleLife {
+			lanes[0].link.Close()
+			lanes = lanes[1:]
+		}
+		l.idle[addr] = lanes
+		if len(lanes) == 0 {
+			delete(l.idle, addr)
+		}
+	}
+	l.expiry.Reset(idleLife)
 }
 
 // Take returns a lane to the host at the address.
@@ -58,6 +86,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	l.expiry.Stop()
 	for _, lanes := range l.idle {
 		for _, r := range lanes {
 			r.link.Close()
@@ -73,7 +102,8 @@
 	addr  netip.AddrPort
 	link  *daisylink.Conn
 	sent  uint64
-	dirty bool // An answer is outstanding or a transaction is open.
+	used  time.Time // When it was last given back.
+	dirty bool      // An answer is outstanding or a transaction is open.
 }
 
 // Do implements daisylane.Lane.
@@ -125,6 +155,7 @@
 		r.link.Close()
 		return
 	}
+	r.used = time.Now()
 	l.idle[r.addr] = append(l.idle[r.addr], r)
 }
 
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -35,6 +35,9 @@
 	bodyTimeout   = 15 * time.Second
 	// proposeLimit bounds the wait for the outcome of a change.
 	proposeLimit = 10 * time.Second
+	// passInterval is the least time between two announcements of a backend
+	// server that are passed on, unless they differ.
+	passInterval = 3 * time.Second
 	// announcementLife is how long an announcement is passed on.
 	announcementLife = 5 * time.Second
 )
@@ -85,7 +88,8 @@
 
 type heard struct {
 	daisybeat.Announcement
-	at time.Time
+	at     time.Time
+	passed time.Time // When it was last passed on.
 }
 
 // Open listens and serves.
@@ -154,7 +158,7 @@
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	objects := []daisywire.Object{}
 	s.options.View.Read(func(state *daisyfleet.State) {
-		state.Each(daisyfleet.Kind(r.PathValue("kind")), func(o daisyfleet.Object) {
+		state.EachSorted(daisyfleet.Kind(r.PathValue("kind")), func(o daisyfleet.Object) {
 			objects = append(objects, daisycodec.FromObject(o))
 		})
 	})
@@ -201,12 +205,16 @@
 	value := daisyfleet.Member{Database: wire.Database, Address: addr, FailureDomain: wire.FailureDomain, Leaving: wire.Leaving}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.announced[daisyfleet.MemberName(wire.Database, wire.Member)] = heard{
-		Announcement: daisybeat.Announcement{Member: wire.Member, Value: value}, at: time.Now(),
+	name := daisyfleet.MemberName(wire.Database, wire.Member)
+	a := heard{Announcement: daisybeat.Announcement{Member: wire.Member, Value: value}, at: time.Now()}
+	if before := s.announced[name]; before.Value == value {
+		a.passed = before.passed
 	}
+	s.announced[name] = a
 }
 
-// Announcements returns the backend servers that announced themselves lately.
+// Announcements returns what is to be passed on now: announcements that are new
+// and those that the control leader would otherwise forget.
 func (s *Server) Announcements() []daisybeat.Announcement {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -216,8 +224,13 @@
 			delete(s.announced, name)
 			continue
 		}
+		if a.at.Before(a.passed) || time.Since(a.passed) < passInterval {
+			continue
+		}
 		a.Age = time.Since(a.at)
 		all = append(all, a.Announcement)
+		a.passed = time.Now()
+		s.announced[name] = a
 	}
 	return all
 }
