Measure the slopes of control and mend what grew with nodes times databases

Ruled out: looking less often (it would lengthen every failover). Change: lists are made when a decision needs them; touches are forgotten by the half; used-up grants are dropped.

--- a/internal/control/daisycontrol/tenure.go
+++ b/internal/control/daisycontrol/tenure.go
@@ -18,57 +18,81 @@
 
 // dueTenures assigns databases to holders, records claims and starts new terms.
 func (l *Leader) dueTenures(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
-	hosts := candidates(s)
-	members := membersByDatabase(s)
+	d := &tenureDecision{leader: l, now: now, state: s}
 	var changes []daisyfleet.Change
-	s.EachSorted(daisyfleet.KindDatabase, func(o daisyfleet.Object) {
+	s.Each(daisyfleet.KindDatabase, func(o daisyfleet.Object) {
 		database, ok := o.Value.(daisyfleet.Database)
 		if !ok {
 			return
 		}
-		c, ok := l.dueTenure(now, s, o.Name, database, members[o.Name], hosts)
-		if ok {
+		if c, ok := d.due(o.Name, database); ok {
 			changes = append(changes, c)
 		}
 	})
 	return changes
 }
 
-// dueTenure returns the change that one database needs, if any.
-func (l *Leader) dueTenure(
-	now time.Time, s *daisyfleet.State, name string, database daisyfleet.Database,
-	members map[string]daisyfleet.Member, hosts []daisyplace.Host,
-) (daisyfleet.Change, bool) {
-	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name})
+// tenureDecision holds what the decisions on all databases share. Its lists
+// are made when the first database needs them, which is seldom.
+type tenureDecision struct {
+	leader *Leader
+	now    time.Time
+	state  *daisyfleet.State
+	hosts  []daisyplace.Host
+}
+
+// due returns the change that one database needs, if any.
+func (d *tenureDecision) due(name string, database daisyfleet.Database) (daisyfleet.Change, bool) {
+	o, ok := d.state.Get(daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name})
 	if !ok {
-		if len(members) < database.Majority() {
+		if countMembers(d.state, name) < database.Majority() {
 			return daisyfleet.Change{}, false
 		}
 		o.ID = daisyfleet.ID{Kind: daisyfleet.KindTenure, Name: name}
-		return assign(o, daisyfleet.Tenure{}, "", hosts, "database "+name+" has a majority of its members")
+		return d.assign(o, daisyfleet.Tenure{}, "database "+name+" has a majority of its members")
 	}
 	t, _ := o.Value.(daisyfleet.Tenure)
-	near := members[last(t)].FailureDomain
-	holder, known := lookupHost(s, t.Holder)
+	holder, known := lookupHost(d.state, t.Holder)
 	switch {
 	case !known || !holder.Up || holder.Incarnation != t.Incarnation:
-		return assign(o, t, near, hosts, fmt.Sprintf("holder %s of %s is gone", t.Holder, name))
-	case l.released(t, name):
-		return assign(o, t, near, hosts, fmt.Sprintf("holder %s of %s handed it back", t.Holder, name))
+		return d.assign(o, t, fmt.Sprintf("holder %s of %s is gone", t.Holder, name))
+	case d.leader.released(t, name):
+		return d.assign(o, t, fmt.Sprintf("holder %s of %s handed it back", t.Holder, name))
 	case t.Primary == "":
-		return l.claim(o, t, name)
+		return d.leader.claim(o, t, name)
 	case t.Revoked:
 		return daisyfleet.Change{}, false
-	case members[t.Primary].Leaving && len(members) > 1:
+	case lookupMember(d.state, name, t.Primary).Leaving && countMembers(d.state, name) > 1:
 		return renew(o, t, fmt.Sprintf("primary %s of %s is leaving", t.Primary, name))
 	}
-	return l.doubtful(now, s, o, t)
+	return d.leader.doubtful(d.now, d.state, o, t)
+}
+
+// assign starts a new term with the best holder.
+func (d *tenureDecision) assign(o daisyfleet.Object, t daisyfleet.Tenure, reason string) (daisyfleet.Change, bool) {
+	if d.hosts == nil {
+		d.hosts = candidates(d.state)
+	}
+	h, ok := daisyplace.Holder(o.Name, lookupMember(d.state, o.Name, last(t)).FailureDomain, d.hosts)
+	if !ok {
+		return daisyfleet.Change{}, false
+	}
+	for i := range d.hosts {
+		if d.hosts[i].Name == h.Name {
+			d.hosts[i].Load++
+		}
+	}
+	next := daisyfleet.Tenure{Term: t.Term + 1, Holder: h.Name, Incarnation: h.Incarnation, Last: last(t), Avoid: t.Avoid}
+	return put(o, next, fmt.Sprintf("%s; term %d goes to %s", reason, next.Term, h.Name)), true
 }
 
 // doubtful acts on a primary that its holder cannot reach: if hosts in other
 // failure domains cannot either, the primary is given up; if they can, the
 // holder is.
 func (l *Leader) doubtful(now time.Time, s *daisyfleet.State, o daisyfleet.Object, t daisyfleet.Tenure) (daisyfleet.Change, bool) {
+	if len(l.sights[o.Name]) == 0 {
+		return daisyfleet.Change{}, false
+	}
 	silent, answering := l.views(now, o.Name, t)
 	switch {
 	case len(silent) >= min(quorumDomains, domainCount(s)):
@@ -81,21 +105,6 @@
 	return daisyfleet.Change{}, false
 }
 
-// assign starts a new term with the best holder.
-func assign(o daisyfleet.Object, t daisyfleet.Tenure, near string, hosts []daisyplace.Host, reason string) (daisyfleet.Change, bool) {
-	h, ok := daisyplace.Holder(o.Name, near, hosts)
-	if !ok {
-		return daisyfleet.Change{}, false
-	}
-	for i := range hosts {
-		if hosts[i].Name == h.Name {
-			hosts[i].Load++
-		}
-	}
-	next := daisyfleet.Tenure{Term: t.Term + 1, Holder: h.Name, Incarnation: h.Incarnation, Last: last(t), Avoid: t.Avoid}
-	return put(o, next, fmt.Sprintf("%s; term %d goes to %s", reason, next.Term, h.Name)), true
-}
-
 // renew starts a new term with the same holder, so that it chooses a primary anew.
 func renew(o daisyfleet.Object, t daisyfleet.Tenure, reason string) (daisyfleet.Change, bool) {
 	next := daisyfleet.Tenure{Term: t.Term + 1, Holder: t.Holder, Incarnation: t.Incarnation, Last: t.Primary, Avoid: t.Primary}
@@ -169,9 +178,8 @@
 			continue
 		}
 		observers := daisyplace.Observers(name, holder.FailureDomain, observerCount, Candidates(s, nil))
-		member, _ := s.Get(daisyfleet.ID{Kind: daisyfleet.KindMember, Name: daisyfleet.MemberName(name, t.Primary)})
-		m, found := member.Value.(daisyfleet.Member)
-		if found && slices.Contains(observers, host) {
+		m := lookupMember(s, name, t.Primary)
+		if m.Address.IsValid() && slices.Contains(observers, host) {
 			tenancy := daisybeat.Tenancy{Database: name, Term: t.Term}
 			probes = append(probes, daisybeat.Probe{Tenancy: tenancy, Member: t.Primary, Address: m.Address})
 		}
@@ -216,17 +224,18 @@
 	return hosts
 }
 
-func membersByDatabase(s *daisyfleet.State) map[string]map[string]daisyfleet.Member {
-	all := make(map[string]map[string]daisyfleet.Member)
+func lookupMember(s *daisyfleet.State, database, member string) daisyfleet.Member {
+	o, _ := s.Get(daisyfleet.ID{Kind: daisyfleet.KindMember, Name: daisyfleet.MemberName(database, member)})
+	m, _ := o.Value.(daisyfleet.Member)
+	return m
+}
+
+func countMembers(s *daisyfleet.State, database string) int {
+	n := 0
 	s.Each(daisyfleet.KindMember, func(o daisyfleet.Object) {
-		m, ok := o.Value.(daisyfleet.Member)
-		if !ok {
-			return
-		}
-		if all[m.Database] == nil {
-			all[m.Database] = make(map[string]daisyfleet.Member)
+		if m, ok := o.Value.(daisyfleet.Member); ok && m.Database == database {
+			n++
 		}
-		all[m.Database][o.Name[len(m.Database)+1:]] = m
 	})
-	return all
+	return n
 }
--- a/internal/control/daisyfleet/state.go
+++ b/internal/control/daisyfleet/state.go
@@ -10,7 +10,8 @@
 const (
 	// outcomeLimit bounds the outcomes remembered for changes sent again.
 	outcomeLimit = 10_000
-	// recentLimit bounds the changed objects remembered for deltas.
+	// recentLimit is how many changed objects are remembered for deltas at the
+	// least; they are forgotten when there are twice as many.
 	recentLimit = 8_192
 )
 
@@ -185,7 +186,7 @@
 	}
 	s.objects[o.Kind][o.Name] = o
 	s.recent = append(s.recent, touch{revision: o.Revision, id: o.ID})
-	if len(s.recent) > recentLimit {
+	if len(s.recent) >= 2*recentLimit {
 		s.forget(len(s.recent) - recentLimit)
 	}
 }
--- a/internal/control/daisyfleet/state_test.go
+++ b/internal/control/daisyfleet/state_test.go
@@ -121,7 +121,7 @@
 	leader.Apply(1, put("first", "gone", 0, 1))
 	assert.NilError(t, follower.Merge(leader.Delta(0)))
 	leader.Apply(2, remove("second", "gone", 1))
-	for i := range uint64(10_000) {
+	for i := range uint64(20_000) {
 		name := fmt.Sprint("w", i%7)
 		o, _ := leader.Get(daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: name})
 		leader.Apply(3+i, put(fmt.Sprint(i), name, o.Revision, 1))
--- a/internal/limit/daisybucket/bucket.go
+++ b/internal/limit/daisybucket/bucket.go
@@ -181,6 +181,15 @@
 func (b *Bucket) settle(host string, used, returned float64) float64 {
 	valid := 0.0
 	grants := b.grants[host]
+	defer func() {
+		for len(grants) > 0 && grants[0].tokens == 0 {
+			grants = grants[1:]
+		}
+		b.grants[host] = grants
+		if len(grants) == 0 {
+			delete(b.grants, host)
+		}
+	}()
 	for i := range grants {
 		n := math.Min(grants[i].tokens, used)
 		grants[i].tokens -= n
--- /dev/null
+++ b/internal/measure/daisyslope/fit_test.go
@@ -0,0 +1,34 @@
+package daisyslope_test
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/measure/daisyslope"
+)
+
+// tolerance is for the rounding of the fit.
+const tolerance = 1e-9
+
+func TestFit(t *testing.T) {
+	tests := []struct {
+		name         string
+		sizes, costs []float64
+		base, slope  float64
+		residual     float64
+	}{
+		{"Exact", []float64{1, 2, 3}, []float64{5, 7, 9}, 3, 2, 0},
+		{"Flat", []float64{1, 2, 3}, []float64{4, 4, 4}, 4, 0, 0},
+		{"Bent", []float64{0, 1, 2}, []float64{0, 3, 0}, 1, 0, 2.0 / 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := daisyslope.Fit(test.sizes, test.costs)
+			assert.Check(t, math.Abs(l.Base-test.base) < tolerance)
+			assert.Check(t, math.Abs(l.Slope-test.slope) < tolerance)
+			assert.Check(t, math.Abs(l.Residual-test.residual) < tolerance)
+		})
+	}
+}
