Decide hundreds of changes together and encode the whole state once

Ruled out: one change for all (one conflict would refuse every one). Change: changes that are due go to the log in one write; the whole state is encoded once and followed by a delta.

--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -72,17 +72,19 @@
 	leader   netip.AddrPort
 }
 
-// New starts a keeper.
+// New returns a keeper that does nothing before Start.
 func New(o Options) *Keeper {
 	k := &Keeper{
 		options: o, wake: make(chan struct{}, 1),
 		sent: make(map[uint64]time.Time), verdicts: make(map[uint64]chan daisycodec.Decision),
 	}
 	k.ctx, k.cancel = context.WithCancel(context.Background())
-	k.wait.Go(k.run)
 	return k
 }
 
+// Start begins to send heartbeats.
+func (k *Keeper) Start() { k.wait.Go(k.run) }
+
 // Wake sends the next heartbeat at once, because there is something to report.
 func (k *Keeper) Wake() {
 	select {
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -316,14 +316,18 @@
 	}
 }
 
-// Propose appends a change. The entry's index and term identify it.
-func (r *Replica) Propose(now time.Time, c daisyfleet.Change) (index, term uint64, err error) {
+// Propose appends changes. The first has the index, the others follow; index
+// and term identify an entry.
+func (r *Replica) Propose(now time.Time, changes ...daisyfleet.Change) (index, term uint64, err error) {
 	if r.role != Leading {
 		return 0, 0, ErrNotLeader
 	}
-	r.appendEntry(Entry{Change: &c})
+	index = r.last() + 1
+	for i := range changes {
+		r.appendEntry(Entry{Change: &changes[i]})
+	}
 	r.broadcast(now)
-	return r.last(), r.ballot.Term, nil
+	return index, r.ballot.Term, nil
 }
 
 // broadcast starts a round: it sends every replica what it lacks.
--- a/internal/host/daisyhost/control.go
+++ b/internal/host/daisyhost/control.go
@@ -41,8 +41,20 @@
 	mu     sync.Mutex
 	leader *daisycontrol.Leader // Nil while this host does not lead.
 	term   uint64
+	whole  whole
 }
 
+// whole is an encoded message with the whole state at a revision. Hosts that
+// restart get it, followed by what has changed since, so that the state is not
+// encoded anew for each of hundreds.
+type whole struct {
+	revision uint64
+	message  []byte
+}
+
+// wholeLife is how many revisions old the encoded whole state may be.
+const wholeLife = 1000
+
 func newControl(node *daisyquorum.Node, view *daisyfleet.View, self netip.AddrPort, l log.Interface) *control {
 	c := &control{node: node, view: view, self: self, log: l, wake: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
@@ -74,8 +86,8 @@
 		case <-c.ctx.Done():
 			return
 		}
-		for _, change := range c.due() {
-			c.propose(change)
+		if due := c.due(); len(due) > 0 {
+			c.propose(due)
 		}
 		c.decided()
 	}
@@ -101,45 +113,77 @@
 	}
 }
 
-func (c *control) propose(change daisyfleet.Change) {
+// propose lets the log decide the changes, all at once: the loss of a failure
+// domain calls for hundreds.
+func (c *control) propose(changes []daisyfleet.Change) {
 	ctx, cancel := context.WithTimeout(c.ctx, decideTimeout)
 	defer cancel()
-	outcome, err := c.node.Propose(ctx, change)
-	switch {
-	case err != nil:
-		c.log.WithError(err).Warn("control: " + change.Reason + ": not decided")
-	case !outcome.Accepted:
-		c.log.Warn("control: " + change.Reason + ": refused, " + outcome.Message)
-	default:
-		c.log.WithField("revision", outcome.Revision).Info("control: " + change.Reason)
+	decisions, err := c.node.ProposeAll(ctx, changes)
+	if err != nil {
+		c.log.WithError(err).Warn("control: changes that are due were not proposed")
+		return
+	}
+	for i, d := range decisions {
+		reason := changes[i].Reason
+		switch {
+		case d.Err != nil:
+			c.log.WithError(d.Err).Warn("control: " + reason + ": not decided")
+		case !d.Outcome.Accepted:
+			c.log.Warn("control: " + reason + ": refused, " + d.Outcome.Message)
+		default:
+			c.log.WithField("revision", d.Outcome.Revision).Info("control: " + reason)
+		}
+	}
+}
+
+// refreshWhole encodes the whole state if what is held is too old; c.mu is held.
+func (c *control) refreshWhole(s *daisyfleet.State) {
+	if c.whole.message != nil && s.Revision()-c.whole.revision <= wholeLife {
+		return
 	}
+	delta := s.Delta(0)
+	c.whole = whole{revision: delta.To, message: daisycodec.EncodeReply(daisybeat.Reply{Delta: &delta})}
+}
+
+// answer is what a heartbeat is answered with.
+type answer struct {
+	whole []byte // A message to be sent first, if the host holds nothing yet.
+	reply daisybeat.Reply
+	held  uint64 // The revision that the host then holds; 0 if this host does not lead.
 }
 
 // beat answers a heartbeat.
-func (c *control) beat(b daisybeat.Beat) daisybeat.Reply {
+func (c *control) beat(b daisybeat.Beat) (a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
 	leader := c.leading(now)
 	if leader == nil {
-		return daisybeat.Reply{ID: b.ID, Leader: c.node.Leader()}
+		a.reply = daisybeat.Reply{ID: b.ID, Leader: c.node.Leader()}
+		return a
 	}
-	r := daisybeat.Reply{ID: b.ID, Leader: c.self}
+	a.reply = daisybeat.Reply{ID: b.ID, Leader: c.self}
 	c.view.Read(func(s *daisyfleet.State) {
-		r.Lease = leader.Beat(now, s, b)
-		r.Probes = leader.Probes(now, s, b.Host)
-		if b.Revision != s.Revision() {
-			delta := s.Delta(b.Revision)
-			r.Delta = &delta
+		a.reply.Lease = leader.Beat(now, s, b)
+		a.reply.Probes = leader.Probes(now, s, b.Host)
+		from := b.Revision
+		if from == 0 && s.Revision() > 0 {
+			c.refreshWhole(s)
+			a.whole, from = c.whole.message, c.whole.revision
 		}
+		if from != s.Revision() {
+			delta := s.Delta(from)
+			a.reply.Delta = &delta
+		}
+		a.held = s.Revision()
 	})
 	if len(b.Sights) > 0 {
 		c.doubt.announce()
 	}
-	if r.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released) > 0 {
+	if a.reply.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released) > 0 {
 		c.wakeUp()
 	}
-	return r
+	return a
 }
 
 func (c *control) wakeUp() {
@@ -169,26 +213,22 @@
 			return
 		}
 		if u.Proposal != nil {
-			wait.Go(func() { c.answer(ctx, link, *u.Proposal) })
+			wait.Go(func() { c.decideProposal(ctx, link, *u.Proposal) })
 			continue
 		}
 		if u.Beat.Host != link.Peer() {
 			c.log.WithField("host", link.Peer()).Warn("control: host reports under another name")
 			return
 		}
-		reply := c.beat(*u.Beat)
-		if link.Send(ctx, daisycodec.EncodeReply(reply)) != nil {
+		a := c.beat(*u.Beat)
+		if a.whole != nil && link.Send(ctx, a.whole) != nil {
 			return
 		}
-		noteHeld(held, c.heldAfter(*u.Beat, reply))
-	}
-}
-
-func (c *control) heldAfter(b daisybeat.Beat, r daisybeat.Reply) uint64 {
-	if r.Delta != nil {
-		return r.Delta.To
+		if link.Send(ctx, daisycodec.EncodeReply(a.reply)) != nil {
+			return
+		}
+		noteHeld(held, a.held)
 	}
-	return b.Revision
 }
 
 // noteHeld replaces the revision that the pusher starts from.
@@ -241,8 +281,8 @@
 	return probes
 }
 
-// answer decides a proposal.
-func (c *control) answer(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
+// decideProposal lets the log decide a proposal and answers it.
+func (c *control) decideProposal(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
 	d := daisycodec.Decision{ID: p.ID}
 	outcome, err := c.node.Propose(ctx, p.Change)
 	if err != nil {
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -108,25 +108,28 @@
 			return err
 		}
 	}
+	h.watcher = daisywatch.New(daisymember.Prober{Network: h.network}, h.wake)
+	h.keeper = daisykeeper.New(daisykeeper.Options{
+		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, Probe: h.watcher.Ask, View: h.view, Log: h.log,
+	})
 	h.asker = newAsker(h.dialer)
 	h.limiter = daisylimiter.New(daisylimiter.Options{
-		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h}, Asker: h.asker,
+		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: h.keeper, Asker: h.asker,
 	})
 	h.holder = daisyholder.New(daisyholder.Options{
-		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: lateRight{h},
+		Host: s.Host, Incarnation: h.incarnation, View: h.view, Right: h.keeper,
 		Limiter: h.limiter, Network: h.network, Credentials: credentials(s.Databases), Log: h.log,
 	})
-	if err := h.openLinks(); err != nil {
+	if err := errors.Join(h.openLinks(), h.openEntry(), h.openOperations()); err != nil {
 		return err
 	}
-	h.watcher = daisywatch.New(daisymember.Prober{Network: h.network}, h.wake)
-	h.keeper = daisykeeper.New(daisykeeper.Options{
-		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, Probe: h.watcher.Ask, View: h.view, Log: h.log,
-	})
+	h.keeper.Start()
 	h.wait.Go(h.watchReports)
-	if err := h.openEntry(); err != nil {
-		return err
-	}
+	return nil
+}
+
+func (h *Host) openOperations() (err error) {
+	s := &h.settings
 	h.ops, err = daisyops.Open(daisyops.Options{
 		Network: h.network, Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
 		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
@@ -135,12 +138,6 @@
 	return err
 }
 
-// lateRight is the keeper's lease; the keeper starts after the holder.
-type lateRight struct{ host *Host }
-
-// Valid implements daisyholder.Right.
-func (r lateRight) Valid() bool { return r.host.keeper != nil && r.host.keeper.Valid() }
-
 func credentials(databases []daisysettings.Database) map[string]daisymember.Credentials {
 	all := make(map[string]daisymember.Credentials)
 	for _, d := range databases {
@@ -263,9 +260,7 @@
 	}
 	b.Claims, b.Sights, b.Released = h.holder.Reports()
 	b.Sights = append(b.Sights, h.watcher.Sights()...)
-	if h.ops != nil {
-		b.Announcements = h.ops.Announcements()
-	}
+	b.Announcements = h.ops.Announcements()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	b.Leaving = h.leaving
