Report service-level burn and the fleet's decisions

Cause: nobody could see in the morning what had happened in the night. Ruled out: a record in the memory of the leader (lost at every change of it).

--- a/internal/command/daisycli/operator.go
+++ b/internal/command/daisycli/operator.go
@@ -118,7 +118,12 @@
 	if id == "" {
 		id = "cli-" + randomText(changeIDBytes)
 	}
-	change := daisywire.Change{ID: id, Reason: "operator", Operations: []daisywire.Operation{{Against: o.against, Object: object}}}
+	verb := "put"
+	if object.Deleted {
+		verb = "removed"
+	}
+	reason := fmt.Sprintf("operator %s %s %s", verb, object.Kind, object.Name)
+	change := daisywire.Change{ID: id, Reason: reason, Operations: []daisywire.Operation{{Against: o.against, Object: object}}}
 	var outcome daisywire.Outcome
 	if err := o.call(c.Context(), http.MethodPost, "/v1/changes", change, &outcome); err != nil {
 		return fmt.Errorf("change %s: %w", id, err)
--- a/internal/command/daisycli/root.go
+++ b/internal/command/daisycli/root.go
@@ -67,6 +67,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return fmt.Errorf("%w: %w", errUsage, err) })
 	root.AddCommand(newRun(), newCheck(), newFound(), newTry(), newCerts(), newVersion())
 	root.AddCommand(newOperatorCommands()...)
+	root.AddCommand(newReport(), newEvents())
 	return root
 }
 
--- a/internal/control/daisyfleet/state.go
+++ b/internal/control/daisyfleet/state.go
@@ -5,11 +5,14 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 )
 
 const (
 	// outcomeLimit bounds the outcomes remembered for changes sent again.
 	outcomeLimit = 10_000
+	// eventLimit is how many events are remembered at the least.
+	eventLimit = 2_000
 	// recentLimit is how many changed objects are remembered for deltas at the
 	// least; they are forgotten when there are twice as many.
 	recentLimit = 8_192
@@ -49,6 +52,7 @@
 type Change struct {
 	ID         string
 	Reason     string
+	At         time.Time // When it was proposed.
 	Operations []Operation
 }
 
@@ -60,6 +64,14 @@
 	Message  string // Why the change was refused.
 }
 
+// Event records a decision of the fleet.
+type Event struct {
+	Revision uint64 // The log index that decided it.
+	At       time.Time
+	Reason   string
+	Refused  string // Why it was refused; empty if it was accepted.
+}
+
 // Delta carries the objects that changed after From. A delta with From 0 is a
 // whole state and replaces what the receiver holds.
 type Delta struct {
@@ -74,6 +86,7 @@
 	Horizon  uint64
 	Objects  []Object
 	Outcomes []Outcome
+	Events   []Event
 }
 
 type touch struct {
@@ -90,6 +103,7 @@
 	recent   []touch
 	outcomes map[string]Outcome
 	order    []string
+	events   []Event // The latest, oldest first.
 }
 
 // Revision returns the log index of the last applied entry.
@@ -150,9 +164,24 @@
 		}
 	}
 	s.remember(out)
+	s.record(Event{Revision: index, At: c.At, Reason: c.Reason, Refused: out.Message})
 	return out
 }
 
+// record adds an event, if it has a reason, and forgets the oldest by the half.
+func (s *State) record(e Event) {
+	if e.Reason == "" {
+		return
+	}
+	s.events = append(s.events, e)
+	if len(s.events) >= 2*eventLimit {
+		s.events = slices.Clone(s.events[eventLimit:])
+	}
+}
+
+// Events returns the latest decisions, oldest first.
+func (s *State) Events() []Event { return slices.Clone(s.events) }
+
 func (s *State) allow(op Operation) error {
 	held, live := s.Get(op.ID)
 	var revision uint64
@@ -259,7 +288,7 @@
 
 // Image returns the whole state, tombstones and outcomes included.
 func (s *State) Image() Image {
-	img := Image{Revision: s.revision, Horizon: s.horizon, Objects: s.all()}
+	img := Image{Revision: s.revision, Horizon: s.horizon, Objects: s.all(), Events: s.Events()}
 	for _, id := range s.order {
 		img.Outcomes = append(img.Outcomes, s.outcomes[id])
 	}
@@ -268,7 +297,7 @@
 
 // Restore replaces the state with the image.
 func (s *State) Restore(img Image) {
-	*s = State{revision: img.Revision, horizon: img.Horizon}
+	*s = State{revision: img.Revision, horizon: img.Horizon, events: slices.Clone(img.Events)}
 	objects := slices.Clone(img.Objects)
 	slices.SortStableFunc(objects, func(a, b Object) int { return compare(a.Revision, b.Revision) })
 	for _, o := range objects {
--- a/internal/control/daisyfleet/value.go
+++ b/internal/control/daisyfleet/value.go
@@ -47,6 +47,7 @@
 	Cost        float64       // Tokens taken per request.
 	Wait        time.Duration // How long a request may queue.
 	Objective   float64       // The share of requests that must be good.
+	Latency     time.Duration // The time within which a good request is answered; 0 sets none.
 }
 
 // Kind implements Value.
@@ -65,6 +66,8 @@
 		return errors.New("Wait is not positive")
 	case p.MaxAge < 0:
 		return errors.New("MaxAge is negative")
+	case p.Latency < 0:
+		return errors.New("Latency is negative")
 	case p.Objective <= 0 || p.Objective >= 1:
 		return errors.New("Objective is not between 0 and 1")
 	}
--- a/internal/control/daisylog/cluster_test.go
+++ b/internal/control/daisylog/cluster_test.go
@@ -247,7 +247,7 @@
 	}
 }
 
-func (c *cluster) propose(id string) bool {
+func (c *cluster) propose(id string) {
 	for _, m := range c.members {
 		if m.replica == nil {
 			continue
@@ -258,10 +258,9 @@
 		}}}
 		if _, _, err := m.replica.Propose(c.now, change); err == nil {
 			c.settle(m)
-			return true
+			return
 		}
 	}
-	return false
 }
 
 func (c *cluster) compact(m *member) {
--- a/internal/control/daisylog/log_test.go
+++ b/internal/control/daisylog/log_test.go
@@ -24,9 +24,9 @@
 // electionLimit is the time within which a healthy majority has a leader.
 const electionLimit = 5 * time.Second
 
-func formed(t *testing.T, seed uint64, names int, b breaks) *cluster {
+func formed(t *testing.T, seed uint64, names int) *cluster {
 	t.Helper()
-	c := newCluster(seed, names, b)
+	c := newCluster(seed, names, breaks{})
 	c.advance(2*electionLimit, 0)
 	assert.Equal(t, c.voters(), names)
 	return c
@@ -89,7 +89,7 @@
 		for _, names := range []int{3, 5} {
 			t.Run(fmt.Sprintf("%s%d", test.name, names), func(t *testing.T) {
 				for seed := range uint64(8) {
-					c := formed(t, seed, names, breaks{})
+					c := formed(t, seed, names)
 					for i := range 5 {
 						c.propose(fmt.Sprintf("before%d", i))
 					}
@@ -118,7 +118,7 @@
 // TestIsolatedReplicaDoesNotDisturb checks that a replica behind a long
 // partition neither raises the term nor unseats the leader when it returns.
 func TestIsolatedReplicaDoesNotDisturb(t *testing.T) {
-	c := formed(t, 1, 3, breaks{})
+	c := formed(t, 1, 3)
 	lead := c.leader()
 	term := lead.replica.Term()
 	away := c.follower()
@@ -174,7 +174,7 @@
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		names := rapid.SampledFrom([]int{3, 5}).Draw(rt, "names")
-		c := formed(t, rapid.Uint64().Draw(rt, "seed"), names, breaks{})
+		c := formed(t, rapid.Uint64().Draw(rt, "seed"), names)
 		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(rt, "pick") }
 		scenario(c, 40, pick)
 		c.checkHealed(t)
@@ -266,7 +266,7 @@
 // the promise that the lease rests on.
 func TestRestartBesideLonelyReplica(t *testing.T) {
 	for seed := range uint64(50) {
-		c := formed(t, seed, 3, breaks{})
+		c := formed(t, seed, 3)
 		restartBesideLonelyReplica(c)
 		c.checkHealed(t)
 	}
--- a/internal/control/daisyquorum/node_test.go
+++ b/internal/control/daisyquorum/node_test.go
@@ -49,6 +49,9 @@
 
 func (d *noDisk) Replace(daisylog.Ballot, daisylog.Image, []daisylog.Entry) error { return d.fail }
 
+// replicas is how many nodes a quorum of the tests has.
+const replicas = 3
+
 type quorum struct {
 	wires *wires
 	nodes []*daisyquorum.Node
@@ -56,10 +59,10 @@
 	disks []*noDisk
 }
 
-func newQuorum(t *testing.T, n int) *quorum {
+func newQuorum(t *testing.T) *quorum {
 	q := &quorum{wires: &wires{nodes: make(map[netip.AddrPort]*daisyquorum.Node)}}
 	var addrs []netip.AddrPort
-	for i := range n {
+	for i := range replicas {
 		addrs = append(addrs, netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)))
 	}
 	for i, addr := range addrs {
@@ -100,9 +103,9 @@
 	return -1
 }
 
-func change(id, name string, against uint64) daisyfleet.Change {
+func change(id string, against uint64) daisyfleet.Change {
 	return daisyfleet.Change{ID: id, Operations: []daisyfleet.Operation{{
-		ID: daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: name}, Against: against, Value: daisyfleet.Workspace{Home: "d", Rate: 1, Burst: 1},
+		ID: daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: "w"}, Against: against, Value: daisyfleet.Workspace{Home: "d", Rate: 1, Burst: 1},
 	}}}
 }
 
@@ -111,7 +114,7 @@
 // kept all votes.
 func TestNewcomersGetVotes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuorum(t, 3)
+		q := newQuorum(t)
 		defer q.close(t)
 		voters := 0
 		for _, s := range q.nodes[2].Seats() {
@@ -127,13 +130,13 @@
 // same revision, and one of them send its change again to another leader.
 func TestRacingOperators(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuorum(t, 3)
+		q := newQuorum(t)
 		defer q.close(t)
 		lead := q.leader()
-		first, err := q.nodes[lead].Propose(t.Context(), change("first", "w", 0))
+		first, err := q.nodes[lead].Propose(t.Context(), change("first", 0))
 		assert.NilError(t, err)
 		assert.Check(t, first.Accepted)
-		second, err := q.nodes[lead].Propose(t.Context(), change("second", "w", 0))
+		second, err := q.nodes[lead].Propose(t.Context(), change("second", 0))
 		assert.NilError(t, err)
 		assert.Check(t, !second.Accepted)
 		assert.NilError(t, q.nodes[lead].Close())
@@ -149,10 +152,10 @@
 		for next == lead {
 			t.Fatal("a closed node leads")
 		}
-		again, err := q.nodes[next].Propose(t.Context(), change("first", "w", 0))
+		again, err := q.nodes[next].Propose(t.Context(), change("first", 0))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, again, first)
-		again, err = q.nodes[next].Propose(t.Context(), change("second", "w", first.Revision))
+		again, err = q.nodes[next].Propose(t.Context(), change("second", first.Revision))
 		assert.NilError(t, err)
 		assert.DeepEqual(t, again, second)
 	})
@@ -162,17 +165,17 @@
 // and outcomes outlive it.
 func TestManyChangesAreCompacted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuorum(t, 3)
+		q := newQuorum(t)
 		defer q.close(t)
 		lead := q.nodes[q.leader()]
 		var revision uint64
 		for i := range 1200 {
-			out, err := lead.Propose(t.Context(), change(fmt.Sprint(i), "w", revision))
+			out, err := lead.Propose(t.Context(), change(fmt.Sprint(i), revision))
 			assert.NilError(t, err)
 			assert.Check(t, out.Accepted, out.Message)
 			revision = out.Revision
 		}
-		out, err := lead.Propose(t.Context(), change("0", "w", 0))
+		out, err := lead.Propose(t.Context(), change("0", 0))
 		assert.NilError(t, err)
 		assert.Check(t, out.Accepted && out.Revision < revision)
 	})
@@ -182,16 +185,16 @@
 // nothing more and that another takes over.
 func TestFailedDiskStopsReplica(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := newQuorum(t, 3)
+		q := newQuorum(t)
 		defer q.close(t)
 		lead := q.leader()
 		q.disks[lead].fail = io.ErrShortWrite
-		_, err := q.nodes[lead].Propose(t.Context(), change("a", "w", 0))
+		_, err := q.nodes[lead].Propose(t.Context(), change("a", 0))
 		assert.ErrorIs(t, err, io.ErrShortWrite)
 		time.Sleep(10 * time.Second)
 		next := q.leader()
 		assert.Check(t, next >= 0 && next != lead)
-		out, err := q.nodes[next].Propose(t.Context(), change("a", "w", 0))
+		out, err := q.nodes[next].Propose(t.Context(), change("a", 0))
 		assert.NilError(t, err)
 		assert.Check(t, out.Accepted, out.Message)
 	})
--- a/internal/host/daisyhost/control.go
+++ b/internal/host/daisyhost/control.go
@@ -118,6 +118,9 @@
 func (c *control) propose(changes []daisyfleet.Change) {
 	ctx, cancel := context.WithTimeout(c.ctx, decideTimeout)
 	defer cancel()
+	for i := range changes {
+		changes[i].At = time.Now()
+	}
 	decisions, err := c.node.ProposeAll(ctx, changes)
 	if err != nil {
 		c.log.WithError(err).Warn("control: changes that are due were not proposed")
@@ -284,6 +287,7 @@
 // decideProposal lets the log decide a proposal and answers it.
 func (c *control) decideProposal(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
 	d := daisycodec.Decision{ID: p.ID}
+	p.Change.At = time.Now()
 	outcome, err := c.node.Propose(ctx, p.Change)
 	if err != nil {
 		d.Message = fmt.Sprint(err)
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/holder/daisyholder"
 	"github.com/daisyglade/daisyglade/internal/host/daisyops"
 	"github.com/daisyglade/daisyglade/internal/limit/daisylimiter"
+	"github.com/daisyglade/daisyglade/internal/report/daisyburn"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
@@ -49,22 +50,23 @@
 	log         log.Interface
 	view        *daisyfleet.View
 
-	mux     daisylink.Mux
-	links   *http.Server
-	tls     *tls.Config
-	dialer  *daisylink.Dialer
-	lanes   *daisyroute.Lanes
-	keeper  *daisykeeper.Keeper
-	watcher *daisywatch.Watcher
-	limiter *daisylimiter.Limiter
-	asker   *asker
-	holder  *daisyholder.Holder
-	entry   *daisyentry.Server
-	ops     *daisyops.Server
-	control *control
-	node    *daisyquorum.Node
-	disk    *daisydisk.Log
-	peers   *peers
+	mux      daisylink.Mux
+	links    *http.Server
+	tls      *tls.Config
+	dialer   *daisylink.Dialer
+	lanes    *daisyroute.Lanes
+	keeper   *daisykeeper.Keeper
+	watcher  *daisywatch.Watcher
+	limiter  *daisylimiter.Limiter
+	recorder *daisyburn.Recorder
+	asker    *asker
+	holder   *daisyholder.Holder
+	entry    *daisyentry.Server
+	ops      *daisyops.Server
+	control  *control
+	node     *daisyquorum.Node
+	disk     *daisydisk.Log
+	peers    *peers
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -108,6 +110,8 @@
 			return err
 		}
 	}
+	h.recorder = daisyburn.NewRecorder(h.view)
+	publish(h)
 	h.watcher = daisywatch.New(daisymember.Prober{Network: h.network}, h.wake)
 	h.keeper = daisykeeper.New(daisykeeper.Options{
 		Hosts: s.Control.Hosts, Dial: h.dialControl, Report: h.report, Probe: h.watcher.Ask, View: h.view, Log: h.log,
@@ -134,6 +138,7 @@
 		Network: h.network, Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
 		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
 		Propose: h.keeper.Propose, Status: h.status, Host: s.Host, Log: h.log,
+		Burn: h.Burn, Events: h.events(),
 	})
 	return err
 }
@@ -228,11 +233,23 @@
 	h.entry, err = daisyentry.Open(daisyentry.Options{
 		Network: h.network, Listen: s.Entry.Listen, Host: s.Host, TLS: callers, RequireTLS: s.Entry.RequireTLS,
 		MaxSessions: s.Entry.MaxSessions, MaxRequestBytes: s.Entry.MaxRequestBytes, View: h.view,
-		Right: h.keeper, Holder: h.holder, Lanes: h.lanes, Recorder: discard{}, Log: h.log,
+		Right: h.keeper, Holder: h.holder, Lanes: h.lanes, Recorder: h.recorder, Log: h.log,
 	})
 	return err
 }
 
+// events returns what lists the fleet's decisions, or nil on a host without the
+// control log.
+func (h *Host) events() func() []daisyfleet.Event {
+	if h.control == nil {
+		return nil
+	}
+	return func() (events []daisyfleet.Event) {
+		h.control.view.Read(func(state *daisyfleet.State) { events = state.Events() })
+		return events
+	}
+}
+
 func (h *Host) opsTLS() *tls.Config {
 	if h.settings.Operations.Plain {
 		return nil
@@ -316,6 +333,9 @@
 	return voters
 }
 
+// Burn returns what the host counted of its requests.
+func (h *Host) Burn() daisyburn.Report { return h.recorder.Report(h.settings.Host) }
+
 // EntryAddress returns where callers connect.
 func (h *Host) EntryAddress() netip.AddrPort { return h.entry.Address() }
 
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -21,6 +21,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/report/daisyburn"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
@@ -71,6 +72,8 @@
 	View          *daisyfleet.View
 	Ready         func() bool
 	Status        func() Status
+	Burn          func() daisyburn.Report
+	Events        func() []daisyfleet.Event // Nil on hosts without the control log.
 	Propose       func(context.Context, daisyfleet.Change) (daisyfleet.Outcome, error)
 	Log           log.Interface
 }
@@ -126,6 +129,8 @@
 	mux.HandleFunc("GET /ready", s.ready)
 	mux.HandleFunc("GET /debug/vars", s.guard(s.options.OperatorToken, expvar.Handler().ServeHTTP))
 	mux.HandleFunc("GET /v1/status", s.guard(s.options.OperatorToken, s.status))
+	mux.HandleFunc("GET /v1/burn", s.guard(s.options.OperatorToken, s.burn))
+	mux.HandleFunc("GET /v1/events", s.guard(s.options.OperatorToken, s.events))
 	mux.HandleFunc("GET /v1/objects/{kind}", s.guard(s.options.OperatorToken, s.list))
 	mux.HandleFunc("POST /v1/changes", s.guard(s.options.OperatorToken, s.change))
 	mux.HandleFunc("POST /v1/announcements", s.guard(s.options.AnnounceToken, s.announce))
@@ -155,6 +160,20 @@
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) { reply(w, s.options.Status()) }
 
+func (s *Server) burn(w http.ResponseWriter, _ *http.Request) { reply(w, s.options.Burn()) }
+
+func (s *Server) events(w http.ResponseWriter, _ *http.Request) {
+	if s.options.Events == nil {
+		http.Error(w, "this host does not keep the control log, ask a control host", http.StatusNotFound)
+		return
+	}
+	events := []daisywire.Event{}
+	for _, e := range s.options.Events() {
+		events = append(events, daisycodec.FromEvent(e))
+	}
+	reply(w, events)
+}
+
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
 	objects := []daisywire.Object{}
 	s.options.View.Read(func(state *daisyfleet.State) {
@@ -165,6 +184,11 @@
 	reply(w, objects)
 }
 
+// operatorKinds are the kinds of object that operators may change.
+var operatorKinds = map[daisyfleet.Kind]bool{
+	daisyfleet.KindProfile: true, daisyfleet.KindWorkspace: true, daisyfleet.KindKey: true, daisyfleet.KindDatabase: true,
+}
+
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
 	var wire daisywire.Change
 	if !decode(w, r, &wire) {
@@ -179,6 +203,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	for _, op := range change.Operations {
+		if !operatorKinds[op.Kind] {
+			http.Error(w, string(op.Kind)+" objects are changed by the fleet alone", http.StatusForbidden)
+			return
+		}
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeLimit)
 	defer cancel()
 	outcome, err := s.options.Propose(ctx, change)
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -44,7 +44,12 @@
 
 // newFleet starts a fleet and returns once it serves.
 func newFleet(t *testing.T, hosts int) *fleet {
-	f := &fleet{t: t, network: newMemory(500 * time.Microsecond)}
+	return newFleetOver(t, hosts, func(string, string) time.Duration { return 500 * time.Microsecond })
+}
+
+// newFleetOver starts a fleet whose one-way latencies are given by the places.
+func newFleetOver(t *testing.T, hosts int, latency func(from, to string) time.Duration) *fleet {
+	f := &fleet{t: t, network: newMemory(latency)}
 	f.callers = callers{count: hosts, connect: f.dial}
 	f.logger = &log.Logger{Handler: text.New(t.Output()), Level: log.InfoLevel}
 	plan, err := daisytrial.NewPlan(f.network.at(groupPlace), t.TempDir(), hosts)
--- a/internal/try/daisytrial/network_test.go
+++ b/internal/try/daisytrial/network_test.go
@@ -18,7 +18,7 @@
 // test, and a cut loses nothing: bytes are delivered once it heals, as TCP
 // delivers them.
 type memory struct {
-	latency time.Duration
+	latency func(from, to string) time.Duration
 
 	mu        sync.Mutex
 	nextPort  uint16
@@ -45,7 +45,7 @@
 	}
 }
 
-func newMemory(latency time.Duration) *memory {
+func newMemory(latency func(from, to string) time.Duration) *memory {
 	return &memory{
 		latency: latency, nextPort: 10000, listeners: make(map[netip.AddrPort]*memoryListener),
 		conns: make(map[*memoryConn]bool), cuts: make(map[[2]string]bool), healed: make(chan struct{}),
@@ -298,7 +298,7 @@
 			p.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		case p.size < pipeBytes:
-			p.chunks = append(p.chunks, chunk{at: time.Now().Add(p.network.latency), bytes: append([]byte(nil), b...)})
+			p.chunks = append(p.chunks, chunk{at: time.Now().Add(p.network.latency(p.from, p.to)), bytes: append([]byte(nil), b...)})
 			p.size += len(b)
 			p.notify()
 			p.mu.Unlock()
--- a/internal/try/daisytrial/sessions_test.go
+++ b/internal/try/daisytrial/sessions_test.go
@@ -115,7 +115,7 @@
 				if cutOff {
 					f.network.isolate(hostName(1), hostName(0), hostName(2))
 				}
-				o, _ := f.object(0, daisyfleet.KindKey, "first")
+				o := f.object(0, daisyfleet.KindKey, "first")
 				assert.NilError(t, f.plan.Operator().Change(t.Context(), daisyfleet.Change{
 					ID: "withdraw", Operations: []daisyfleet.Operation{{ID: o.ID, Against: o.Revision}},
 				}))
@@ -129,9 +129,9 @@
 	}
 }
 
-func (f *fleet) object(host int, kind daisyfleet.Kind, name string) (o daisyfleet.Object, ok bool) {
-	f.hosts[host].View().Read(func(s *daisyfleet.State) { o, ok = s.Get(daisyfleet.ID{Kind: kind, Name: name}) })
-	return o, ok
+func (f *fleet) object(host int, kind daisyfleet.Kind, name string) (o daisyfleet.Object) {
+	f.hosts[host].View().Read(func(s *daisyfleet.State) { o, _ = s.Get(daisyfleet.ID{Kind: kind, Name: name}) })
+	return o
 }
 
 // TestChangeIsInForceEverywhere changes a workspace and looks at every host,
@@ -141,7 +141,7 @@
 		f := newFleet(t, 5)
 		defer f.close()
 		f.network.isolate(hostName(3), f.places(hostName(3))...)
-		o, _ := f.object(0, daisyfleet.KindWorkspace, daisytrial.Workspace)
+		o := f.object(0, daisyfleet.KindWorkspace, daisytrial.Workspace)
 		changed := daisyfleet.Workspace{Home: daisytrial.Database, Rate: 77, Burst: 7}
 		assert.NilError(t, f.plan.Operator().Change(t.Context(), daisyfleet.Change{
 			ID: "rate", Operations: []daisyfleet.Operation{{ID: o.ID, Against: o.Revision, Value: changed}},
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -21,7 +21,7 @@
 
 // values holds one value of every kind with no field left zero.
 var values = []daisyfleet.Value{
-	daisyfleet.Profile{Database: "d", ReadOnly: true, MaxAge: time.Second, Acknowledge: daisyfleet.AcknowledgePrimary, Cost: 2, Wait: time.Second, Objective: 0.9},
+	daisyfleet.Profile{Database: "d", ReadOnly: true, MaxAge: time.Second, Acknowledge: daisyfleet.AcknowledgePrimary, Cost: 2, Wait: time.Second, Objective: 0.9, Latency: time.Second},
 	daisyfleet.Workspace{Home: "d", Rate: 1.5, Burst: 3},
 	daisyfleet.Key{Workspace: "w", Hash: [32]byte{1, 2}},
 	daisyfleet.Database{Connections: 20, Members: 3},
@@ -31,7 +31,7 @@
 }
 
 func change() daisyfleet.Change {
-	c := daisyfleet.Change{ID: "c", Reason: "r"}
+	c := daisyfleet.Change{ID: "c", Reason: "r", At: time.Unix(7, 0).UTC()}
 	for _, v := range values {
 		c.Operations = append(c.Operations, daisyfleet.Operation{ID: daisyfleet.ID{Kind: v.Kind(), Name: "n"}, Against: 4, Value: v})
 	}
@@ -42,6 +42,7 @@
 func image() daisylog.Image {
 	img := daisylog.Image{Index: 9, Term: 2, Seats: []daisylog.Seat{{Replica: 3, Name: "h", Address: addr, Voting: true}}}
 	img.State = daisyfleet.Image{Revision: 9, Horizon: 1, Outcomes: []daisyfleet.Outcome{{ID: "c", Accepted: true, Revision: 8, Message: "m"}}}
+	img.State.Events = []daisyfleet.Event{{Revision: 8, At: time.Unix(7, 0).UTC(), Reason: "r", Refused: "f"}}
 	for _, v := range values {
 		img.State.Objects = append(img.State.Objects, daisyfleet.Object{ID: daisyfleet.ID{Kind: v.Kind(), Name: "n"}, Revision: 7, Value: v})
 	}
--- a/internal/wire/daisycodec/fleet.go
+++ b/internal/wire/daisycodec/fleet.go
@@ -16,6 +16,7 @@
 		w.Profile = &daisywire.Profile{
 			Database: v.Database, ReadOnly: v.ReadOnly, MaxAge: int64(v.MaxAge),
 			Acknowledge: string(v.Acknowledge), Cost: v.Cost, Wait: int64(v.Wait), Objective: v.Objective,
+			Latency: int64(v.Latency),
 		}
 	case daisyfleet.Workspace:
 		w.Workspace = &daisywire.Workspace{Home: v.Home, Rate: v.Rate, Burst: v.Burst}
@@ -45,6 +46,7 @@
 			return daisyfleet.Profile{
 				Database: p.Database, ReadOnly: p.ReadOnly, MaxAge: time.Duration(p.MaxAge),
 				Acknowledge: daisyfleet.Acknowledge(p.Acknowledge), Cost: p.Cost, Wait: time.Duration(p.Wait), Objective: p.Objective,
+				Latency: time.Duration(p.Latency),
 			}, nil
 		}
 	case daisyfleet.KindWorkspace:
@@ -143,7 +145,7 @@
 
 // FromChange maps a change to its wire type.
 func FromChange(c daisyfleet.Change) daisywire.Change {
-	w := daisywire.Change{ID: c.ID, Reason: c.Reason}
+	w := daisywire.Change{ID: c.ID, Reason: c.Reason, At: fromTime(c.At)}
 	for _, op := range c.Operations {
 		object := FromObject(daisyfleet.Object{ID: op.ID, Value: op.Value})
 		w.Operations = append(w.Operations, daisywire.Operation{Against: op.Against, Object: object})
@@ -153,7 +155,7 @@
 
 // ToChange maps a wire change to its domain type.
 func ToChange(w daisywire.Change) (daisyfleet.Change, error) {
-	c := daisyfleet.Change{ID: w.ID, Reason: w.Reason}
+	c := daisyfleet.Change{ID: w.ID, Reason: w.Reason, At: toTime(w.At)}
 	for _, op := range w.Operations {
 		o, err := ToObject(op.Object)
 		if err != nil {
@@ -188,3 +190,27 @@
 	objects, err := toObjects(w.Objects)
 	return &daisyfleet.Delta{From: w.From, To: w.To, Objects: objects}, err
 }
+
+// FromEvent maps an event to its wire type.
+func FromEvent(e daisyfleet.Event) daisywire.Event {
+	return daisywire.Event{Revision: e.Revision, At: fromTime(e.At), Reason: e.Reason, Refused: e.Refused}
+}
+
+// ToEvent maps a wire event to its domain type.
+func ToEvent(w daisywire.Event) daisyfleet.Event {
+	return daisyfleet.Event{Revision: w.Revision, At: toTime(w.At), Reason: w.Reason, Refused: w.Refused}
+}
+
+func fromTime(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func toTime(ns int64) time.Time {
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns).UTC()
+}
--- a/internal/wire/daisycodec/log.go
+++ b/internal/wire/daisycodec/log.go
@@ -165,6 +165,9 @@
 	for _, o := range img.State.Outcomes {
 		w.Outcomes = append(w.Outcomes, FromOutcome(o))
 	}
+	for _, e := range img.State.Events {
+		w.Events = append(w.Events, FromEvent(e))
+	}
 	return w
 }
 
@@ -185,5 +188,8 @@
 	for _, o := range w.Outcomes {
 		img.State.Outcomes = append(img.State.Outcomes, ToOutcome(o))
 	}
+	for _, e := range w.Events {
+		img.State.Events = append(img.State.Events, ToEvent(e))
+	}
 	return img, nil
 }
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -116,6 +116,9 @@
 
 // An atomic set of operations.
 type Change struct {
+	// When it was proposed, in nanoseconds since 1970.
+	At int64 `json:"At,omitempty,omitzero"`
+
 	// Names the change; resending it yields the first outcome.
 	ID string `json:"ID"`
 
@@ -219,6 +222,21 @@
 	Term uint64 `json:"Term"`
 }
 
+// A decision of the fleet.
+type Event struct {
+	// When it was proposed, in nanoseconds since 1970.
+	At int64 `json:"At"`
+
+	// What was decided and why.
+	Reason string `json:"Reason"`
+
+	// Why it was refused; empty if accepted.
+	Refused string `json:"Refused,omitempty,omitzero"`
+
+	// The log index that decided it.
+	Revision uint64 `json:"Revision"`
+}
+
 // One message on a link between hosts, a union.
 type Frame struct {
 	// Answer corresponds to the JSON schema field "Answer".
@@ -305,6 +323,9 @@
 
 // A snapshot of the control state.
 type Image struct {
+	// The latest decisions, oldest first.
+	Events []Event `json:"Events,omitempty,omitzero"`
+
 	// Deltas before this revision are not available.
 	Horizon uint64 `json:"Horizon,omitempty,omitzero"`
 
@@ -455,6 +476,10 @@
 	// The database that the profile serves.
 	Database string `json:"Database"`
 
+	// The time within which a request must be answered to be good, in nanoseconds; 0
+	// sets none.
+	Latency int64 `json:"Latency,omitempty,omitzero"`
+
 	// How stale a read may be, in nanoseconds; 0 asks for no bound beyond the session
 	// floor.
 	MaxAge int64 `json:"MaxAge,omitempty,omitzero"`
