Let a session be a key, so that pools of connections read their writes

Cause: a read on a connection that was opened before a write of the same caller on another could miss the write (TestReadYourWritesThroughAPool failed: no rows). Ruled out: a token (client libraries are unmodified), and floors by workspace alone (every key would wait for every other's writes). Change: a profile says whether a session is a key, the default, or a connection; the holder keeps a floor for each key, and for a key that has not written in the tenure that of its workspace.

--- a/internal/control/daisyfleet/value.go
+++ b/internal/control/daisyfleet/value.go
@@ -30,6 +30,18 @@
 	AcknowledgePrimary Acknowledge = "Primary"
 )
 
+// Session states whose writes a read must see.
+type Session string
+
+const (
+	// SessionKey lets a read see every write that was acknowledged to its key,
+	// on whichever connection, so that pools of connections are one session.
+	SessionKey Session = "Key"
+	// SessionConnection lets a read see the writes of its own connection and
+	// those that were acknowledged to its key before the connection was opened.
+	SessionConnection Session = "Connection"
+)
+
 // Value is the content of an object.
 type Value interface {
 	// Kind returns the kind of the value.
@@ -44,6 +56,7 @@
 	ReadOnly    bool          // Every transaction is read-only.
 	MaxAge      time.Duration // How stale a read may be; 0 sets no bound beyond the session floor.
 	Acknowledge Acknowledge
+	Session     Session
 	Cost        float64       // Tokens taken per request.
 	Wait        time.Duration // How long a request may queue.
 	Objective   float64       // The share of requests that must be good.
@@ -60,6 +73,8 @@
 		return errors.New("Database is empty")
 	case p.Acknowledge != AcknowledgeMajority && p.Acknowledge != AcknowledgePrimary:
 		return errors.New("Acknowledge is neither Majority nor Primary")
+	case p.Session != SessionKey && p.Session != SessionConnection:
+		return errors.New("Session is neither Key nor Connection")
 	case p.Cost <= 0:
 		return errors.New("Cost is not positive")
 	case p.Wait <= 0:
--- a/internal/holder/daisyfloor/ledger.go
+++ b/internal/holder/daisyfloor/ledger.go
@@ -34,7 +34,8 @@
 	oldest  daisylane.Position // The head before the first kept sample.
 	head    daisylane.Position
 	samples []sample
-	marks   map[string]daisylane.Position
+	marks   map[string]daisylane.Position // By workspace.
+	callers map[Caller]daisylane.Position
 	applied map[string]daisylane.Position
 }
 
@@ -46,6 +47,7 @@
 		oldest:  start,
 		head:    start,
 		marks:   make(map[string]daisylane.Position),
+		callers: make(map[Caller]daisylane.Position),
 		applied: make(map[string]daisylane.Position),
 	}
 }
@@ -53,9 +55,16 @@
 // Head returns the furthest known position of the primary.
 func (l *Ledger) Head() daisylane.Position { return l.head }
 
-// Wrote notes a write of the workspace that was committed at the position.
-func (l *Ledger) Wrote(workspace string, p daisylane.Position, now time.Time) {
-	l.marks[workspace] = daisylane.Later(l.marks[workspace], p)
+// Caller identifies who writes: a workspace and one of its keys.
+type Caller struct {
+	Workspace string
+	Key       string // The identifier of the key.
+}
+
+// Wrote notes a write of the caller that was committed at the position.
+func (l *Ledger) Wrote(c Caller, p daisylane.Position, now time.Time) {
+	l.marks[c.Workspace] = daisylane.Later(l.marks[c.Workspace], p)
+	l.callers[c] = daisylane.Later(l.callers[c], p)
 	if !l.head.Less(p) {
 		return
 	}
@@ -81,10 +90,15 @@
 // Forget removes a replica.
 func (l *Ledger) Forget(member string) { delete(l.applied, member) }
 
-// Floor returns the floor of a session of the workspace that arrives now: every
-// write that was acknowledged to the workspace lies at or before it.
-func (l *Ledger) Floor(workspace string) daisylane.Position {
-	return daisylane.Later(l.start, l.marks[workspace])
+// Floor returns the floor of a session of the caller that arrives now: every
+// write that was acknowledged to the caller lies at or before it. A key that has
+// not written during the tenure may be a new one of a caller that has, so it
+// gets the floor of its whole workspace.
+func (l *Ledger) Floor(c Caller) daisylane.Position {
+	if p, ok := l.callers[c]; ok {
+		return daisylane.Later(l.start, p)
+	}
+	return daisylane.Later(l.start, l.marks[c.Workspace])
 }
 
 // need returns the position that a read must have reached.
--- a/internal/holder/daisyholder/lane.go
+++ b/internal/holder/daisyholder/lane.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisyfloor"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyqueue"
 )
@@ -145,8 +146,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t.floor = r.Floor
-	if r.Arriving {
-		t.floor = g.ledger.Floor(r.Workspace)
+	if r.Arriving || t.profile.Session == daisyfleet.SessionKey {
+		t.floor = daisylane.Later(t.floor, g.ledger.Floor(callerOf(r)))
 	}
 	best := g.primary
 	if !t.readOnly {
@@ -165,6 +166,10 @@
 	return best
 }
 
+func callerOf(r *daisylane.Request) daisyfloor.Caller {
+	return daisyfloor.Caller{Workspace: r.Workspace, Key: r.Key}
+}
+
 func (t *transaction) maxAge() time.Duration { return t.profile.MaxAge }
 
 func (t *transaction) majority() bool {
--- a/internal/holder/daisyholder/transaction.go
+++ b/internal/holder/daisyholder/transaction.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisyfloor"
 	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
 	"github.com/daisyglade/daisyglade/internal/wire/daisymessage"
 )
@@ -341,7 +342,7 @@
 	t.status = status
 	if !x.position.IsZero() {
 		t.floor = daisylane.Later(t.floor, x.position)
-		t.group.wrote(x.request.Workspace, x.position)
+		t.group.wrote(callerOf(x.request), x.position)
 		if t.majority() && !t.group.confirm(ctx, x.position) {
 			return x.unknown("no majority of the group confirmed it")
 		}
@@ -357,8 +358,8 @@
 	return outcome{answer: answer, emit: x.emit}
 }
 
-func (g *group) wrote(workspace string, p daisylane.Position) {
+func (g *group) wrote(c daisyfloor.Caller, p daisylane.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ledger.Wrote(workspace, p, time.Now())
+	g.ledger.Wrote(c, p, time.Now())
 }
--- a/internal/measure/daisyslope/slopes_test.go
+++ b/internal/measure/daisyslope/slopes_test.go
@@ -55,7 +55,7 @@
 		put(host(i), daisyfleet.Host{Incarnation: 7, Address: addr, FailureDomain: domain(i), Region: "wales", Up: true})
 	}
 	for i := range profilesOverall {
-		put(fmt.Sprint("profile", i), daisyfleet.Profile{Database: "database0", Acknowledge: daisyfleet.AcknowledgeMajority, Cost: 1, Wait: time.Second, Objective: 0.999})
+		put(fmt.Sprint("profile", i), daisyfleet.Profile{Database: "database0", Acknowledge: daisyfleet.AcknowledgeMajority, Session: daisyfleet.SessionKey, Cost: 1, Wait: time.Second, Objective: 0.999})
 	}
 	for i := range databases {
 		name := fmt.Sprint("database", i)
--- a/internal/standin/daisystandin/member.go
+++ b/internal/standin/daisystandin/member.go
@@ -370,6 +370,9 @@
 	m.notify()
 }
 
+// Row returns a row of a table as the member has applied it.
+func (m *Member) Row(table, key string) (string, bool) { return m.get(table, key) }
+
 // Rows returns a copy of a table as the member has applied it.
 func (m *Member) Rows(table string) map[string]string {
 	m.mu.Lock()
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -161,13 +161,22 @@
 	f.cancel()
 	f.wait.Wait()
 	assert.Check(f.t, f.group.Close())
+	time.Sleep(farewell)
 }
 
+// farewell is how long the client library takes to give up a connection.
+const farewell = 20 * time.Second
+
 // connect opens a session through a host.
 func (f *fleet) dial(ctx context.Context, host int, profile string) (*pgx.Conn, error) {
+	return f.dialText(ctx, f.plan.ConnString(host, profile))
+}
+
+// dialText opens a session over the network of the fleet.
+func (f *fleet) dialText(ctx context.Context, text string) (*pgx.Conn, error) {
 	// Without TLS: a goroutine that waits for the lock of a handshake on a cut
 	// network would stop the clock of the test.
-	text := strings.Replace(f.plan.ConnString(host, profile), "sslmode=require", "sslmode=disable", 1)
+	text = strings.Replace(text, "sslmode=require", "sslmode=disable", 1)
 	config, err := pgx.ParseConfig(text)
 	if err != nil {
 		return nil, err
--- a/internal/try/daisytrial/sessions_test.go
+++ b/internal/try/daisytrial/sessions_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// TestReadYourWritesThroughAPool writes on one connection and reads on another
+// that was opened before, as pools of connections do.
+func TestReadYourWritesThroughAPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		f.lag(5*time.Millisecond, 500*time.Millisecond)
+		writes, err := f.connect(t.Context(), 0, daisytrial.ProfileWrite)
+		assert.NilError(t, err)
+		defer f.hangUp(writes)
+		reads, err := f.connect(t.Context(), 1, daisytrial.ProfileRead)
+		assert.NilError(t, err)
+		defer f.hangUp(reads)
+		for i := range 20 {
+			time.Sleep(600 * time.Millisecond) // The replicas catch up with the last one.
+			key := fmt.Sprint("pool", i)
+			_, err := writes.Exec(t.Context(), "INSERT INTO bookings VALUES ($1, 'once')", key)
+			assert.NilError(t, err)
+			var value string
+			assert.NilError(t, reads.QueryRow(t.Context(), "SELECT value FROM bookings WHERE key = $1", key).Scan(&value))
+		}
+	})
+}
+
 func (f *fleet) lag(delay, lag time.Duration) {
 	for _, m := range f.group.Members() {
 		m.SetLag(delay, lag)
--- a/internal/try/daisytrial/trial.go
+++ b/internal/try/daisytrial/trial.go
@@ -181,7 +181,7 @@
 	p.Key = "first." + secret()
 	key.Hash = sha256.Sum256([]byte(p.Key))
 	c := p.Operator()
-	write := daisyfleet.Profile{Database: Database, Acknowledge: daisyfleet.AcknowledgeMajority, Cost: 1, Wait: requestWait, Objective: 0.999}
+	write := daisyfleet.Profile{Database: Database, Acknowledge: daisyfleet.AcknowledgeMajority, Session: daisyfleet.SessionKey, Cost: 1, Wait: requestWait, Objective: 0.999}
 	read := write
 	read.ReadOnly = true
 	change := daisyfleet.Change{ID: "trial", Operations: []daisyfleet.Operation{
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -21,7 +21,7 @@
 
 // values holds one value of every kind with no field left zero.
 var values = []daisyfleet.Value{
-	daisyfleet.Profile{Database: "d", ReadOnly: true, MaxAge: time.Second, Acknowledge: daisyfleet.AcknowledgePrimary, Cost: 2, Wait: time.Second, Objective: 0.9, Latency: time.Second},
+	daisyfleet.Profile{Database: "d", ReadOnly: true, MaxAge: time.Second, Acknowledge: daisyfleet.AcknowledgePrimary, Cost: 2, Wait: time.Second, Objective: 0.9, Latency: time.Second, Session: daisyfleet.SessionConnection},
 	daisyfleet.Workspace{Home: "d", Rate: 1.5, Burst: 3},
 	daisyfleet.Key{Workspace: "w", Hash: [32]byte{1, 2}},
 	daisyfleet.Database{Connections: 20, Members: 3},
--- a/internal/wire/daisycodec/fleet.go
+++ b/internal/wire/daisycodec/fleet.go
@@ -16,7 +16,7 @@
 		w.Profile = &daisywire.Profile{
 			Database: v.Database, ReadOnly: v.ReadOnly, MaxAge: int64(v.MaxAge),
 			Acknowledge: string(v.Acknowledge), Cost: v.Cost, Wait: int64(v.Wait), Objective: v.Objective,
-			Latency: int64(v.Latency),
+			Latency: int64(v.Latency), Session: string(v.Session),
 		}
 	case daisyfleet.Workspace:
 		w.Workspace = &daisywire.Workspace{Home: v.Home, Rate: v.Rate, Burst: v.Burst}
@@ -46,7 +46,7 @@
 			return daisyfleet.Profile{
 				Database: p.Database, ReadOnly: p.ReadOnly, MaxAge: time.Duration(p.MaxAge),
 				Acknowledge: daisyfleet.Acknowledge(p.Acknowledge), Cost: p.Cost, Wait: time.Duration(p.Wait), Objective: p.Objective,
-				Latency: time.Duration(p.Latency),
+				Latency: time.Duration(p.Latency), Session: toSession(p.Session),
 			}, nil
 		}
 	case daisyfleet.KindWorkspace:
@@ -76,6 +76,14 @@
 	return nil, errors.New(w.Kind + " has no value")
 }
 
+// toSession returns the session of a profile, which is Key if it says nothing.
+func toSession(s string) daisyfleet.Session {
+	if s == "" {
+		return daisyfleet.SessionKey
+	}
+	return daisyfleet.Session(s)
+}
+
 func toKey(w *daisywire.Key) (daisyfleet.Value, error) {
 	if w == nil {
 		return nil, errors.New("Key has no value")
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -490,6 +490,10 @@
 	// Whether every transaction is read-only.
 	ReadOnly bool `json:"ReadOnly,omitempty,omitzero"`
 
+	// What a session is: Key, all connections that show the same key, which it is if
+	// absent, or Connection.
+	Session string `json:"Session,omitempty,omitzero"`
+
 	// How long a request may queue, in nanoseconds.
 	Wait int64 `json:"Wait,omitempty,omitzero"`
 }
