--- /dev/null
+++ b/internal/entry/daisyroute/route_test.go
@@ -0,0 +1,168 @@
+package daisyroute_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	stdlog "log"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/entry/daisyroute"
+	"github.com/daisyglade/daisyglade/internal/holder/daisylane"
+	"github.com/daisyglade/daisyglade/internal/security/daisycert"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+)
+
+func config(t *testing.T, a *daisycert.Authority, host string) *tls.Config {
+	files, err := a.Issue(t.TempDir(), host)
+	assert.NilError(t, err)
+	c, err := files.Load()
+	assert.NilError(t, err)
+	return c
+}
+
+// holderWith serves links with the handler and returns lanes to it.
+func holderWith(t *testing.T, handle daisylink.Handler) (*daisyroute.Lanes, netip.AddrPort) {
+	authority, err := daisycert.NewAuthority("fleet")
+	assert.NilError(t, err)
+	listener, err := daisynet.TCP{}.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	mux := &daisylink.Mux{}
+	mux.Handle(daisylink.PathLane, handle)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second, ErrorLog: stdlog.New(io.Discard, "", 0)}
+	serverTLS := config(t, authority, "h1")
+	go func() { _ = server.Serve(tls.NewListener(listener, serverTLS)) }()
+	lanes := daisyroute.New(daisylink.NewDialer(config(t, authority, "h2"), daisynet.TCP{}))
+	t.Cleanup(func() {
+		assert.Check(t, lanes.Close())
+		assert.Check(t, server.Close())
+		mux.Wait()
+	})
+	return lanes, netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// answers returns a handler that answers each request with what f returns.
+func answers(t *testing.T, f func(id uint64) []*daisylane.Answer) daisylink.Handler {
+	return func(ctx context.Context, c *daisylink.Conn) {
+		for {
+			b, err := c.Receive(ctx)
+			if err != nil {
+				return
+			}
+			r, err := daisycodec.DecodeRequest(b)
+			assert.Check(t, err)
+			for _, a := range f(r.ID) {
+				if a == nil || c.Send(ctx, daisycodec.EncodeAnswer(a)) != nil {
+					return
+				}
+			}
+		}
+	}
+}
+
+func part(id uint64, text string) *daisylane.Answer {
+	return &daisylane.Answer{ID: id, Bytes: []byte(text)}
+}
+
+func final(id uint64, text string) *daisylane.Answer {
+	return &daisylane.Answer{ID: id, Bytes: []byte(text), Final: true, Status: daisylane.StatusIdle}
+}
+
+// TestAnswersDoNotReachOtherRequests sends two requests on a lane and checks
+// that the second gets its own whole answer or an error.
+func TestAnswersDoNotReachOtherRequests(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(id uint64) []*daisylane.Answer
+		want   []string // "" is an error.
+	}{
+		{"Whole", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{part(id, "a"), final(id, "b")} }, []string{"ab", "ab"}},
+		{"Duplicated", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{final(id, "a"), final(id, "a")} }, []string{"a", ""}},
+		{"Late", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{final(id-1, "a")} }, []string{"", ""}},
+		{"Reordered", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{final(id+1, "a"), final(id, "b")} }, []string{"", ""}},
+		{"CutOff", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{part(id, "a"), nil} }, []string{"", ""}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			lanes, addr := holderWith(t, answers(t, test.answer))
+			lane, err := lanes.Take(t.Context(), addr)
+			assert.NilError(t, err)
+			defer lane.Close()
+			for _, want := range test.want {
+				got, err := do(t.Context(), lane)
+				if want == "" {
+					assert.Check(t, err != nil, "got %q", got)
+					continue
+				}
+				assert.NilError(t, err)
+				assert.Equal(t, got, want)
+			}
+		})
+	}
+}
+
+func do(ctx context.Context, lane *daisyroute.Remote) (string, error) {
+	var text bytes.Buffer
+	whole := false
+	err := lane.Do(ctx, &daisylane.Request{Parts: []daisylane.Part{{Bytes: []byte("Q")}}}, func(a *daisylane.Answer) error {
+		whole = a.Final
+		text.Write(a.Bytes)
+		return nil
+	})
+	if err == nil && !whole {
+		err = errors.New("answer is not whole")
+	}
+	return text.String(), err
+}
+
+// TestUsedLanesAreNotReused checks that a lane goes back only when its
+// transaction is over and its answer was taken whole.
+func TestUsedLanesAreNotReused(t *testing.T) {
+	open := &daisylane.Answer{ID: 1, Final: true, Status: daisylane.StatusOpen}
+	tests := []struct {
+		name   string
+		answer func(id uint64) []*daisylane.Answer
+		links  int
+	}{
+		{"Clean", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{final(id, "a")} }, 1},
+		{"InTransaction", func(uint64) []*daisylane.Answer { return []*daisylane.Answer{open} }, 2},
+		{"Abandoned", func(id uint64) []*daisylane.Answer { return []*daisylane.Answer{part(id, "a")} }, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			links := make(chan bool, 2)
+			handle := answers(t, test.answer)
+			lanes, addr := holderWith(t, func(ctx context.Context, c *daisylink.Conn) {
+				links <- true
+				handle(ctx, c)
+			})
+			for range 2 {
+				lane, err := lanes.Take(t.Context(), addr)
+				assert.NilError(t, err)
+				ctx, cancel := context.WithCancel(t.Context())
+				_ = lane.Do(ctx, &daisylane.Request{Parts: []daisylane.Part{{Bytes: []byte("Q")}}}, func(a *daisylane.Answer) error {
+					if !a.Final {
+						cancel()
+					}
+					return nil
+				})
+				cancel()
+				lane.Close()
+			}
+			<-links
+			if test.links == 2 {
+				<-links
+			}
+			assert.Equal(t, len(links), 0)
+		})
+	}
+}
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -33,6 +33,7 @@
 	network *memory
 	plan    *daisytrial.Plan
 	group   *daisystandin.Group
+	mu      sync.Mutex
 	hosts   []*daisyhost.Host // Nil while killed.
 	logger  *log.Logger
 	cancel  context.CancelFunc
@@ -72,16 +73,36 @@
 func (f *fleet) start(i int) {
 	h, err := daisyhost.Open(f.plan.Settings[i], f.network.at(hostName(i)), f.logger)
 	assert.NilError(f.t, err)
+	f.setHost(i, h)
+}
+
+func (f *fleet) setHost(i int, h *daisyhost.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.hosts[i] = h
 }
 
+// running returns the hosts that run.
+func (f *fleet) running() []*daisyhost.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*daisyhost.Host
+	for _, h := range f.hosts {
+		if h != nil {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
 // kill ends a host as SIGKILL would: the network goes first, so that nothing
 // is handed back.
 func (f *fleet) kill(i int) {
 	f.network.isolate(hostName(i), f.places(hostName(i))...)
 	f.network.kill(hostName(i))
-	assert.NilError(f.t, f.hosts[i].Close())
-	f.hosts[i] = nil
+	h := f.hosts[i]
+	f.setHost(i, nil)
+	assert.NilError(f.t, h.Close())
 	f.network.heal()
 }
 
--- a/internal/try/daisytrial/matrix_test.go
+++ b/internal/try/daisytrial/matrix_test.go
@@ -121,7 +121,9 @@
 	f := newFleet(t, matrixHosts)
 	defer f.close()
 	w := newWitness(t)
+	counter := newCounter(f)
 	f.load(w, 3, time.Second, 6*time.Second, func() {
+		counter.start(2)
 		repairFirst := first.strike(f)
 		time.Sleep(offset)
 		repairSecond := second.strike(f)
@@ -132,6 +134,7 @@
 	})
 	gap := w.gap(time.Now())
 	w.check(f.primaryRows())
+	counter.stop()
 	t.Logf("acknowledged %d, not run %d, unknown %d, longest gap %s", w.count(acknowledged), w.count(notRun), w.count(unknown), gap)
 	if f.lost > (controlHosts-1)/2 {
 		// A majority of the control disks is gone, so nobody can know what was
@@ -141,6 +144,7 @@
 	}
 	assert.Check(t, gap < gapLimit)
 	assert.Check(t, time.Since(w.lastAck()) < 2*time.Second, "service has not resumed")
+	counter.check()
 }
 
 // TestSecondDiskLostRightAfterRepair loses one control disk after the other,
--- a/internal/try/daisytrial/sessions_test.go
+++ b/internal/try/daisytrial/sessions_test.go
@@ -320,3 +320,27 @@
 		}
 	})
 }
+
+// TestSlowReaderHoldsBackOnlyItself lets a caller leave a large answer unread
+// while others work, and then read it whole.
+func TestSlowReaderHoldsBackOnlyItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		const rows, width = 20_000, 1000
+		slow, err := f.connect(t.Context(), 0, daisytrial.ProfileWrite)
+		assert.NilError(t, err)
+		defer f.hangUp(slow)
+		answer, err := slow.Query(t.Context(), fmt.Sprintf("SELECT repeat('x', %d) FROM generate_series(1, %d)", width, rows))
+		assert.NilError(t, err)
+		w := newWitness(t)
+		f.load(w, 4, time.Second, time.Second, func() {})
+		assert.Equal(t, w.count(notRun)+w.settled, 0)
+		size := 0
+		for answer.Next() {
+			size += len(answer.RawValues()[0])
+		}
+		assert.NilError(t, answer.Err())
+		assert.Equal(t, size, rows*width)
+	})
+}
--- a/internal/try/daisytrial/trial.go
+++ b/internal/try/daisytrial/trial.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
 )
 
 // Names of the objects that a trial creates.
@@ -207,21 +208,37 @@
 	HTTP  *http.Client
 }
 
-// Change sends the change to one host after the other until one decides it.
+// errRefused is returned for a change that the fleet refused.
+var errRefused = errors.New("change was refused")
+
+// Change sends the change to one host after the other until one decides it, and
+// returns an error unless it was accepted.
 func (c *Client) Change(ctx context.Context, change daisyfleet.Change) error {
+	outcome, err := c.Decide(ctx, change)
+	if err == nil && !outcome.Accepted {
+		err = fmt.Errorf("%w: %s", errRefused, outcome.Message)
+	}
+	return err
+}
+
+// Decide sends the change to one host after the other until one tells its
+// outcome. The change must have an ID.
+func (c *Client) Decide(ctx context.Context, change daisyfleet.Change) (o daisyfleet.Outcome, err error) {
 	body, err := json.Marshal(daisycodec.FromChange(change))
 	if err != nil {
-		return err
+		return o, err
 	}
 	for i := 0; ; i++ {
-		_, err := send(ctx, c.HTTP, http.MethodPost, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
+		text, err := send(ctx, c.HTTP, http.MethodPost, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
 		if err == nil {
-			return nil
+			var wire daisywire.Outcome
+			err = json.Unmarshal(text, &wire)
+			return daisycodec.ToOutcome(wire), err
 		}
 		select {
 		case <-time.After(setupInterval):
 		case <-ctx.Done():
-			return errors.Join(err, ctx.Err())
+			return o, errors.Join(err, ctx.Err())
 		}
 	}
 }
