--- a/internal/entry/daisyentry/entry_test.go
+++ b/internal/entry/daisyentry/entry_test.go
@@ -35,7 +35,6 @@
 	answer   func(r *daisylane.Request, emit func(*daisylane.Answer) error) error
 }
 
-func (e *echo) Holds(string) bool    { return true }
 func (e *echo) Lane() daisylane.Lane { return e }
 func (e *echo) Close()               {}
 
--- a/internal/entry/daisyentry/server.go
+++ b/internal/entry/daisyentry/server.go
@@ -27,7 +27,6 @@
 
 // Holder is the part of this host that holds databases.
 type Holder interface {
-	Holds(database string) bool
 	Lane() daisylane.Lane
 }
 
--- a/internal/holder/daisyholder/holder.go
+++ b/internal/holder/daisyholder/holder.go
@@ -125,9 +125,6 @@
 	return h.groups[database]
 }
 
-// Holds reports whether the host holds the database.
-func (h *Holder) Holds(database string) bool { return h.group(database) != nil }
-
 // Reports returns what the next heartbeat says of the tenures.
 func (h *Holder) Reports() (claims []daisybeat.Claim, sights []daisybeat.Sight, released []daisybeat.Tenancy) {
 	h.mu.Lock()
--- a/internal/holder/daisyholder/lane.go
+++ b/internal/holder/daisyholder/lane.go
@@ -154,7 +154,7 @@
 		return best
 	}
 	least := 0
-	for _, name := range g.ledger.Replicas(nil, t.floor, t.maxAge(), time.Now()) {
+	for _, name := range g.ledger.Replicas(nil, t.floor, t.profile.MaxAge, time.Now()) {
 		p := g.pools[name]
 		if p == nil || p.isLeaving() {
 			continue
@@ -170,8 +170,6 @@
 	return daisyfloor.Caller{Workspace: r.Workspace, Key: r.Key}
 }
 
-func (t *transaction) maxAge() time.Duration { return t.profile.MaxAge }
-
 func (t *transaction) majority() bool {
 	return t.profile.Acknowledge == daisyfleet.AcknowledgeMajority
 }
--- a/internal/try/daisytrial/trial.go
+++ b/internal/try/daisytrial/trial.go
@@ -27,12 +27,9 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/host/daisyhost"
-	"github.com/daisyglade/daisyglade/internal/host/daisyops"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
 	"github.com/daisyglade/daisyglade/internal/standin/daisystandin"
-	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
-	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
 )
 
 // Names of the objects that a trial creates.
@@ -201,58 +198,6 @@
 	return daisyfleet.Operation{ID: daisyfleet.ID{Kind: v.Kind(), Name: name}, Value: v}
 }
 
-// Client sends changes to the hosts' HTTP interfaces.
-type Client struct {
-	URLs  []string
-	Token string
-	HTTP  *http.Client
-}
-
-// errRefused is returned for a change that the fleet refused.
-var errRefused = errors.New("change was refused")
-
-// Change sends the change to one host after the other until one decides it, and
-// returns an error unless it was accepted.
-func (c *Client) Change(ctx context.Context, change daisyfleet.Change) error {
-	outcome, err := c.Decide(ctx, change)
-	if err == nil && !outcome.Accepted {
-		err = fmt.Errorf("%w: %s", errRefused, outcome.Message)
-	}
-	return err
-}
-
-// Decide sends the change to one host after the other until one tells its
-// outcome. The change must have an ID.
-func (c *Client) Decide(ctx context.Context, change daisyfleet.Change) (o daisyfleet.Outcome, err error) {
-	body, err := json.Marshal(daisycodec.FromChange(change))
-	if err != nil {
-		return o, err
-	}
-	for i := 0; ; i++ {
-		text, err := send(ctx, c.HTTP, http.MethodPost, c.URLs[i%len(c.URLs)]+"/v1/changes", c.Token, body)
-		if err == nil {
-			var wire daisywire.Outcome
-			err = json.Unmarshal(text, &wire)
-			return daisycodec.ToOutcome(wire), err
-		}
-		select {
-		case <-time.After(setupInterval):
-		case <-ctx.Done():
-			return o, errors.Join(err, ctx.Err())
-		}
-	}
-}
-
-// Status asks one host for its status.
-func (c *Client) Status(ctx context.Context, host int) (s daisyops.Status, err error) {
-	defer daisyerror.Annotate(&err, "status of %s", c.URLs[host])
-	text, err := send(ctx, c.HTTP, http.MethodGet, c.URLs[host]+"/v1/status", c.Token, nil)
-	if err != nil {
-		return s, err
-	}
-	return s, json.Unmarshal(text, &s)
-}
-
 // Fleet is a trial that runs in this process.
 type Fleet struct {
 	*Plan
