Take over groups that are at a later term

Cause: a fleet begins at term 1, and the members of a group that was led before refuse that for ever; the fleet never served (newFleet with groups at term 57: not within 40 s). Ruled out: reading the term when a backend server announces itself (it may rise between). Change: a holder that finds no majority asks the members for their terms on connections without one and reports it; the leader begins above it. Conclusion: all fleets of the tests now begin before groups at term 57 and serve.

--- a/internal/control/daisybeat/beat.go
+++ b/internal/control/daisybeat/beat.go
@@ -56,6 +56,7 @@
 	Leaving       bool
 	Released      []Tenancy
 	Claims        []Claim
+	Outranked     []Tenancy // Groups whose members are at a later term, which is given, than the one to claim.
 	Sights        []Sight
 	Announcements []Announcement
 }
--- a/internal/control/daisycontrol/leader_test.go
+++ b/internal/control/daisycontrol/leader_test.go
@@ -229,3 +229,19 @@
 	assert.Equal(t, b.tenure().Term, uint64(2))
 	assert.Equal(t, b.tenure().Avoid, "m1")
 }
+
+// TestOutrankedHolderGetsALaterTerm begins before a group that is at a term of
+// its own.
+func TestOutrankedHolderGetsALaterTerm(t *testing.T) {
+	b := newBench(t)
+	b.all(announce("m1", "m2", "m3"))
+	b.decide()
+	b.decide()
+	holder := b.tenure().Holder
+	b.beat(holder, 1, b.domainOf(holder), func(beat *daisybeat.Beat) {
+		beat.Outranked = []daisybeat.Tenancy{{Database: "db", Term: 57}}
+	})
+	b.decide()
+	assert.Equal(t, b.tenure().Term, uint64(58))
+	assert.Equal(t, b.tenure().Holder, holder)
+}
--- a/internal/control/daisycontrol/tenure.go
+++ b/internal/control/daisycontrol/tenure.go
@@ -132,6 +132,20 @@
 			return put(o, t, fmt.Sprintf("%s serves %s as primary of term %d: %s", c.Primary, name, t.Term, c.Note)), true
 		}
 	}
+	return outrank(o, t, r.beat.Outranked)
+}
+
+// outrank starts a term above the one that the members of a group are at, as
+// those of a group that was led before the fleet was founded.
+func outrank(o daisyfleet.Object, t daisyfleet.Tenure, outranked []daisybeat.Tenancy) (daisyfleet.Change, bool) {
+	for _, seen := range outranked {
+		if seen.Database != o.Name || seen.Term < t.Term {
+			continue
+		}
+		reason := fmt.Sprintf("members of %s are at term %d", o.Name, seen.Term)
+		t.Term = seen.Term + 1
+		return put(o, t, fmt.Sprintf("%s; term %d begins", reason, t.Term)), true
+	}
 	return daisyfleet.Change{}, false
 }
 
--- a/internal/holder/daisyholder/group.go
+++ b/internal/holder/daisyholder/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -44,6 +45,7 @@
 	primary   string
 	note      string
 	suspected bool
+	outranked uint64 // The term that the members are at, if it is later than ours.
 	draining  bool
 	active    int
 	ledger    *daisyfloor.Ledger
@@ -128,6 +130,26 @@
 	}
 }
 
+// anyTerm lets a connection be opened whatever the term of the member is.
+const anyTerm = 0
+
+// contender is a member during a takeover. A member at a later term refuses
+// connections of ours, so it is asked for its term on one without a term.
+type contender struct {
+	*daisymember.Control
+	look *daisymember.Control
+}
+
+// Status implements daisytakeover.Member.
+func (c contender) Status(ctx context.Context) (daisytakeover.Status, error) {
+	return c.look.Status(ctx)
+}
+
+func (c contender) close() {
+	c.Close()
+	c.look.Close()
+}
+
 func (g *group) tryTakeOver() error {
 	ctx, cancel := context.WithTimeout(g.ctx, takeoverLimit)
 	defer cancel()
@@ -139,16 +161,20 @@
 		Members:  make(map[string]daisytakeover.Member),
 	}
 	for name, m := range g.holder.options.View.Members(g.database) {
-		c := g.control(m)
-		defer c.Close()
+		c := contender{Control: g.control(m), look: g.backend().Control(m.Address, anyTerm)}
+		defer c.close()
 		plan.Members[name] = c
 	}
 	result, err := daisytakeover.Run(ctx, plan)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var outranked *daisytakeover.OutrankedError
+	if errors.As(err, &outranked) {
+		g.outranked = outranked.Term
+	}
 	if err != nil {
 		return err
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.primary = result.Primary
 	g.note = fmt.Sprintf("%d of %d members fenced, furthest log at %s", len(result.Fenced), g.config.Members, result.Status.Received)
 	g.ledger = daisyfloor.New(result.Status.Received)
@@ -263,10 +289,18 @@
 	g.suspected = suspected
 }
 
-func (g *group) report() (primary, note string, suspected bool) {
+// report is what a heartbeat says of a group.
+type report struct {
+	primary   string // Empty until the group is taken over.
+	note      string
+	suspected bool
+	outranked uint64
+}
+
+func (g *group) report() report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.primary, g.note, g.suspected
+	return report{primary: g.primary, note: g.note, suspected: g.suspected, outranked: g.outranked}
 }
 
 func (g *group) sleep(d time.Duration) {
--- a/internal/holder/daisyholder/holder.go
+++ b/internal/holder/daisyholder/holder.go
@@ -125,24 +125,37 @@
 	return h.groups[database]
 }
 
+// Reports is what a heartbeat says of the tenures.
+type Reports struct {
+	Claims    []daisybeat.Claim
+	Sights    []daisybeat.Sight
+	Released  []daisybeat.Tenancy
+	Outranked []daisybeat.Tenancy
+}
+
 // Reports returns what the next heartbeat says of the tenures.
-func (h *Holder) Reports() (claims []daisybeat.Claim, sights []daisybeat.Sight, released []daisybeat.Tenancy) {
+func (h *Holder) Reports() (r Reports) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for name, g := range h.groups {
+	r.Released = slices.Clone(h.released)
+	for _, name := range slices.Sorted(maps.Keys(h.groups)) {
+		g := h.groups[name]
 		tenancy := daisybeat.Tenancy{Database: name, Term: g.term}
-		primary, note, suspected := g.report()
-		if primary == "" {
+		says := g.report()
+		if says.primary == "" {
+			if says.outranked > 0 {
+				r.Outranked = append(r.Outranked, daisybeat.Tenancy{Database: name, Term: says.outranked})
+			}
 			continue
 		}
 		if t, _ := h.options.View.Tenure(name); t.Primary == "" {
-			claims = append(claims, daisybeat.Claim{Tenancy: tenancy, Primary: primary, Note: note})
+			r.Claims = append(r.Claims, daisybeat.Claim{Tenancy: tenancy, Primary: says.primary, Note: says.note})
 		}
-		if suspected {
-			sights = append(sights, daisybeat.Sight{Tenancy: tenancy, Member: primary})
+		if says.suspected {
+			r.Sights = append(r.Sights, daisybeat.Sight{Tenancy: tenancy, Member: says.primary})
 		}
 	}
-	return claims, sights, slices.Clone(h.released)
+	return r
 }
 
 // Holding reports whether the host holds any database.
--- a/internal/holder/daisytakeover/takeover.go
+++ b/internal/holder/daisytakeover/takeover.go
@@ -23,6 +23,16 @@
 // write that was acknowledged by a majority.
 var ErrNoMajority = errors.New("no majority of the group could be fenced")
 
+// OutrankedError is returned if a member is at a later term than the plan's.
+type OutrankedError struct {
+	Term uint64 // The latest term seen.
+}
+
+// Error implements error.
+func (e *OutrankedError) Error() string {
+	return fmt.Sprintf("a member is at term %d", e.Term)
+}
+
 // Status is what a member tells of itself.
 type Status struct {
 	Term     uint64
@@ -33,6 +43,8 @@
 
 // Member is the control of one member of a group.
 type Member interface {
+	// Status asks the member what it is at.
+	Status(ctx context.Context) (Status, error)
 	// Fence makes the member refuse every term below the given one.
 	Fence(ctx context.Context, term uint64) (Status, error)
 	// Promote makes the member the primary of the term.
@@ -65,6 +77,9 @@
 	defer daisyerror.Annotate(&err, "take over term %d", p.Term)
 	fenced := fenceAll(ctx, p)
 	if len(fenced) < p.Majority {
+		if latest := latestTerm(ctx, p); latest > p.Term {
+			return Result{}, &OutrankedError{Term: latest}
+		}
 		return Result{}, fmt.Errorf("%w: %d of %d", ErrNoMajority, len(fenced), p.Majority)
 	}
 	chosen := Choose(fenced, p.Primary, p.Avoid)
@@ -100,6 +115,17 @@
 	return fenced
 }
 
+// latestTerm returns the latest term at which a member answers to be.
+func latestTerm(ctx context.Context, p Plan) uint64 {
+	var latest uint64
+	for _, m := range p.Members {
+		if s, err := m.Status(ctx); err == nil {
+			latest = max(latest, s.Term)
+		}
+	}
+	return latest
+}
+
 // Choose returns the member with the furthest log. Among equals the primary of
 // the last term is preferred, then the first name; avoid comes last.
 func Choose(fenced []candidate, primary, avoid string) string {
--- a/internal/host/daisyhost/control.go
+++ b/internal/host/daisyhost/control.go
@@ -183,7 +183,7 @@
 	if len(b.Sights) > 0 {
 		c.doubt.announce()
 	}
-	if a.reply.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released) > 0 {
+	if a.reply.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released)+len(b.Outranked) > 0 {
 		c.wakeUp()
 	}
 	return a
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -275,8 +275,9 @@
 		Host: s.Host, Incarnation: h.incarnation, Address: s.Link.Advertise,
 		FailureDomain: s.FailureDomain, Region: s.Region,
 	}
-	b.Claims, b.Sights, b.Released = h.holder.Reports()
-	b.Sights = append(b.Sights, h.watcher.Sights()...)
+	says := h.holder.Reports()
+	b.Claims, b.Released, b.Outranked = says.Claims, says.Released, says.Outranked
+	b.Sights = append(says.Sights, h.watcher.Sights()...)
 	b.Announcements = h.ops.Announcements()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -295,8 +296,7 @@
 		case <-h.ctx.Done():
 			return
 		}
-		claims, sights, released := h.holder.Reports()
-		if now := fmt.Sprint(claims, sights, released); now != before {
+		if now := fmt.Sprint(h.holder.Reports()); now != before {
 			before = now
 			h.keeper.Wake()
 		}
--- a/internal/standin/daisystandin/member.go
+++ b/internal/standin/daisystandin/member.go
@@ -361,6 +361,12 @@
 	m.notify()
 }
 
+// BeginAt raises the member's term, as if it had been led before.
+func (m *Member) BeginAt(term uint64) error {
+	_, err := m.fence(term, nil)
+	return err
+}
+
 // Pretend makes the member claim to have received and applied whatever its
 // upstream has, although it has not. Tests use it to show that they notice.
 func (m *Member) Pretend(pretend bool) {
--- a/internal/try/daisytrial/fleet_test.go
+++ b/internal/try/daisytrial/fleet_test.go
@@ -26,6 +26,10 @@
 // controlHosts is how many hosts of a trial keep the control log.
 const controlHosts = 3
 
+// groupTerm is the term at which the groups of the tests are before the fleet
+// is founded: the platform's groups carry terms of their own.
+const groupTerm = 57
+
 // fleet is a fleet on a network in memory, whose hosts can be killed and cut.
 type fleet struct {
 	callers
@@ -58,6 +62,9 @@
 	f.plan = plan
 	f.group, err = plan.OpenGroup()
 	assert.NilError(t, err)
+	for _, m := range f.group.Members() {
+		assert.NilError(t, m.BeginAt(groupTerm))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.wait.Go(func() { plan.Announce(ctx, f.group) })
--- a/internal/wire/daisycodec/beat.go
+++ b/internal/wire/daisycodec/beat.go
@@ -19,6 +19,9 @@
 	for _, t := range b.Released {
 		w.Released = append(w.Released, daisywire.Tenancy(t))
 	}
+	for _, t := range b.Outranked {
+		w.Outranked = append(w.Outranked, daisywire.Tenancy{Database: t.Database, Term: t.Term})
+	}
 	for _, c := range b.Claims {
 		w.Claims = append(w.Claims, daisywire.Claimed{Database: c.Database, Term: c.Term, Primary: c.Primary, Note: c.Note})
 	}
@@ -47,6 +50,9 @@
 	for _, t := range w.Released {
 		b.Released = append(b.Released, daisybeat.Tenancy(t))
 	}
+	for _, t := range w.Outranked {
+		b.Outranked = append(b.Outranked, daisybeat.Tenancy{Database: t.Database, Term: t.Term})
+	}
 	for _, c := range w.Claims {
 		b.Claims = append(b.Claims, daisybeat.Claim{Tenancy: daisybeat.Tenancy{Database: c.Database, Term: c.Term}, Primary: c.Primary, Note: c.Note})
 	}
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -73,7 +73,7 @@
 	tenancy := daisybeat.Tenancy{Database: "d", Term: 4}
 	want := daisybeat.Beat{
 		ID: 1, Host: "h", Incarnation: 2, Address: addr, FailureDomain: "f", Region: "r", Revision: 3, Leaving: true,
-		Released: []daisybeat.Tenancy{tenancy}, Claims: []daisybeat.Claim{{Tenancy: tenancy, Primary: "m", Note: "n"}},
+		Released: []daisybeat.Tenancy{tenancy}, Outranked: []daisybeat.Tenancy{tenancy}, Claims: []daisybeat.Claim{{Tenancy: tenancy, Primary: "m", Note: "n"}},
 		Sights:        []daisybeat.Sight{{Tenancy: tenancy, Member: "m", Answers: true}},
 		Announcements: []daisybeat.Announcement{{Member: "m", Age: time.Second, Value: daisyfleet.Member{Database: "d", Address: addr, FailureDomain: "f", Leaving: true}}},
 	}
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -82,6 +82,9 @@
 	// Whether the host drains.
 	Leaving bool `json:"Leaving,omitempty,omitzero"`
 
+	// Groups whose members are at a later term than the claimed one.
+	Outranked []Tenancy `json:"Outranked,omitempty,omitzero"`
+
 	// The region.
 	Region string `json:"Region"`
 
