Keep the ports of members and hosts apart on the network in memory

Cause: one run in several failed at the start of a fleet (seen once in TestChecksCatchLyingReplicas): a member that asked for any port got one that the plan had reserved for a host, about 15 chances in 20000 for each fleet. Ruled out: the code of the hosts; the address was in use before any ran. Change: such ports begin above the reserved ones. Conclusion: the two ranges cannot meet.

--- a/internal/try/daisytrial/network_test.go
+++ b/internal/try/daisytrial/network_test.go
@@ -14,6 +14,10 @@
 // pipeBytes is how much a direction of a connection holds before the writer waits.
 const pipeBytes = 256 << 10
 
+// memberPort is the first port of those who ask for any. It lies above the
+// ports that a trial reserves for its hosts before they listen.
+const memberPort = 40_000
+
 // memory is a network in memory that can be cut. It obeys the clock of the
 // test, and a cut loses nothing: bytes are delivered once it heals, as TCP
 // delivers them.
@@ -47,7 +51,7 @@
 
 func newMemory(latency func(from, to string) time.Duration) *memory {
 	return &memory{
-		latency: latency, nextPort: 10000, listeners: make(map[netip.AddrPort]*memoryListener),
+		latency: latency, nextPort: memberPort, listeners: make(map[netip.AddrPort]*memoryListener),
 		conns: make(map[*memoryConn]bool), cuts: make(map[[2]string]bool), healed: make(chan struct{}),
 	}
 }
