Say which acknowledged writes a failover may have lost

Cause: with Acknowledge Primary a lost primary could take acknowledged writes with it and nothing said so. Ruled out: holding the promotion back (the profile chose otherwise). Change: a holder that outlives its primary compares how far it saw the log with the log that was kept, and the event names the range. Conclusion: TestPossibleLossIsSaid; if holder and primary are lost together nobody knows, which docs/PROOFS.md says.

--- a/internal/holder/daisyholder/group.go
+++ b/internal/holder/daisyholder/group.go
@@ -36,6 +36,7 @@
 	term     uint64
 	config   daisyfleet.Database
 	previous daisyfleet.Tenure
+	lastHead daisylane.Position // How far this host saw the primary of the term before; zero if it did not hold it.
 	log      log.Interface
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -55,7 +56,7 @@
 	progress  chan struct{} // Closed when any of the above changes.
 }
 
-func (h *Holder) start(database string, t daisyfleet.Tenure) *group {
+func (h *Holder) start(database string, t daisyfleet.Tenure, lastHead daisylane.Position) *group {
 	config, _ := h.options.View.Database(database)
 	g := &group{
 		holder:   h,
@@ -63,6 +64,7 @@
 		term:     t.Term,
 		config:   config,
 		previous: t,
+		lastHead: lastHead,
 		log:      h.options.Log.WithField("database", database).WithField("term", t.Term),
 		received: make(map[string]daisylane.Position),
 		pools:    make(map[string]*pool),
@@ -85,6 +87,16 @@
 	g.notify()
 }
 
+// head returns the furthest known position of the primary, or zero.
+func (g *group) head() daisylane.Position {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ledger == nil {
+		return g.lastHead
+	}
+	return g.ledger.Head()
+}
+
 // notify wakes waiters; g.mu is held.
 func (g *group) notify() {
 	close(g.progress)
@@ -177,6 +189,9 @@
 	}
 	g.primary = result.Primary
 	g.note = fmt.Sprintf("%d of %d members fenced, furthest log at %s", len(result.Fenced), g.config.Members, result.Status.Received)
+	if result.Kept.Less(g.lastHead) {
+		g.note += fmt.Sprintf("; writes after %s up to %s may be lost", result.Kept, g.lastHead)
+	}
 	g.ledger = daisyfloor.New(result.Status.Received)
 	g.notify()
 	g.log.WithField("primary", result.Primary).Info("holder: took over, " + g.note)
--- a/internal/holder/daisyholder/holder.go
+++ b/internal/holder/daisyholder/holder.go
@@ -86,9 +86,11 @@
 	})
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	heads := make(map[string]daisylane.Position)
 	for name, g := range h.groups {
 		if t, ok := mine[name]; !ok || t.Term != g.term {
 			g.close()
+			heads[name] = g.head()
 			delete(h.groups, name)
 		}
 	}
@@ -98,7 +100,7 @@
 		case t.Revoked:
 			h.revoke(name, t.Term)
 		case h.groups[name] == nil && !h.draining:
-			h.groups[name] = h.start(name, t)
+			h.groups[name] = h.start(name, t, heads[name])
 		}
 	}
 }
--- a/internal/holder/daisytakeover/takeover.go
+++ b/internal/holder/daisytakeover/takeover.go
@@ -63,7 +63,8 @@
 // Result is the outcome of a takeover.
 type Result struct {
 	Primary string
-	Status  Status // The primary's, after its promotion.
+	Status  Status             // The primary's, after its promotion.
+	Kept    daisylane.Position // How far the chosen log went when it was fenced.
 	Fenced  []string
 }
 
@@ -90,6 +91,9 @@
 	r.Primary = chosen
 	for _, c := range fenced {
 		r.Fenced = append(r.Fenced, c.name)
+		if c.name == chosen {
+			r.Kept = c.status.Received
+		}
 	}
 	return r, nil
 }
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -138,7 +138,7 @@
 		Network: h.network, Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
 		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
 		Propose: h.keeper.Propose, Status: h.status, Host: s.Host, Log: h.log,
-		Burn: h.Burn, Events: h.events(),
+		Burn: h.Burn, Events: h.Events, KeepsEvents: h.control != nil,
 	})
 	return err
 }
@@ -238,16 +238,13 @@
 	return err
 }
 
-// events returns what lists the fleet's decisions, or nil on a host without the
-// control log.
-func (h *Host) events() func() []daisyfleet.Event {
-	if h.control == nil {
-		return nil
-	}
-	return func() (events []daisyfleet.Event) {
+// Events returns the latest decisions of the fleet, oldest first; none on a
+// host without the control log.
+func (h *Host) Events() (events []daisyfleet.Event) {
+	if h.control != nil {
 		h.control.view.Read(func(state *daisyfleet.State) { events = state.Events() })
-		return events
 	}
+	return events
 }
 
 func (h *Host) opsTLS() *tls.Config {
--- a/internal/try/daisytrial/sessions_test.go
+++ b/internal/try/daisytrial/sessions_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -321,6 +322,41 @@
 	})
 }
 
+// TestPossibleLossIsSaid acknowledges a write that only the primary holds, as
+// its profile allows, and loses the primary: the fleet must say what may be lost.
+func TestPossibleLossIsSaid(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		assert.NilError(t, f.plan.Operator().Change(t.Context(), daisyfleet.Change{ID: "risky", Operations: []daisyfleet.Operation{{
+			ID: daisyfleet.ID{Kind: daisyfleet.KindProfile, Name: "risky"},
+			Value: daisyfleet.Profile{
+				Database: daisytrial.Database, Acknowledge: daisyfleet.AcknowledgePrimary, Session: daisyfleet.SessionKey,
+				Cost: 1, Wait: 5 * time.Second, Objective: 0.99,
+			},
+		}}}))
+		time.Sleep(time.Second)
+		primary := f.group.Primary()
+		for _, m := range f.group.Members() {
+			m.Stall(m != primary)
+		}
+		conn, err := f.connect(t.Context(), 0, "risky")
+		assert.NilError(t, err)
+		defer f.hangUp(conn)
+		_, err = conn.Exec(t.Context(), "INSERT INTO bookings VALUES ('risky', 'once')")
+		assert.NilError(t, err)
+		f.group.Stop(primary)
+		time.Sleep(5 * time.Second)
+		said := false
+		for _, h := range f.hosts {
+			for _, e := range h.Events() {
+				said = said || strings.Contains(e.Reason, "may be lost")
+			}
+		}
+		assert.Check(t, said, "the loss is silent")
+	})
+}
+
 // TestSlowReaderHoldsBackOnlyItself lets a caller leave a large answer unread
 // while others work, and then read it whole.
 func TestSlowReaderHoldsBackOnlyItself(t *testing.T) {
