--- a/internal/entry/daisyroute/route.go
+++ b/internal/entry/daisyroute/route.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -53,7 +54,7 @@
 	}
 	for addr, lanes := range l.idle {
 		for len(lanes) > 0 && time.Since(lanes[0].used) > idleLife {
-			lanes[0].link.Close()
+			lanes[0].end()
 			lanes = lanes[1:]
 		}
 		l.idle[addr] = lanes
@@ -66,19 +67,33 @@
 
 // Take returns a lane to the host at the address.
 func (l *Lanes) Take(ctx context.Context, addr netip.AddrPort) (*Remote, error) {
-	l.mu.Lock()
-	if lanes := l.idle[addr]; len(lanes) > 0 {
-		r := lanes[len(lanes)-1]
-		l.idle[addr] = lanes[:len(lanes)-1]
-		l.mu.Unlock()
+	if r := l.pop(addr); r != nil {
 		return r, nil
 	}
-	l.mu.Unlock()
 	link, err := l.dialer.Dial(ctx, addr, daisylink.PathLane)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", daisylane.ErrNotSent, err)
 	}
-	return &Remote{lanes: l, addr: addr, link: link}, nil
+	r := &Remote{lanes: l, addr: addr, link: link, arrived: make(chan []byte), ended: make(chan struct{})}
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+	go r.read(ctx)
+	return r, nil
+}
+
+// pop returns an idle lane whose link is still open, or nil.
+func (l *Lanes) pop(addr netip.AddrPort) *Remote {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for lanes := l.idle[addr]; len(lanes) > 0; lanes = l.idle[addr] {
+		r := lanes[len(lanes)-1]
+		l.idle[addr] = lanes[:len(lanes)-1]
+		if r.open() {
+			return r
+		}
+		r.end()
+	}
+	return nil
 }
 
 // Close ends the idle lanes.
@@ -89,7 +104,7 @@
 	l.expiry.Stop()
 	for _, lanes := range l.idle {
 		for _, r := range lanes {
-			r.link.Close()
+			r.end()
 		}
 	}
 	l.idle = nil
@@ -98,12 +113,49 @@
 
 // Remote is a lane over a link.
 type Remote struct {
-	lanes *Lanes
-	addr  netip.AddrPort
-	link  *daisylink.Conn
-	sent  uint64
-	used  time.Time // When it was last given back.
-	dirty bool      // An answer is outstanding or a transaction is open.
+	lanes   *Lanes
+	addr    netip.AddrPort
+	link    *daisylink.Conn
+	cancel  context.CancelFunc
+	arrived chan []byte   // Messages in order; unbuffered, so that the link's flow control holds.
+	ended   chan struct{} // Closed when the link has ended.
+	sent    uint64
+	used    time.Time // When it was last given back.
+	dirty   bool      // An answer is outstanding or a transaction is open.
+}
+
+// read passes on what arrives until the link ends. It reads between requests
+// too, so that a lane whose host has stopped is not used again.
+func (r *Remote) read(ctx context.Context) {
+	defer close(r.ended)
+	for {
+		b, err := r.link.Receive(ctx)
+		if err != nil {
+			return
+		}
+		select {
+		case r.arrived <- b:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// open reports whether the link has not ended.
+func (r *Remote) open() bool {
+	select {
+	case <-r.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// end closes the link and waits for its reader.
+func (r *Remote) end() {
+	r.cancel()
+	r.link.Close()
+	<-r.ended
 }
 
 // Do implements daisylane.Lane.
@@ -131,9 +183,13 @@
 
 // next receives a part of the answer to the request last sent.
 func (r *Remote) next(ctx context.Context) (*daisylane.Answer, error) {
-	b, err := r.link.Receive(ctx)
-	if err != nil {
-		return nil, fmt.Errorf("receive answer: %w", err)
+	var b []byte
+	select {
+	case b = <-r.arrived:
+	case <-r.ended:
+		return nil, errors.New("the link ended before the answer")
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 	a, err := daisycodec.DecodeAnswer(b)
 	if err != nil {
@@ -152,7 +208,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if r.dirty || l.closed || len(l.idle[r.addr]) >= idleLimit {
-		r.link.Close()
+		r.end()
 		return
 	}
 	r.used = time.Now()
--- a/internal/try/daisytrial/sessions_test.go
+++ b/internal/try/daisytrial/sessions_test.go
@@ -238,6 +238,47 @@
 	})
 }
 
+// TestDatabaseReturnsToARestartedHost stops each holder in turn, so that the
+// database comes back to hosts that were restarted since. Lanes that the entry
+// host kept to them are dead and must not be used.
+func TestDatabaseReturnsToARestartedHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		w := newWitness(t)
+		entry := (f.holder() + 1) % len(f.hosts)
+		f.only = []int{entry}
+		stops := 0
+		for range 14 {
+			i := f.holder()
+			if i == entry {
+				// Without callers, so that no outcome is unknown for this reason.
+				f.network.isolate(hostName(entry), groupPlace)
+				f.awaitHolderOtherThan(entry)
+				f.network.heal()
+				continue
+			}
+			stops++
+			f.load(w, 4, 300*time.Millisecond, 300*time.Millisecond, func() {
+				assert.Check(t, f.hosts[i].Stop())
+				f.setHost(i, nil)
+				f.start(i)
+				f.awaitService()
+			})
+		}
+		w.check(f.primaryRows())
+		t.Logf("%d stops of a remote holder, %d outcomes settled", stops, w.settled)
+		assert.Check(t, stops > 3)
+		assert.Equal(t, w.settled, 0)
+	})
+}
+
+func (f *fleet) awaitHolderOtherThan(i int) {
+	for f.holder() == i || f.tenure().Primary == "" {
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
 // TestLeavingBackendGetsNoNewWork lets the primary and then a replica leave.
 func TestLeavingBackendGetsNoNewWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
