Do not hold two members' locks when a stand-in member stops

Cause: the whole run of the tests hung once in TestChecksCatchLyingReplicas: a stopping primary held its lock and asked for its replica's, while the replica, which pretended, held its own and asked for the primary's. Ruled out: the hosts; all of them waited for the stand-in. Change: the primary's lock is given back first. Conclusion: no lock of a member is asked for with another held but by a pretender for its upstream; the test passes again.

--- a/internal/standin/daisystandin/group.go
+++ b/internal/standin/daisystandin/group.go
@@ -217,10 +217,7 @@
 	if l != nil {
 		_ = l.Close()
 	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.stalled = true
-	m.endSessions(func(*session) bool { return true })
+	m.cutOff()
 	for _, other := range g.members {
 		if other != m {
 			other.drop(m)
@@ -228,6 +225,14 @@
 	}
 }
 
+// cutOff stops replicating and ends the sessions.
+func (m *Member) cutOff() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.stalled = true
+	m.endSessions(func(*session) bool { return true })
+}
+
 // drop stops replicating from a stopped upstream.
 func (m *Member) drop(upstream *Member) {
 	m.mu.Lock()
