--- /dev/null
+++ b/internal/backend/daisypool/pool.go
@@ -0,0 +1,375 @@
+package daisypool
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection: thrice the round trip
+	// between regions and the time that a server takes, with room for a queue.
+	dialTimeout = 700 * time.Millisecond
+	// fullPause is how long no connection is opened to a server that has
+	// reported that it has too many.
+	fullPause = 150 * time.Millisecond
+	// surplusLife is how long an idle connection beyond the host's share is kept.
+	surplusLife = 300 * time.Millisecond
+	// maxPrepared bounds the prepared statements of a connection.
+	maxPrepared = 64
+)
+
+var (
+	// ErrUnknown is returned for a server that the pool does not know.
+	ErrUnknown = errors.New("backend server is not known")
+	// ErrFull is returned if no connection became free in time.
+	ErrFull = errors.New("no connection to the backend server is free")
+)
+
+// Share is how many connections a host may keep to a server.
+type Share struct {
+	Kept int // Kept open while idle.
+	Most int // Open at once.
+}
+
+// ShareOf returns the share of one among so many hosts. Hosts may go beyond an
+// equal part for as long as a server has room, since their peaks differ.
+func ShareOf(connections, hosts int) Share {
+	const (
+		reserved = 2 // For the control leader's probes.
+		overlap  = 2 // How far one host may go beyond its equal part.
+	)
+	kept := max(1, (connections-reserved)/max(1, hosts))
+	return Share{Kept: kept, Most: kept * overlap}
+}
+
+// Pool keeps the connections to all servers.
+type Pool struct {
+	dialer Dialer
+	ctx    context.Context
+	cancel context.CancelFunc
+	wait   sync.WaitGroup
+
+	mu      sync.Mutex
+	servers map[string]*serverPool
+}
+
+// New returns a pool without servers.
+func New(d Dialer) *Pool {
+	p := &Pool{dialer: d, servers: make(map[string]*serverPool)}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.wait.Go(p.trim)
+	return p
+}
+
+// Set adds a server or changes the host's share of its connections.
+func (p *Pool) Set(t Target, share Share) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[t.Server]
+	if s == nil || s.target != t {
+		if s != nil {
+			s.close()
+		}
+		s = &serverPool{name: t.Server, pool: p, target: t, active: make(map[string]int)}
+		p.servers[t.Server] = s
+	}
+	s.setShare(share)
+}
+
+// Remove drops a server. Connections in use are closed when they are released.
+func (p *Pool) Remove(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[server]; s != nil {
+		s.close()
+		delete(p.servers, server)
+	}
+}
+
+// Names returns the servers.
+func (p *Pool) Names() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var names []string
+	for n := range p.servers {
+		names = append(names, n)
+	}
+	return names
+}
+
+func (p *Pool) server(name string) *serverPool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.servers[name]
+}
+
+// Acquire returns a connection to the server for the workspace. It waits until
+// one is free or ctx ends.
+func (p *Pool) Acquire(ctx context.Context, server, workspace string) (*Conn, error) {
+	s := p.server(server)
+	if s == nil {
+		return nil, ErrUnknown
+	}
+	return s.acquire(ctx, workspace)
+}
+
+// Free reports whether a connection for the workspace is free or may be opened.
+func (p *Pool) Free(server, workspace string) bool {
+	s := p.server(server)
+	return s != nil && s.free(workspace)
+}
+
+// trim closes idle connections beyond the share.
+func (p *Pool) trim() {
+	ticker := time.NewTicker(surplusLife)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-p.ctx.Done():
+			return
+		}
+		p.mu.Lock()
+		all := make([]*serverPool, 0, len(p.servers))
+		for _, s := range p.servers {
+			all = append(all, s)
+		}
+		p.mu.Unlock()
+		for _, s := range all {
+			s.trim(time.Now())
+		}
+	}
+}
+
+// Close closes all idle connections and waits until nothing is being opened.
+func (p *Pool) Close() error {
+	p.cancel()
+	for _, name := range p.Names() {
+		p.Remove(name)
+	}
+	p.wait.Wait()
+	return nil
+}
+
+// waiter waits for a connection, or for the right to open one, which comes as
+// a nil connection.
+type waiter struct {
+	workspace string
+	ready     chan *Conn
+}
+
+// serverPool keeps the connections to one server.
+type serverPool struct {
+	name   string
+	pool   *Pool
+	target Target
+
+	mu      sync.Mutex
+	share   Share
+	open    int // Connections, those being opened included.
+	idle    []*Conn
+	active  map[string]int // Connections in use, by workspace.
+	waiters []*waiter
+	full    time.Time // Until when none is opened.
+	closed  bool
+}
+
+func (s *serverPool) setShare(share Share) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.share = share
+	s.serve()
+}
+
+func (s *serverPool) free(workspace string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.waiters) > 0 {
+		return false
+	}
+	return len(s.idle) > 0 || s.mayOpen()
+}
+
+func (s *serverPool) mayOpen() bool {
+	return s.open < s.share.Most && (s.open == 0 || !time.Now().Before(s.full))
+}
+
+// acquire returns an idle connection of the workspace, opens one, or waits.
+func (s *serverPool) acquire(ctx context.Context, workspace string) (*Conn, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, ErrUnknown
+	}
+	if c := s.take(workspace); c != nil {
+		s.mu.Unlock()
+		return c, nil
+	}
+	if s.reserve() {
+		s.active[workspace]++
+		s.mu.Unlock()
+		return s.dial(ctx, workspace)
+	}
+	w := &waiter{workspace: workspace, ready: make(chan *Conn, 1)}
+	s.waiters = append(s.waiters, w)
+	s.mu.Unlock()
+	return s.await(ctx, w)
+}
+
+// take takes the idle connection of the workspace that was used last.
+func (s *serverPool) take(workspace string) *Conn {
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		c := s.idle[i]
+		if c.workspace != workspace {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
+		if c.link.Alive() {
+			s.active[workspace]++
+			return c
+		}
+		c.link.Close()
+		s.open--
+	}
+	return nil
+}
+
+// reserve makes room for a new connection, if need be in place of the idle one
+// that has not been used for the longest time.
+func (s *serverPool) reserve() bool {
+	if s.mayOpen() {
+		s.open++
+		return true
+	}
+	if len(s.idle) == 0 {
+		return false
+	}
+	oldest := s.idle[0]
+	s.idle = slices.Delete(s.idle, 0, 1)
+	oldest.link.Close()
+	return true
+}
+
+func (s *serverPool) await(ctx context.Context, w *waiter) (*Conn, error) {
+	var c *Conn
+	select {
+	case c = <-w.ready:
+	case <-ctx.Done():
+		s.mu.Lock()
+		if i := slices.Index(s.waiters, w); i >= 0 {
+			s.waiters = slices.Delete(s.waiters, i, i+1)
+			s.mu.Unlock()
+			return nil, ErrFull
+		}
+		s.mu.Unlock()
+		c = <-w.ready
+	}
+	if c != nil {
+		return c, nil
+	}
+	s.mu.Lock()
+	closed := s.closed
+	s.mu.Unlock()
+	if closed {
+		return nil, ErrUnknown
+	}
+	return s.dial(ctx, w.workspace)
+}
+
+// dial opens a connection for which there is room and which is counted as the
+// workspace's already.
+func (s *serverPool) dial(ctx context.Context, workspace string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	t := s.target
+	t.Workspace = workspace
+	link, err := s.pool.dialer.Dial(ctx, t)
+	if err == nil {
+		return &Conn{pool: s, link: link, workspace: workspace}, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	s.leave(workspace)
+	var refused *daisystatement.Failure
+	if errors.As(err, &refused) && refused.Code == daisystatement.CodeTooMany {
+		s.full = time.Now().Add(fullPause)
+	}
+	s.serve()
+	return nil, err
+}
+
+func (s *serverPool) leave(workspace string) {
+	if s.active[workspace]--; s.active[workspace] <= 0 {
+		delete(s.active, workspace)
+	}
+}
+
+// release takes a connection back.
+func (s *serverPool) release(c *Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leave(c.workspace)
+	if c.broken || s.closed || len(c.prepared) > maxPrepared {
+		c.link.Close()
+		s.open--
+	} else {
+		c.idleSince = time.Now()
+		s.idle = append(s.idle, c)
+	}
+	s.serve()
+}
+
+// serve hands what is free to those who wait: first to the workspace that holds
+// the fewest connections, among its waiters to the one who came first.
+func (s *serverPool) serve() {
+	for len(s.waiters) > 0 && (s.closed || len(s.idle) > 0 || s.mayOpen()) {
+		best := 0
+		for i, w := range s.waiters {
+			if s.active[w.workspace] < s.active[s.waiters[best].workspace] {
+				best = i
+			}
+		}
+		w := s.waiters[best]
+		s.waiters = slices.Delete(s.waiters, best, best+1)
+		if s.closed {
+			w.ready <- nil
+			continue
+		}
+		c := s.take(w.workspace)
+		if c == nil {
+			s.reserve()
+			s.active[w.workspace]++
+		}
+		w.ready <- c
+	}
+}
+
+// trim closes connections beyond the share that have been idle for long.
+func (s *serverPool) trim(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.open > s.share.Kept && len(s.idle) > 0 && now.Sub(s.idle[0].idleSince) > surplusLife {
+		s.idle[0].link.Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+		s.open--
+	}
+	s.serve()
+}
+
+func (s *serverPool) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, c := range s.idle {
+		c.link.Close()
+		s.open--
+	}
+	s.idle = nil
+	s.serve()
+}
--- /dev/null
+++ b/internal/config/daisynode/settings.go
@@ -0,0 +1,73 @@
+// Package daisynode holds the settings of a process of a fleet whose desired
+// state is one document: an entry host or a control host.
+package daisynode
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Settings are what a process is told when it starts. The seeds may change
+// while it runs.
+type Settings struct {
+	Host          string
+	FailureDomain string
+	Regions       map[string]string // The region of each failure domain.
+
+	Callers netip.AddrPort // Where an entry host serves callers.
+	Ready   netip.AddrPort // Where an entry host answers health checks.
+	Control netip.AddrPort // Where a control host serves servers and operators.
+	Link    netip.AddrPort // Where a control host serves links.
+	Metrics netip.AddrPort // Where the process serves its metrics.
+
+	Seeds      []netip.AddrPort // Links of some control hosts.
+	Found      bool             // The fleet starts for the first time.
+	DataFolder string
+	Tolerated  int // Control hosts that may be lost at once with their disks.
+
+	MemoryBytes int64 // The most that the process may use; 0 if not limited.
+	Grace       time.Duration
+	Promotions  netip.AddrPort // Who carries promotions out.
+}
+
+// Region returns the region of the host.
+func (s *Settings) Region() string { return s.Regions[s.FailureDomain] }
+
+// Voters returns how many control hosts decide together: the least number of
+// which a majority survives the tolerated losses.
+func (s *Settings) Voters() int { return 2*s.Tolerated + 1 }
+
+// CheckEntry returns an error if an entry host cannot run on the settings.
+func (s *Settings) CheckEntry() error {
+	return errors.Join(s.check(), valid("callers", s.Callers), valid("ready", s.Ready))
+}
+
+// CheckControl returns an error if a control host cannot run on the settings.
+func (s *Settings) CheckControl() error {
+	err := errors.Join(s.check(), valid("control", s.Control), valid("link", s.Link))
+	if s.DataFolder == "" {
+		err = errors.Join(err, errors.New("a control host needs a data folder"))
+	}
+	return err
+}
+
+func (s *Settings) check() error {
+	switch {
+	case s.Host == "":
+		return errors.New("the host has no name")
+	case len(s.Seeds) == 0:
+		return errors.New("no seeds are given")
+	case s.Grace <= 0:
+		return errors.New("the time for a graceful stop is not positive")
+	}
+	return nil
+}
+
+func valid(what string, a netip.AddrPort) error {
+	if a.IsValid() {
+		return nil
+	}
+	return fmt.Errorf("the %s address is not an IP and port", what)
+}
--- a/internal/control/daisybeat/beat.go
+++ b/internal/control/daisybeat/beat.go
@@ -59,6 +59,13 @@
 	Outranked     []Tenancy // Groups whose members are at a later term, which is given, than the one to claim.
 	Sights        []Sight
 	Announcements []Announcement
+	Demands       []Demand // Tokens that the host lacks for its present demand.
+}
+
+// Demand is an amount of a workspace's tokens, asked for or granted.
+type Demand struct {
+	Workspace string
+	Tokens    float64
 }
 
 // Reply answers a Beat.
@@ -68,4 +75,7 @@
 	Delta  *daisyfleet.Delta
 	Probes []Probe        // Primaries that the host is to probe now.
 	Leader netip.AddrPort // Where to turn to instead; invalid if unknown.
+
+	Controls []netip.AddrPort // The control hosts; empty if they are as configured.
+	Grants   []Demand         // Tokens granted in answer to the demands.
 }
--- a/internal/control/daisycontrol/leader.go
+++ b/internal/control/daisycontrol/leader.go
@@ -47,10 +47,19 @@
 	incarnation uint64
 }
 
+// Terms are how leases are given.
+type Terms struct {
+	Lease time.Duration
+	// Successive tells that a host's processes follow each other: one that
+	// starts proves that the one before it has ended, lease and all.
+	Successive bool
+}
+
 // Leader decides while this control host leads. It is not safe for concurrent
 // use. A new one is made for each term of leadership.
 type Leader struct {
 	began     time.Time
+	terms     Terms
 	records   map[process]*record
 	sights    map[string]map[string]sight // By database, then host.
 	announced map[string]announced        // By member object name.
@@ -58,8 +67,14 @@
 
 // NewLeader returns the decisions of a leadership that began at the time.
 func NewLeader(began time.Time) *Leader {
+	return NewLeaderOn(began, Terms{Lease: LeaseDuration})
+}
+
+// NewLeaderOn returns the decisions of a leadership that gives leases on the terms.
+func NewLeaderOn(began time.Time, t Terms) *Leader {
 	return &Leader{
 		began:     began,
+		terms:     t,
 		records:   make(map[process]*record),
 		sights:    make(map[string]map[string]sight),
 		announced: make(map[string]announced),
@@ -95,7 +110,7 @@
 	if !ok || !host.Up || host.Incarnation != b.Incarnation {
 		return 0
 	}
-	return LeaseDuration
+	return l.terms.Lease
 }
 
 func (l *Leader) note(now time.Time, b daisybeat.Beat, s daisybeat.Sight) {
@@ -113,18 +128,21 @@
 	if r := l.records[p]; r != nil {
 		heard = r.heard
 	}
-	return now.Sub(heard) > LeaseDuration+DriftMargin
+	return now.Sub(heard) > l.terms.Lease+DriftMargin
 }
 
 // Due returns the changes that the reports and the passing of time call for.
 // Each is decided against the given state; the caller proposes them and, once
 // they are decided, calls Decided.
 func (l *Leader) Due(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
-	changes := l.dueHosts(now, s)
+	changes := l.DueHosts(now, s)
 	changes = append(changes, l.dueMembers(now, s)...)
 	return append(changes, l.dueTenures(now, s)...)
 }
 
+// Grants returns none: the holders of databases grant tokens.
+func (l *Leader) Grants(time.Time, *daisyfleet.State, daisybeat.Beat) []daisybeat.Demand { return nil }
+
 // Decided lets hosts that were given up earn leases again, now that the log
 // has decided on the changes.
 func (l *Leader) Decided() {
@@ -133,8 +151,17 @@
 	}
 }
 
-// dueHosts declares hosts up and down.
-func (l *Leader) dueHosts(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+// Held returns the revision that the process of a host held when it last sent a
+// heartbeat, or 0.
+func (l *Leader) Held(host string, incarnation uint64) uint64 {
+	if r := l.records[process{host: host, incarnation: incarnation}]; r != nil {
+		return r.beat.Revision
+	}
+	return 0
+}
+
+// DueHosts declares hosts up and down.
+func (l *Leader) DueHosts(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
 	var changes []daisyfleet.Change
 	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
 		h, ok := o.Value.(daisyfleet.Host)
@@ -153,7 +180,7 @@
 			delete(l.records, p)
 			continue
 		}
-		if c, ok := arrival(s, r.beat); ok {
+		if c, ok := l.arrival(s, r.beat); ok {
 			changes = append(changes, c)
 		}
 	}
@@ -169,14 +196,14 @@
 
 // arrival returns the change that declares a process up, or false if it is up
 // already or an older process of the host still may hold a lease.
-func arrival(s *daisyfleet.State, b daisybeat.Beat) (daisyfleet.Change, bool) {
+func (l *Leader) arrival(s *daisyfleet.State, b daisybeat.Beat) (daisyfleet.Change, bool) {
 	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindHost, Name: b.Host})
 	held, _ := o.Value.(daisyfleet.Host)
 	next := daisyfleet.Host{
 		Incarnation: b.Incarnation, Address: b.Address, FailureDomain: b.FailureDomain,
 		Region: b.Region, Up: true, Leaving: b.Leaving,
 	}
-	if ok && held.Up && held.Incarnation != b.Incarnation {
+	if ok && held.Up && held.Incarnation != b.Incarnation && !l.terms.Successive {
 		return daisyfleet.Change{}, false
 	}
 	if ok && held == next {
--- a/internal/host/daisyhost/broadcast.go
+++ b/internal/control/daisycouncil/broadcast.go
@@ -1,4 +1,4 @@
-package daisyhost
+package daisycouncil
 
 import "sync"
 
--- a/internal/host/daisyhost/control.go
+++ b/internal/control/daisycouncil/council.go
@@ -1,4 +1,6 @@
-package daisyhost
+// Package daisycouncil serves heartbeats and proposals on a control host and
+// carries out the decisions of the control leader.
+package daisycouncil
 
 import (
 	"context"
@@ -9,8 +11,8 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
-	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
@@ -24,12 +26,36 @@
 	decideTimeout = 5 * time.Second
 )
 
-// control serves heartbeats and proposals on a control host and carries out
-// the decisions of the leader.
-type control struct {
+// Decider is what the leader decides by. A new one is made for each term of
+// leadership; calls do not overlap.
+type Decider interface {
+	// Beat notes a heartbeat and returns the lease that it earns, 0 for none.
+	Beat(now time.Time, s *daisyfleet.State, b daisybeat.Beat) time.Duration
+	// Due returns the changes that reports and the passing of time call for.
+	Due(now time.Time, s *daisyfleet.State) []daisyfleet.Change
+	// Decided tells that the log has decided on the changes that were due.
+	Decided()
+	// Probes returns the primaries that the host is to probe now.
+	Probes(now time.Time, s *daisyfleet.State, host string) []daisybeat.Probe
+	// Grants returns the tokens granted in answer to a heartbeat's demands.
+	Grants(now time.Time, s *daisyfleet.State, b daisybeat.Beat) []daisybeat.Demand
+}
+
+// Options configure a Council.
+type Options struct {
+	Node *daisyquorum.Node
+	View *daisyfleet.View // The state that the log has committed.
+	Self netip.AddrPort   // Where this host serves links.
+	New  func(began time.Time, term uint64) Decider
+	Log  log.Interface
+}
+
+// Council is the part of a control host that leads, when it does.
+type Council struct {
 	node   *daisyquorum.Node
-	view   *daisyfleet.View // The state that the log has committed.
+	view   *daisyfleet.View
 	self   netip.AddrPort
+	begin  func(began time.Time, term uint64) Decider
 	log    log.Interface
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -39,7 +65,7 @@
 	doubt broadcast // A host reported what it sees of a primary.
 
 	mu     sync.Mutex
-	leader *daisycontrol.Leader // Nil while this host does not lead.
+	leader Decider // Nil while this host does not lead.
 	term   uint64
 	whole  whole
 }
@@ -55,28 +81,29 @@
 // wholeLife is how many revisions old the encoded whole state may be.
 const wholeLife = 1000
 
-func newControl(node *daisyquorum.Node, view *daisyfleet.View, self netip.AddrPort, l log.Interface) *control {
-	c := &control{node: node, view: view, self: self, log: l, wake: make(chan struct{}, 1)}
+// New returns a council that serves and decides until it is closed.
+func New(o Options) *Council {
+	c := &Council{node: o.Node, view: o.View, self: o.Self, begin: o.New, log: o.Log, wake: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.wait.Go(c.decide)
 	return c
 }
 
 // leading returns the decisions of the present leadership, or nil.
-func (c *control) leading(now time.Time) *daisycontrol.Leader {
+func (c *Council) leading(now time.Time) Decider {
 	term, ok := c.node.Leads()
 	if !ok {
 		c.leader = nil
 		return nil
 	}
 	if c.leader == nil || term != c.term {
-		c.leader, c.term = daisycontrol.NewLeader(now), term
+		c.leader, c.term = c.begin(now, term), term
 	}
 	return c.leader
 }
 
 // decide proposes what is due while this host leads.
-func (c *control) decide() {
+func (c *Council) decide() {
 	ticker := time.NewTicker(decideInterval)
 	defer ticker.Stop()
 	for {
@@ -93,10 +120,10 @@
 	}
 }
 
-func (c *control) due() (changes []daisyfleet.Change) {
+func (c *Council) due() (changes []daisyfleet.Change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := daisyclock.Now()
 	leader := c.leading(now)
 	if leader == nil {
 		return nil
@@ -105,7 +132,7 @@
 	return changes
 }
 
-func (c *control) decided() {
+func (c *Council) decided() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.leader != nil {
@@ -115,7 +142,7 @@
 
 // propose lets the log decide the changes, all at once: the loss of a failure
 // domain calls for hundreds.
-func (c *control) propose(changes []daisyfleet.Change) {
+func (c *Council) propose(changes []daisyfleet.Change) {
 	ctx, cancel := context.WithTimeout(c.ctx, decideTimeout)
 	defer cancel()
 	for i := range changes {
@@ -140,7 +167,7 @@
 }
 
 // refreshWhole encodes the whole state if what is held is too old; c.mu is held.
-func (c *control) refreshWhole(s *daisyfleet.State) {
+func (c *Council) refreshWhole(s *daisyfleet.State) {
 	if c.whole.message != nil && s.Revision()-c.whole.revision <= wholeLife {
 		return
 	}
@@ -155,11 +182,20 @@
 	held  uint64 // The revision that the host then holds; 0 if this host does not lead.
 }
 
+// controls returns the addresses of the control hosts.
+func (c *Council) controls() []netip.AddrPort {
+	var all []netip.AddrPort
+	for _, s := range c.node.Seats() {
+		all = append(all, s.Address)
+	}
+	return all
+}
+
 // beat answers a heartbeat.
-func (c *control) beat(b daisybeat.Beat) (a answer) {
+func (c *Council) beat(b daisybeat.Beat) (a answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := daisyclock.Now()
 	leader := c.leading(now)
 	if leader == nil {
 		a.reply = daisybeat.Reply{ID: b.ID, Leader: c.node.Leader()}
@@ -169,6 +205,9 @@
 	c.view.Read(func(s *daisyfleet.State) {
 		a.reply.Lease = leader.Beat(now, s, b)
 		a.reply.Probes = leader.Probes(now, s, b.Host)
+		if len(b.Demands) > 0 && a.reply.Lease > 0 {
+			a.reply.Grants = leader.Grants(now, s, b)
+		}
 		from := b.Revision
 		if from == 0 && s.Revision() > 0 {
 			c.refreshWhole(s)
@@ -177,6 +216,7 @@
 		if from != s.Revision() {
 			delta := s.Delta(from)
 			a.reply.Delta = &delta
+			a.reply.Controls = c.controls()
 		}
 		a.held = s.Revision()
 	})
@@ -184,20 +224,21 @@
 		c.doubt.announce()
 	}
 	if a.reply.Lease == 0 || len(b.Claims)+len(b.Sights)+len(b.Released)+len(b.Outranked) > 0 {
-		c.wakeUp()
+		c.Wake()
 	}
 	return a
 }
 
-func (c *control) wakeUp() {
+// Wake makes the leader decide at once.
+func (c *Council) Wake() {
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
-// serve answers a host on its link.
-func (c *control) serve(ctx context.Context, link *daisylink.Conn) {
+// Serve answers a host on its link.
+func (c *Council) Serve(ctx context.Context, link *daisylink.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -244,7 +285,7 @@
 }
 
 // push sends deltas as the state changes, between heartbeats.
-func (c *control) push(ctx context.Context, link *daisylink.Conn, held <-chan uint64) {
+func (c *Council) push(ctx context.Context, link *daisylink.Conn, held <-chan uint64) {
 	var from uint64
 	for {
 		changed, doubted := c.view.Changed(), c.doubt.next()
@@ -272,10 +313,10 @@
 }
 
 // probes returns the primaries that the host is to probe now.
-func (c *control) probes(host string) (probes []daisybeat.Probe) {
+func (c *Council) probes(host string) (probes []daisybeat.Probe) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := daisyclock.Now()
 	leader := c.leading(now)
 	if leader == nil {
 		return nil
@@ -285,7 +326,7 @@
 }
 
 // decideProposal lets the log decide a proposal and answers it.
-func (c *control) decideProposal(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
+func (c *Council) decideProposal(ctx context.Context, link *daisylink.Conn, p daisycodec.Proposal) {
 	d := daisycodec.Decision{ID: p.ID}
 	p.Change.At = time.Now()
 	outcome, err := c.node.Propose(ctx, p.Change)
@@ -294,12 +335,34 @@
 		d.Leader = c.node.Leader()
 	} else {
 		d.Outcome = &outcome
-		c.wakeUp()
+		c.Wake()
 	}
 	_ = link.Send(ctx, daisycodec.EncodeDecision(d))
 }
 
-func (c *control) close() {
+// Lead runs f on the decisions and the committed state, if this host leads for
+// certain at this moment. It returns false if it does not.
+func (c *Council) Lead(f func(now time.Time, d Decider, s *daisyfleet.State)) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := daisyclock.Now()
+	leader := c.leading(now)
+	if leader == nil {
+		return false
+	}
+	c.view.Read(func(s *daisyfleet.State) { f(now, leader, s) })
+	return true
+}
+
+// Events returns the latest decisions of the fleet, oldest first.
+func (c *Council) Events() (events []daisyfleet.Event) {
+	c.view.Read(func(s *daisyfleet.State) { events = s.Events() })
+	return events
+}
+
+// Close stops deciding and waits for it.
+func (c *Council) Close() error {
 	c.cancel()
 	c.wait.Wait()
+	return nil
 }
--- a/internal/host/daisyhost/peers.go
+++ b/internal/control/daisycouncil/peers.go
@@ -1,4 +1,4 @@
-package daisyhost
+package daisycouncil
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	peerRetry = 100 * time.Millisecond
 )
 
-// peers sends the log's messages to other control hosts.
-type peers struct {
+// Peers sends the log's messages to other control hosts.
+type Peers struct {
 	dialer *daisylink.Dialer
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -30,14 +30,15 @@
 	queues map[netip.AddrPort]chan daisylog.Message
 }
 
-func newPeers(d *daisylink.Dialer) *peers {
-	p := &peers{dialer: d, queues: make(map[netip.AddrPort]chan daisylog.Message)}
+// NewPeers returns a transport that dials with the dialer.
+func NewPeers(d *daisylink.Dialer) *Peers {
+	p := &Peers{dialer: d, queues: make(map[netip.AddrPort]chan daisylog.Message)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
 
 // Send implements daisyquorum.Transport.
-func (p *peers) Send(to netip.AddrPort, m daisylog.Message) {
+func (p *Peers) Send(to netip.AddrPort, m daisylog.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.ctx.Err() != nil {
@@ -55,7 +56,7 @@
 	}
 }
 
-func (p *peers) run(to netip.AddrPort, queue chan daisylog.Message) {
+func (p *Peers) run(to netip.AddrPort, queue chan daisylog.Message) {
 	for p.ctx.Err() == nil {
 		link, err := p.dialer.Dial(p.ctx, to, daisylink.PathLog)
 		if err == nil {
@@ -69,7 +70,7 @@
 	}
 }
 
-func (p *peers) drain(link *daisylink.Conn, queue chan daisylog.Message) {
+func (p *Peers) drain(link *daisylink.Conn, queue chan daisylog.Message) {
 	for {
 		select {
 		case m := <-queue:
@@ -85,13 +86,15 @@
 	}
 }
 
-func (p *peers) close() {
+// Close drops what is queued and waits until nothing is sent.
+func (p *Peers) Close() error {
 	p.cancel()
 	p.wait.Wait()
+	return nil
 }
 
-// serveLog passes messages from another replica to the node.
-func serveLog(ctx context.Context, link *daisylink.Conn, step func(daisylog.Message)) {
+// ServeLog passes messages from another replica to the node.
+func ServeLog(ctx context.Context, link *daisylink.Conn, step func(daisylog.Message)) {
 	for {
 		b, err := link.Receive(ctx)
 		if err != nil {
--- /dev/null
+++ b/internal/control/daisyfleet/service.go
@@ -0,0 +1,92 @@
+package daisyfleet
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+)
+
+// DocumentName is the name of the only object of kind Document.
+const DocumentName = "Desired"
+
+// Document is the desired state as one versioned document. The fleet stores
+// its bytes and does not read them.
+type Document struct {
+	Version uint64
+	Content string // DEFLATE of the bytes as they were sent.
+}
+
+// Kind implements Value.
+func (Document) Kind() Kind { return KindDocument }
+
+// Check implements Value.
+func (d Document) Check() error {
+	if d.Content == "" {
+		return errors.New("Content is empty")
+	}
+	return nil
+}
+
+// Server is a backend server that announced itself. The object has the name of
+// the server's incarnation.
+type Server struct {
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Born          time.Time // When its process started, to the millisecond.
+	Leaving       bool      // The server asked for no new work.
+}
+
+// Kind implements Value.
+func (Server) Kind() Kind { return KindServer }
+
+// Check implements Value.
+func (s Server) Check() error {
+	switch {
+	case s.Service == "":
+		return errors.New("Service is empty")
+	case !s.Address.IsValid():
+		return errors.New("Address is not an IP and port")
+	}
+	return nil
+}
+
+// Primacy says which backend server leads a service. The object has the name
+// of the service. Between two rounds there is no server: hosts that hold that
+// state send the service no writes, so another server may be promoted once
+// every lease on an older state is recalled or has run out.
+type Primacy struct {
+	Round    uint64 // Counts the successions.
+	Server   string // The server that serves writes; empty during a succession.
+	Term     uint64 // The term of the server's log when it was confirmed.
+	Previous string // The server that led in the round before.
+}
+
+// Kind implements Value.
+func (Primacy) Kind() Kind { return KindPrimacy }
+
+// Check implements Value.
+func (p Primacy) Check() error {
+	if p.Round == 0 {
+		return errors.New("Round is 0")
+	}
+	return nil
+}
+
+// Server returns the named backend server.
+func (v *View) Server(name string) (Server, bool) {
+	s, ok := v.value(KindServer, name).(Server)
+	return s, ok
+}
+
+// Primacy returns who leads the service.
+func (v *View) Primacy(service string) (Primacy, bool) {
+	p, ok := v.value(KindPrimacy, service).(Primacy)
+	return p, ok
+}
+
+// Document returns the desired state, if one was accepted.
+func (v *View) Document() (Document, bool) {
+	d, ok := v.value(KindDocument, DocumentName).(Document)
+	return d, ok
+}
--- a/internal/control/daisyfleet/value.go
+++ b/internal/control/daisyfleet/value.go
@@ -18,6 +18,9 @@
 	KindMember    Kind = "Member"
 	KindHost      Kind = "Host"
 	KindTenure    Kind = "Tenure"
+	KindDocument  Kind = "Document"
+	KindServer    Kind = "Server"
+	KindPrimacy   Kind = "Primacy"
 )
 
 // Acknowledge states when a write may be acknowledged to its caller.
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -8,11 +8,13 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
@@ -46,6 +48,7 @@
 	Dial   Dial                    // Opens links.
 	Report func() daisybeat.Beat   // The host's present reports; ID and Revision are filled in.
 	Probe  func([]daisybeat.Probe) // Told of the primaries to probe.
+	Grant  func([]daisybeat.Demand) // Told of granted tokens; may be nil.
 	View   *daisyfleet.View
 	Log    log.Interface
 }
@@ -70,6 +73,7 @@
 	verdicts map[uint64]chan daisycodec.Decision
 	answered time.Time
 	leader   netip.AddrPort
+	controls []netip.AddrPort // As the control hosts said last; empty if they did not.
 }
 
 // New returns a keeper that does nothing before Start.
@@ -99,7 +103,8 @@
 	for k.ctx.Err() == nil {
 		addr := k.hint()
 		if !addr.IsValid() {
-			addr = k.options.Hosts[next%len(k.options.Hosts)]
+			hosts := k.hosts()
+			addr = hosts[next%len(hosts)]
 			next++
 		}
 		if err := k.attend(addr); err != nil {
@@ -121,6 +126,27 @@
 	return addr
 }
 
+// hosts returns the control hosts as learned, followed by those configured, so
+// that a host finds the fleet also after all of either kind were replaced.
+func (k *Keeper) hosts() []netip.AddrPort {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	hosts := slices.Clone(k.controls)
+	for _, h := range k.options.Hosts {
+		if !slices.Contains(hosts, h) {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts
+}
+
+// SetHosts replaces the configured control hosts.
+func (k *Keeper) SetHosts(hosts []netip.AddrPort) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.options.Hosts = hosts
+}
+
 // attend sends heartbeats to a control host until it fails or does not lead.
 func (k *Keeper) attend(addr netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(k.ctx, dialTimeout)
@@ -148,7 +174,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.link = link
-	k.answered = time.Now()
+	k.answered = daisyclock.Now()
 	clear(k.sent)
 	for id, verdict := range k.verdicts {
 		close(verdict)
@@ -172,7 +198,7 @@
 			return ctx.Err()
 		}
 		k.mu.Lock()
-		silent := time.Since(k.answered) > replyTimeout
+		silent := daisyclock.Now().Sub(k.answered) > replyTimeout
 		k.mu.Unlock()
 		if silent {
 			return errors.New("control host does not answer")
@@ -183,7 +209,7 @@
 func (k *Keeper) sendBeat(ctx context.Context, link Link) error {
 	b := k.options.Report()
 	b.Revision = k.options.View.Revision()
-	now := time.Now()
+	now := daisyclock.Now()
 	k.mu.Lock()
 	k.nextID++
 	b.ID = k.nextID
@@ -228,15 +254,21 @@
 	if r.ID == 0 {
 		return true
 	}
+	if len(r.Grants) > 0 && k.options.Grant != nil {
+		k.options.Grant(r.Grants)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if len(r.Controls) > 0 {
+		k.controls = r.Controls
+	}
 	sent, ok := k.sent[r.ID]
 	delete(k.sent, r.ID)
 	if r.Leader != addr {
 		k.leader = r.Leader
 		return false
 	}
-	k.answered = time.Now()
+	k.answered = daisyclock.Now()
 	if ok && r.Lease > 0 {
 		k.Extend(sent, r.Lease)
 	}
--- a/internal/control/daisykeeper/lease.go
+++ b/internal/control/daisykeeper/lease.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 )
 
 // Lease is the host's right to act on the state that it holds. The zero value
@@ -26,5 +28,5 @@
 func (l *Lease) Valid() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return time.Now().Before(l.until)
+	return daisyclock.Now().Before(l.until)
 }
--- a/internal/control/daisylog/founder.go
+++ b/internal/control/daisylog/founder.go
@@ -1,12 +1,22 @@
 package daisylog
 
+import "slices"
+
 // Found returns what the first replica of a new log starts from: a snapshot
 // that seats it alone.
-func Found(seat Seat) Saved {
-	seat.Voting = true
+func Found(seat Seat) Saved { return FoundTogether(seat.Replica, []Seat{seat}) }
+
+// FoundTogether returns what the replica, one of the seats, starts from in a
+// new log that all the seats found: a snapshot that gives each of them a vote.
+// Every founder must be given the same seats.
+func FoundTogether(self ReplicaID, seats []Seat) Saved {
+	seats = slices.Clone(seats)
+	for i := range seats {
+		seats[i].Voting = true
+	}
 	return Saved{
-		Replica: seat.Replica,
+		Replica: self,
 		Ballot:  Ballot{Term: 1},
-		Image:   Image{Index: 1, Term: 1, Seats: []Seat{seat}},
+		Image:   Image{Index: 1, Term: 1, Seats: seats},
 	}
 }
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -66,8 +66,13 @@
 
 	newImage *Image
 	outbox   []Message
+	voters   int // How many replicas may vote; 0 sets no limit.
 }
 
+// SetVoters limits how many replicas vote. A newcomer beyond the limit gets a
+// vote only in place of a replica that has been silent for RetireAfter.
+func (r *Replica) SetVoters(n int) { r.voters = n }
+
 // New returns a replica that continues from what was saved.
 func New(now time.Time, s Saved, random *rand.Rand) *Replica {
 	r := &Replica{
--- a/internal/control/daisylog/seats.go
+++ b/internal/control/daisylog/seats.go
@@ -86,6 +86,11 @@
 	}
 	seats := slices.Clone(r.seats)
 	replaced := slices.IndexFunc(seats, func(s Seat) bool { return s.Name == seat.Name && s.Replica != id })
+	if replaced < 0 && r.voters > 0 && r.countVoters() >= r.voters {
+		if replaced = r.silentSeat(now); replaced < 0 {
+			return
+		}
+	}
 	if replaced >= 0 {
 		_ = r.ChangeSeats(now, slices.Delete(seats, replaced, replaced+1))
 		return
@@ -97,3 +102,34 @@
 	}
 	_ = r.ChangeSeats(now, seats)
 }
+
+func (r *Replica) countVoters() int {
+	n := 0
+	for _, s := range r.seats {
+		if s.Voting {
+			n++
+		}
+	}
+	return n
+}
+
+// silentSeat returns the index of the voting seat that has been silent for the
+// longest time, RetireAfter at least, or -1.
+func (r *Replica) silentSeat(now time.Time) int {
+	found := -1
+	var oldest time.Time
+	for i, s := range r.seats {
+		p := r.progress[s.Replica]
+		if !s.Voting || p == nil {
+			continue
+		}
+		heard := p.acked
+		if heard.Before(r.ledSince) {
+			heard = r.ledSince
+		}
+		if now.Sub(heard) >= RetireAfter && (found < 0 || heard.Before(oldest)) {
+			found, oldest = i, heard
+		}
+	}
+	return found
+}
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -16,6 +16,10 @@
 	ElectionMin = 1000 * time.Millisecond
 	// ElectionMax is the greatest time without a leader before an election.
 	ElectionMax = 1600 * time.Millisecond
+	// RetireAfter is how long a voting replica must be silent before a newcomer
+	// that has caught up may take its seat. It outlasts an election, so that a
+	// replica is not given up because a leader has just begun.
+	RetireAfter = 2500 * time.Millisecond
 	// LeaseMargin is what clocks may gain on each other during ElectionMin.
 	LeaseMargin = 100 * time.Millisecond
 )
--- /dev/null
+++ b/internal/control/daisypromote/tokens.go
@@ -0,0 +1,51 @@
+package daisypromote
+
+import (
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+)
+
+// Desired is what the leader follows of the desired state.
+type Desired struct {
+	Limits []daisyallowance.Limit
+	// SyncReplicas is how many replicas of each service hold a write before it
+	// is acknowledged, by service.
+	SyncReplicas map[string]int
+}
+
+// SetDesired tells the leader the desired state in force.
+func (l *Leader) SetDesired(now time.Time, d Desired) {
+	l.syncReplicas = d.SyncReplicas
+	known := make(map[string]bool)
+	for _, limit := range d.Limits {
+		known[limit.Workspace] = true
+		if p := l.pools[limit.Workspace]; p != nil {
+			p.SetLimit(now, limit)
+			continue
+		}
+		l.pools[limit.Workspace] = daisyallowance.NewPool(now, limit)
+	}
+	for name := range l.pools {
+		if !known[name] {
+			delete(l.pools, name)
+		}
+	}
+}
+
+// Grants implements daisycouncil.Decider.
+func (l *Leader) Grants(now time.Time, _ *daisyfleet.State, b daisybeat.Beat) []daisybeat.Demand {
+	var grants []daisybeat.Demand
+	for _, d := range b.Demands {
+		p := l.pools[d.Workspace]
+		if p == nil {
+			continue
+		}
+		if tokens := p.Draw(now, d.Tokens); tokens > 0 {
+			grants = append(grants, daisybeat.Demand{Workspace: d.Workspace, Tokens: tokens})
+		}
+	}
+	return grants
+}
--- /dev/null
+++ b/internal/control/daisypromote/types.go
@@ -0,0 +1,77 @@
+package daisypromote
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Role is the part that a server plays in its service, as it says itself.
+type Role int
+
+// The roles.
+const (
+	RoleUnknown Role = iota
+	RolePrimary
+	RoleReplica
+)
+
+// Announcement is a server's word that it is there.
+type Announcement struct {
+	ID            string // Names the incarnation of the server.
+	Service       string
+	Address       netip.AddrPort
+	FailureDomain string
+	Born          time.Time // When the process started.
+	Sequence      uint64    // Increases with each announcement of a process.
+	Leaving       bool      // The server asks for no new work.
+	Role          Role
+}
+
+// Status is what a server says of itself when it is probed.
+type Status struct {
+	Role     Role
+	Term     uint64 // The term of its log.
+	Received uint64 // The number of the last entry that it has received.
+}
+
+// OrderKind names what is to be done.
+type OrderKind int
+
+// The kinds of order.
+const (
+	// OrderProbe asks the server for its status.
+	OrderProbe OrderKind = iota
+	// OrderPromote has the server promoted.
+	OrderPromote
+	// OrderStepDown tells a replaced primary the term that replaced it.
+	OrderStepDown
+)
+
+// Order is something to be done to a server.
+type Order struct {
+	Kind    OrderKind
+	Service string
+	Server  string
+	Address netip.AddrPort
+	Term    uint64 // For OrderStepDown.
+}
+
+// Verdict is what became of a promotion.
+type Verdict int
+
+// The verdicts.
+const (
+	// VerdictUnknown means that the promotion may or may not have been taken.
+	VerdictUnknown Verdict = iota
+	// VerdictTaken means that the promotion is under way.
+	VerdictTaken
+	// VerdictRefused means that the server cannot be promoted.
+	VerdictRefused
+)
+
+// Result is what became of an order.
+type Result struct {
+	Order
+	Status  *Status // Nil if a probe was not answered.
+	Verdict Verdict // Of a promotion.
+}
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisylog"
@@ -52,6 +53,7 @@
 	Transport Transport
 	View      *daisyfleet.View
 	Random    *rand.Rand
+	Voters    int // How many replicas may vote; 0 sets no limit.
 	Log       log.Interface
 }
 
@@ -82,7 +84,8 @@
 	defer daisyerror.Annotate(&err, "open control log")
 	n = &Node{options: o, wake: make(chan struct{}, 1), waiters: make(map[uint64]waiter), known: make(map[daisylog.ReplicaID]netip.AddrPort)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.replica = daisylog.New(time.Now(), o.Saved, o.Random)
+	n.replica = daisylog.New(daisyclock.Now(), o.Saved, o.Random)
+	n.replica.SetVoters(o.Voters)
 	n.restore(o.Saved.Image)
 	n.wait.Go(n.run)
 	n.wait.Go(n.join)
@@ -105,7 +108,7 @@
 		n.mu.Lock()
 		next := n.replica.Next()
 		n.mu.Unlock()
-		timer := time.NewTimer(time.Until(next))
+		timer := time.NewTimer(daisyclock.Until(next))
 		select {
 		case <-timer.C:
 			n.with(n.replica.Tick)
@@ -122,7 +125,7 @@
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
 		if !n.seated() {
-			for _, peer := range n.options.Peers {
+			for _, peer := range n.peers() {
 				n.options.Transport.Send(peer, daisylog.Join(n.options.Self))
 			}
 		}
@@ -133,6 +136,19 @@
 	}
 }
 
+func (n *Node) peers() []netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.options.Peers
+}
+
+// SetPeers replaces the control hosts that a newcomer asks.
+func (n *Node) SetPeers(peers []netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.options.Peers = peers
+}
+
 func (n *Node) seated() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -159,7 +175,7 @@
 	if n.failed != nil {
 		return
 	}
-	f(time.Now())
+	f(daisyclock.Now())
 	n.settle()
 	select {
 	case n.wake <- struct{}{}:
@@ -178,7 +194,7 @@
 			n.fail(err)
 			return
 		}
-		n.replica.Saved(time.Now())
+		n.replica.Saved(daisyclock.Now())
 		n.send(ready.Messages)
 		n.apply(&ready)
 	}
@@ -350,7 +366,7 @@
 func (n *Node) Leads() (term uint64, ok bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.replica.Term(), n.failed == nil && n.replica.Holds(time.Now())
+	return n.replica.Term(), n.failed == nil && n.replica.Holds(daisyclock.Now())
 }
 
 // Leader returns the address of the leader, if one is known.
--- /dev/null
+++ b/internal/host/daisycore/calls.go
@@ -0,0 +1,155 @@
+package daisycore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/control/daisycouncil"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
+)
+
+// awaitStep is how often a call looks whether what it waits for is in the log.
+const awaitStep = 20 * time.Millisecond
+
+// NotLeadingError is returned for a call that only the leader can answer.
+type NotLeadingError struct {
+	Leader netip.AddrPort // The leader's link; invalid if none is known.
+}
+
+// Error implements error.
+func (e *NotLeadingError) Error() string {
+	if e.Leader.IsValid() {
+		return "host " + e.Leader.String() + " leads"
+	}
+	return "no leader is known"
+}
+
+var errNoDocument = errors.New("no desired state was accepted yet")
+
+func (c *Core) elsewhere() error { return &NotLeadingError{Leader: c.node.Leader()} }
+
+// Announce takes a server's announcement. One that says that the server leaves
+// is taken once the log holds it, so that no later leader forgets it.
+func (c *Core) Announce(ctx context.Context, a daisypromote.Announcement) (err error) {
+	if !c.withLeader(func(now time.Time, d *decider) { d.Announce(now, a) }) {
+		return c.elsewhere()
+	}
+	if !a.Leaving {
+		return nil
+	}
+	c.council.Wake()
+	for {
+		if s, ok := c.view.Server(a.ID); !ok || s.Leaving || s.Born.After(a.Born) {
+			return c.confirm()
+		}
+		select {
+		case <-time.After(awaitStep):
+		case <-ctx.Done():
+			return fmt.Errorf("announcement is not in the log yet: %w", ctx.Err())
+		}
+	}
+}
+
+// Leave takes a server's word that it has ended.
+func (c *Core) Leave(_ context.Context, server string) error {
+	if !c.withLeader(func(now time.Time, d *decider) { d.Leave(now, server) }) {
+		return c.elsewhere()
+	}
+	c.council.Wake()
+	return nil
+}
+
+func (c *Core) withLeader(f func(now time.Time, d *decider)) bool {
+	return c.council.Lead(func(now time.Time, d daisycouncil.Decider, _ *daisyfleet.State) {
+		if leader, ok := d.(*decider); ok {
+			f(now, leader)
+		}
+	})
+}
+
+// confirm returns an error unless this host still leads.
+func (c *Core) confirm() error {
+	if !c.Leads() {
+		return c.elsewhere()
+	}
+	return nil
+}
+
+// Put has a desired state accepted. One that is not newer than the one in force
+// changes nothing and is acknowledged.
+func (c *Core) Put(ctx context.Context, version uint64, content []byte) (err error) {
+	defer daisyerror.Annotate(&err, "accept desired state %d", version)
+	packed, err := daisydesire.Pack(content)
+	if err != nil {
+		return err
+	}
+	for {
+		held, revision := c.held()
+		if !c.Leads() {
+			return c.elsewhere()
+		}
+		if revision > 0 && held.Version >= version {
+			return nil
+		}
+		change := daisyfleet.Change{
+			Reason: fmt.Sprintf("desired state %d", version), At: time.Now(),
+			Operations: []daisyfleet.Operation{{
+				ID:      daisyfleet.ID{Kind: daisyfleet.KindDocument, Name: daisyfleet.DocumentName},
+				Against: revision, Value: daisyfleet.Document{Version: version, Content: packed},
+			}},
+		}
+		outcome, err := c.node.Propose(ctx, change)
+		if err != nil {
+			return errors.Join(err, c.elsewhere())
+		}
+		if outcome.Accepted {
+			c.options.Log.WithFields(log.Fields{"Version": version, "Revision": outcome.Revision}).Info("core: desired state accepted")
+			return nil
+		}
+	}
+}
+
+// held returns the desired state in force and its revision, 0 if there is none.
+func (c *Core) held() (d daisyfleet.Document, revision uint64) {
+	c.view.Read(func(s *daisyfleet.State) {
+		o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindDocument, Name: daisyfleet.DocumentName})
+		if ok {
+			d, _ = o.Value.(daisyfleet.Document)
+			revision = o.Revision
+		}
+	})
+	return d, revision
+}
+
+// Document returns the desired state in force as it was sent. It is certain to
+// be the newest that was acknowledged when the call began.
+func (c *Core) Document(context.Context) (content []byte, err error) {
+	if !c.Leads() {
+		return nil, c.elsewhere()
+	}
+	d, revision := c.held()
+	if revision == 0 {
+		return nil, errNoDocument
+	}
+	if content, err = daisydesire.Unpack(d.Content); err != nil {
+		return nil, err
+	}
+	return content, c.confirm()
+}
+
+// parse decodes an accepted desired state.
+func (c *Core) parse(d daisyfleet.Document) (*daisydesire.Document, error) {
+	content, err := daisydesire.Unpack(d.Content)
+	if err != nil {
+		return nil, err
+	}
+	return c.options.Parse(content)
+}
--- /dev/null
+++ b/internal/host/daisycore/command.go
@@ -0,0 +1,153 @@
+package daisycore
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/control/daisycouncil"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+)
+
+const (
+	// commandInterval is how often the leader looks for orders that are due.
+	commandInterval = 50 * time.Millisecond
+	// probeTimeout bounds a probe of a server: some round trips between regions
+	// and a full queue before its slots.
+	probeTimeout = 400 * time.Millisecond
+	// promoteTimeout bounds a promotion call. It ends within the lease of a
+	// leader, so that no order outlives it.
+	promoteTimeout = 500 * time.Millisecond
+)
+
+// lead returns the decisions of a leadership.
+func (c *Core) lead(began time.Time, _ uint64) daisycouncil.Decider {
+	return &decider{Leader: daisypromote.NewLeader(daisypromote.Options{Began: began, Lease: Lease}), core: c}
+}
+
+// decider keeps the decisions up with the desired state.
+type decider struct {
+	*daisypromote.Leader
+	core     *Core
+	revision uint64 // Of the document that the decisions follow.
+}
+
+// Due implements daisycouncil.Decider.
+func (d *decider) Due(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
+	d.follow(now, s)
+	return d.Leader.Due(now, s)
+}
+
+// follow tells the decisions a desired state that is new to them.
+func (d *decider) follow(now time.Time, s *daisyfleet.State) {
+	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindDocument, Name: daisyfleet.DocumentName})
+	if !ok || o.Revision == d.revision {
+		return
+	}
+	d.revision = o.Revision
+	held, _ := o.Value.(daisyfleet.Document)
+	document, err := d.core.parse(held)
+	if err != nil {
+		d.core.options.Log.WithError(err).Error("core: accepted desired state cannot be read")
+		return
+	}
+	d.SetDesired(now, desired(document))
+}
+
+func desired(d *daisydesire.Document) daisypromote.Desired {
+	next := daisypromote.Desired{SyncReplicas: make(map[string]int)}
+	for _, w := range d.Workspaces {
+		next.Limits = append(next.Limits, daisyallowance.Limit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
+	}
+	for _, s := range d.Services {
+		next.SyncReplicas[s.Name] = s.SyncReplicas
+	}
+	return next
+}
+
+// command carries out the orders that are due while this host leads.
+func (c *Core) command() {
+	ticker := time.NewTicker(commandInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-c.wake:
+		case <-c.ctx.Done():
+			return
+		}
+		c.council.Lead(func(now time.Time, d daisycouncil.Decider, s *daisyfleet.State) {
+			leader, ok := d.(*decider)
+			if !ok {
+				return
+			}
+			for _, o := range leader.Orders(now, s) {
+				c.wait.Go(func() { c.carryOut(leader, o) })
+			}
+		})
+	}
+}
+
+// carryOut executes an order and reports what became of it to the leadership
+// that gave it.
+func (c *Core) carryOut(leader *decider, o daisypromote.Order) {
+	result := daisypromote.Result{Order: o}
+	line := c.options.Log.WithFields(log.Fields{"Service": o.Service, "Server": o.Server})
+	switch o.Kind {
+	case daisypromote.OrderProbe:
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		status, err := c.options.Prober.Probe(ctx, o)
+		if err != nil {
+			line.WithError(err).Info("core: probe not answered")
+			break
+		}
+		result.Status = &status
+	case daisypromote.OrderPromote:
+		result.Verdict = c.promote(leader, o)
+	case daisypromote.OrderStepDown:
+		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
+		defer cancel()
+		err := c.options.Prober.StepDown(ctx, o)
+		line.WithField("Term", o.Term).WithField("Error", err).Info("core: replaced primary told to step down")
+	}
+	c.council.Lead(func(now time.Time, d daisycouncil.Decider, _ *daisyfleet.State) {
+		if d == daisycouncil.Decider(leader) {
+			leader.Reported(now, result)
+		}
+	})
+	c.council.Wake()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// promote orders a promotion under the term of the leadership, so that the
+// fencing token rises with each leader.
+func (c *Core) promote(leader *decider, o daisypromote.Order) daisypromote.Verdict {
+	ctx, cancel := context.WithTimeout(c.ctx, promoteTimeout)
+	defer cancel()
+	term, leads := c.node.Leads()
+	if !leads {
+		return daisypromote.VerdictUnknown
+	}
+	c.options.Log.WithFields(log.Fields{"Service": o.Service, "Server": o.Server, "Fence": term}).Info("core: promotes")
+	return c.options.Promoter.Promote(ctx, o, term, func() bool {
+		now, leads := c.node.Leads()
+		return leads && now == term && c.current(leader)
+	})
+}
+
+// current reports whether the leadership is the present one.
+func (c *Core) current(leader *decider) bool {
+	same := false
+	c.council.Lead(func(_ time.Time, d daisycouncil.Decider, _ *daisyfleet.State) {
+		same = d == daisycouncil.Decider(leader)
+	})
+	return same
+}
--- /dev/null
+++ b/internal/host/daisycore/core.go
@@ -0,0 +1,202 @@
+package daisycore
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/config/daisynode"
+	"github.com/daisyglade/daisyglade/internal/control/daisycouncil"
+	"github.com/daisyglade/daisyglade/internal/control/daisydisk"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
+	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+)
+
+const (
+	// Lease is how long a host may act on the state that it holds. It outlasts
+	// the election of a leader, so that the loss of one stops nobody, and is
+	// short enough that a succession that must wait out a host ends in time.
+	Lease = 4 * time.Second
+	// headerTimeout bounds the opening of a link or a call.
+	headerTimeout = 5 * time.Second
+)
+
+// Promoter has servers promoted by another party.
+type Promoter interface {
+	// Promote orders a promotion under the fencing token. It asks send, right
+	// before it sends the order, whether to go on.
+	Promote(ctx context.Context, o daisypromote.Order, fence uint64, send func() bool) daisypromote.Verdict
+}
+
+// Prober asks servers directly.
+type Prober interface {
+	Probe(ctx context.Context, o daisypromote.Order) (daisypromote.Status, error)
+	StepDown(ctx context.Context, o daisypromote.Order) error
+}
+
+// Options configure a Core.
+type Options struct {
+	Settings daisynode.Settings
+	Network  daisynet.Network
+	Promoter Promoter
+	Prober   Prober
+	Parse    func(content []byte) (*daisydesire.Document, error)
+	Log      log.Interface
+}
+
+// Core is a running control host.
+type Core struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wait    sync.WaitGroup
+
+	disk    *daisydisk.Log
+	peers   *daisycouncil.Peers
+	view    *daisyfleet.View
+	node    *daisyquorum.Node
+	council *daisycouncil.Council
+	mux     daisylink.Mux
+	links   *http.Server
+	wake    chan struct{} // Orders may be due.
+}
+
+// Open starts a control host.
+func Open(o Options) (c *Core, err error) {
+	defer daisyerror.Annotate(&err, "open control host")
+	c = &Core{options: o, view: daisyfleet.NewView(), wake: make(chan struct{}, 1)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	if err := c.open(); err != nil {
+		return nil, errors.Join(err, c.Close())
+	}
+	return c, nil
+}
+
+func (c *Core) open() (err error) {
+	s := &c.options.Settings
+	saved, err := c.openDisk()
+	if err != nil {
+		return err
+	}
+	c.peers = daisycouncil.NewPeers(daisylink.NewPlainDialer(s.Link.String(), c.options.Network))
+	c.node, err = daisyquorum.Open(daisyquorum.Options{
+		Self:  daisylog.Seat{Replica: saved.Replica, Name: s.Link.String(), Address: s.Link},
+		Peers: others(s.Seeds, s.Link), Saved: saved, Storage: c.disk, Transport: c.peers,
+		View: c.view, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Voters: s.Voters(), Log: c.options.Log,
+	})
+	if err != nil {
+		return err
+	}
+	c.council = daisycouncil.New(daisycouncil.Options{Node: c.node, View: c.view, Self: s.Link, New: c.lead, Log: c.options.Log})
+	if err := c.openLinks(); err != nil {
+		return err
+	}
+	c.wait.Go(c.command)
+	return nil
+}
+
+// openDisk opens the log of the data folder. If there is none, the host founds
+// the fleet together with the other seeds, or is a newcomer.
+func (c *Core) openDisk() (saved daisylog.Saved, err error) {
+	s := &c.options.Settings
+	c.disk, saved, err = daisydisk.Open(s.DataFolder)
+	if !errors.Is(err, daisydisk.ErrNone) {
+		return saved, err
+	}
+	if err := daisydisk.Create(s.DataFolder, beginning(s)); err != nil {
+		return saved, err
+	}
+	c.disk, saved, err = daisydisk.Open(s.DataFolder)
+	return saved, err
+}
+
+// beginning returns what a host without a log starts from. All founders are
+// given the same seeds, so they derive the same seats.
+func beginning(s *daisynode.Settings) daisylog.Saved {
+	if !s.Found || !slices.Contains(s.Seeds, s.Link) {
+		return daisylog.Saved{Replica: daisylog.ReplicaID(rand.Uint64() | 1)}
+	}
+	var seats []daisylog.Seat
+	for _, seed := range s.Seeds {
+		seats = append(seats, daisylog.Seat{Replica: founder(seed), Name: seed.String(), Address: seed})
+	}
+	return daisylog.FoundTogether(founder(s.Link), seats)
+}
+
+// founder returns the identity of the founder at the address.
+func founder(addr netip.AddrPort) daisylog.ReplicaID {
+	return daisylog.ReplicaID(xxhash.Sum64String(addr.String())&^1 | 2)
+}
+
+func others(seeds []netip.AddrPort, self netip.AddrPort) []netip.AddrPort {
+	return slices.DeleteFunc(slices.Clone(seeds), func(a netip.AddrPort) bool { return a == self })
+}
+
+// openLinks serves links from other hosts.
+func (c *Core) openLinks() error {
+	c.mux.Plain = true
+	c.mux.Handle(daisylink.PathBeat, c.council.Serve)
+	c.mux.Handle(daisylink.PathLog, func(ctx context.Context, l *daisylink.Conn) {
+		daisycouncil.ServeLog(ctx, l, c.node.Step)
+	})
+	listener, err := c.options.Network.Listen(c.ctx, c.options.Settings.Link)
+	if err != nil {
+		return err
+	}
+	c.links = &http.Server{
+		Handler: &c.mux, ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context { return c.ctx },
+	}
+	c.wait.Go(func() { _ = c.links.Serve(listener) })
+	return nil
+}
+
+// Leads reports whether this host leads for certain.
+func (c *Core) Leads() bool {
+	_, leads := c.node.Leads()
+	return leads
+}
+
+// SetSeeds replaces the seeds.
+func (c *Core) SetSeeds(seeds []netip.AddrPort) {
+	c.node.SetPeers(others(seeds, c.options.Settings.Link))
+}
+
+// Close stops the host and waits until nothing of it runs.
+func (c *Core) Close() error {
+	c.cancel()
+	var errs []error
+	if c.links != nil {
+		errs = append(errs, c.links.Close())
+		c.mux.Wait()
+	}
+	if c.council != nil {
+		errs = append(errs, c.council.Close())
+	}
+	if c.node != nil {
+		errs = append(errs, c.node.Close())
+	}
+	if c.peers != nil {
+		errs = append(errs, c.peers.Close())
+	}
+	if c.disk != nil {
+		errs = append(errs, c.disk.Close())
+	}
+	c.wait.Wait()
+	return errors.Join(errs...)
+}
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -21,6 +21,8 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
+	"github.com/daisyglade/daisyglade/internal/control/daisycouncil"
 	"github.com/daisyglade/daisyglade/internal/control/daisydisk"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisykeeper"
@@ -63,10 +65,10 @@
 	holder   *daisyholder.Holder
 	entry    *daisyentry.Server
 	ops      *daisyops.Server
-	control  *control
+	control  *daisycouncil.Council
 	node     *daisyquorum.Node
 	disk     *daisydisk.Log
-	peers    *peers
+	peers    *daisycouncil.Peers
 
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -166,7 +168,7 @@
 		return err
 	}
 	h.disk = disk
-	h.peers = newPeers(h.dialer)
+	h.peers = daisycouncil.NewPeers(h.dialer)
 	committed := daisyfleet.NewView()
 	h.node, err = daisyquorum.Open(daisyquorum.Options{
 		Self:  daisylog.Seat{Replica: saved.Replica, Name: s.Host, Address: s.Link.Advertise},
@@ -176,7 +178,10 @@
 	if err != nil {
 		return err
 	}
-	h.control = newControl(h.node, committed, s.Link.Advertise, h.log)
+	h.control = daisycouncil.New(daisycouncil.Options{
+		Node: h.node, View: committed, Self: s.Link.Advertise, Log: h.log,
+		New: func(began time.Time, _ uint64) daisycouncil.Decider { return daisycontrol.NewLeader(began) },
+	})
 	return nil
 }
 
@@ -200,9 +205,9 @@
 		serveGrants(ctx, c, h.limiter)
 	})
 	if h.control != nil {
-		mux.Handle(daisylink.PathBeat, h.control.serve)
+		mux.Handle(daisylink.PathBeat, h.control.Serve)
 		mux.Handle(daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
-			serveLog(ctx, c, h.node.Step)
+			daisycouncil.ServeLog(ctx, c, h.node.Step)
 		})
 	}
 	listener, err := h.network.Listen(h.ctx, h.settings.Link.Listen)
@@ -242,7 +247,7 @@
 // host without the control log.
 func (h *Host) Events() (events []daisyfleet.Event) {
 	if h.control != nil {
-		h.control.view.Read(func(state *daisyfleet.State) { events = state.Events() })
+		events = h.control.Events()
 	}
 	return events
 }
@@ -404,13 +409,13 @@
 		errs = append(errs, h.keeper.Close())
 	}
 	if h.control != nil {
-		h.control.close()
+		errs = append(errs, h.control.Close())
 	}
 	if h.node != nil {
 		errs = append(errs, h.node.Close())
 	}
 	if h.peers != nil {
-		h.peers.close()
+		errs = append(errs, h.peers.Close())
 	}
 	if h.lanes != nil {
 		errs = append(errs, h.lanes.Close())
--- /dev/null
+++ b/internal/limit/daisyallowance/purse.go
@@ -0,0 +1,91 @@
+package daisyallowance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// horizon is how far ahead a host draws tokens for its demand; heartbeats
+	// come every 0.5 s, and one may be lost.
+	horizon = 1200 * time.Millisecond
+	// memory is the time over which demand is averaged.
+	memory = time.Second
+)
+
+// Purse holds a workspace's tokens on one host. It is not safe for concurrent
+// use.
+type Purse struct {
+	limit   Limit
+	hosts   float64 // How many hosts share the limit.
+	level   float64
+	updated time.Time
+	demand  float64 // Requests per second, averaged over memory.
+}
+
+// NewPurse returns an empty purse of one among so many hosts.
+func NewPurse(now time.Time, l Limit, hosts int) *Purse {
+	return &Purse{limit: l, hosts: math.Max(1, float64(hosts)), updated: now}
+}
+
+// SetLimit changes the limit and the number of hosts from now on.
+func (p *Purse) SetLimit(now time.Time, l Limit, hosts int) {
+	p.refill(now)
+	p.limit, p.hosts = l, math.Max(1, float64(hosts))
+	p.refill(now)
+}
+
+// stock is the most that the purse keeps; one request at least, or a workspace
+// with a small burst would get none through.
+func (p *Purse) stock() float64 { return math.Max(1, p.limit.Burst*hostStock/p.hosts) }
+
+func (p *Purse) refill(now time.Time) {
+	elapsed := now.Sub(p.updated)
+	p.updated = now
+	p.demand *= math.Exp(-elapsed.Seconds() / memory.Seconds())
+	level := p.level + elapsed.Seconds()*p.limit.Rate*hostShare/p.hosts
+	p.level = math.Min(level, p.stock())
+}
+
+// Take takes a token for one request. If there is none it returns how long the
+// host's own part takes to bring one.
+func (p *Purse) Take(now time.Time) (ok bool, wait time.Duration) {
+	p.refill(now)
+	p.demand += 1 / memory.Seconds()
+	return p.retake()
+}
+
+// Retake is Take for a request that was counted as demand before.
+func (p *Purse) Retake(now time.Time) (ok bool, wait time.Duration) {
+	p.refill(now)
+	return p.retake()
+}
+
+func (p *Purse) retake() (ok bool, wait time.Duration) {
+	if p.level >= 1 {
+		p.level--
+		return true, 0
+	}
+	rate := p.limit.Rate * hostShare / p.hosts
+	if rate <= 0 {
+		return false, time.Second
+	}
+	return false, time.Duration((1 - p.level) / rate * float64(time.Second))
+}
+
+// Put adds granted tokens.
+func (p *Purse) Put(now time.Time, tokens float64) {
+	p.refill(now)
+	p.level = math.Min(p.level+tokens, p.stock())
+}
+
+// Wanted returns how many tokens the demand lacks for the time ahead.
+func (p *Purse) Wanted(now time.Time) float64 {
+	p.refill(now)
+	own := p.limit.Rate * hostShare / p.hosts
+	ahead := (p.demand - own) * horizon.Seconds()
+	if p.demand <= own && p.level >= 1 {
+		return 0
+	}
+	return math.Max(0, math.Min(math.Max(ahead, 1), p.stock())-p.level)
+}
--- /dev/null
+++ b/internal/limit/daisygate/gate.go
@@ -0,0 +1,130 @@
+// Package daisygate admits operations on one host within the limits of their
+// workspaces.
+package daisygate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+)
+
+const (
+	// askSpacing is the least time between two requests for tokens out of turn.
+	askSpacing = 60 * time.Millisecond
+	// retryStep is how often a waiting operation looks for granted tokens.
+	retryStep = 10 * time.Millisecond
+)
+
+// Gate holds the purses of a host.
+type Gate struct {
+	ask func() // Has the next heartbeat sent at once.
+
+	mu     sync.Mutex
+	hosts  int
+	limits map[string]daisyallowance.Limit
+	purses map[string]*daisyallowance.Purse
+	asked  time.Time
+}
+
+// New returns a gate without limits that calls ask when it is short of tokens.
+func New(ask func()) *Gate {
+	return &Gate{ask: ask, hosts: 1, limits: make(map[string]daisyallowance.Limit), purses: make(map[string]*daisyallowance.Purse)}
+}
+
+// SetHosts changes how many hosts share the limits.
+func (g *Gate) SetHosts(n int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n == g.hosts {
+		return
+	}
+	g.hosts = n
+	g.apply()
+}
+
+// SetLimits replaces the limits.
+func (g *Gate) SetLimits(limits []daisyallowance.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.limits)
+	for _, l := range limits {
+		g.limits[l.Workspace] = l
+	}
+	g.apply()
+}
+
+func (g *Gate) apply() {
+	now := daisyclock.Now()
+	for name, l := range g.limits {
+		if p := g.purses[name]; p != nil {
+			p.SetLimit(now, l, g.hosts)
+			continue
+		}
+		g.purses[name] = daisyallowance.NewPurse(now, l, g.hosts)
+	}
+	for name := range g.purses {
+		if _, ok := g.limits[name]; !ok {
+			delete(g.purses, name)
+		}
+	}
+}
+
+// Admit admits one operation of the workspace. It waits up to the patience for
+// tokens and returns, if there are none, when to come back.
+func (g *Gate) Admit(workspace string, patience time.Duration) (ok bool, retryAfter time.Duration) {
+	until := daisyclock.Now().Add(patience)
+	take := (*daisyallowance.Purse).Take
+	for {
+		now := daisyclock.Now()
+		ok, retryAfter = g.take(now, workspace, take)
+		if ok || !now.Before(until) {
+			return ok, retryAfter
+		}
+		take = (*daisyallowance.Purse).Retake
+		time.Sleep(retryStep)
+	}
+}
+
+func (g *Gate) take(now time.Time, workspace string, take func(*daisyallowance.Purse, time.Time) (bool, time.Duration)) (bool, time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p := g.purses[workspace]
+	if p == nil {
+		return false, time.Second
+	}
+	ok, wait := take(p, now)
+	if !ok && now.Sub(g.asked) > askSpacing {
+		g.asked = now
+		g.ask()
+	}
+	return ok, wait
+}
+
+// Demands returns the tokens that the host lacks.
+func (g *Gate) Demands() []daisybeat.Demand {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := daisyclock.Now()
+	var demands []daisybeat.Demand
+	for name, p := range g.purses {
+		if tokens := p.Wanted(now); tokens > 0 {
+			demands = append(demands, daisybeat.Demand{Workspace: name, Tokens: tokens})
+		}
+	}
+	return demands
+}
+
+// Put adds granted tokens.
+func (g *Gate) Put(grants []daisybeat.Demand) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := daisyclock.Now()
+	for _, d := range grants {
+		if p := g.purses[d.Workspace]; p != nil {
+			p.Put(now, d.Tokens)
+		}
+	}
+}
--- /dev/null
+++ b/internal/session/daisychoice/choice.go
@@ -0,0 +1,121 @@
+// Package daisychoice decides which backend server of a service serves a read:
+// the one that is expected to answer first.
+package daisychoice
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// smoothing is the weight of a new observation in the average.
+	smoothing = 0.2
+	// forgetting is the time after which an average counts half, so that a
+	// server that was slow is tried again.
+	forgetting = 2 * time.Second
+	// backoffMin and backoffMax bound how long a server that failed is avoided.
+	backoffMin = 200 * time.Millisecond
+	backoffMax = 2 * time.Second
+	// lagPause is how long a replica that lagged behind a floor is avoided.
+	lagPause = 150 * time.Millisecond
+	// primaryPenalty keeps reads that a replica can serve off the slots that
+	// only the primary has for writes.
+	primaryPenalty = 15 * time.Millisecond
+	// busyShare is how much each statement under way adds to the expected time.
+	busyShare = 0.5
+	// startEstimate is the expected time of a server not yet observed.
+	startEstimate = 30 * time.Millisecond
+)
+
+// Server is what is known of one backend server. The zero value knows nothing.
+// It is not safe for concurrent use.
+type Server struct {
+	Base time.Duration // The round trip that its place costs.
+
+	average  time.Duration // Of the answers, without Base.
+	observed time.Time
+	underway int
+	failures int
+	avoid    time.Time // Until when it is avoided after failures.
+	lagging  time.Time // Until when it is avoided for fresh reads.
+}
+
+// Start notes that a statement was sent.
+func (s *Server) Start() { s.underway++ }
+
+// Answered notes an answer.
+func (s *Server) Answered(now time.Time, took time.Duration) {
+	s.underway--
+	s.failures, s.avoid = 0, time.Time{}
+	took = max(0, took-s.Base)
+	if s.observed.IsZero() {
+		s.average = took
+	} else {
+		s.average = time.Duration((1-smoothing)*float64(s.average) + smoothing*float64(took))
+	}
+	s.observed = now
+}
+
+// Dropped notes that a statement ended without telling anything of the server.
+func (s *Server) Dropped() { s.underway-- }
+
+// Failed notes that the server did not answer or could not be reached.
+func (s *Server) Failed(now time.Time) {
+	s.underway--
+	s.failures++
+	pause := backoffMin << min(s.failures-1, 4)
+	s.avoid = now.Add(min(pause, backoffMax))
+}
+
+// Lagged notes that the server's log had not reached the floor of a read.
+func (s *Server) Lagged(now time.Time) { s.lagging = now.Add(lagPause) }
+
+// Avoided reports whether the server failed lately.
+func (s *Server) Avoided(now time.Time) bool { return now.Before(s.avoid) }
+
+// Expected returns the time in which the server is expected to answer.
+func (s *Server) Expected(now time.Time, primary bool) time.Duration {
+	average := startEstimate
+	if !s.observed.IsZero() {
+		age := now.Sub(s.observed).Seconds() / forgetting.Seconds()
+		weight := math.Exp2(-age)
+		average = time.Duration(weight*float64(s.average) + (1-weight)*float64(startEstimate))
+	}
+	expected := s.Base + time.Duration(float64(average)*(1+busyShare*float64(s.underway)))
+	if primary {
+		expected += primaryPenalty
+	}
+	return expected
+}
+
+// Candidate is a server that may serve a read.
+type Candidate struct {
+	Name    string
+	Server  *Server
+	Primary bool
+	Full    bool // No connection to it is free.
+}
+
+// Best returns the index of the best candidate, or -1 if there is none. Servers
+// that failed lately come last, then those that lagged or have no free
+// connection.
+func Best(now time.Time, candidates []Candidate) int {
+	best, bestRank, bestExpected := -1, 0, time.Duration(0)
+	for i, c := range candidates {
+		rank := 0
+		if c.Full {
+			rank++
+		}
+		if !c.Primary && now.Before(c.Server.lagging) {
+			rank += 2
+		}
+		if c.Server.Avoided(now) {
+			rank += 4
+		}
+		expected := c.Server.Expected(now, c.Primary)
+		if best < 0 || rank < bestRank || rank == bestRank && expected < bestExpected {
+			best, bestRank, bestExpected = i, rank, expected
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/session/daisyrouter/router.go
@@ -0,0 +1,323 @@
+// Package daisyrouter knows, on one host, which backend servers a service has,
+// which of them leads, what each is fit for, and how fresh its answers are.
+package daisyrouter
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/session/daisychoice"
+	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+const (
+	// nearTrip and farTrip are the round trips assumed to another failure domain
+	// of the same region and to another region, until answers are observed.
+	nearTrip = 2 * time.Millisecond
+	farTrip  = 25 * time.Millisecond
+)
+
+// Right tells whether the host may act on the state that it holds.
+type Right interface {
+	Valid() bool
+}
+
+// Place is where a host or a server runs.
+type Place struct {
+	FailureDomain string
+	Region        string
+}
+
+// Options configure a Router.
+type Options struct {
+	View    *daisyfleet.View
+	Right   Right
+	Pool    *daisypool.Pool
+	Place   Place
+	Regions map[string]string // The region of each failure domain.
+	Doubt   func()            // Called when a primary stops answering.
+}
+
+// Leader is who leads a service, as held at one moment.
+type Leader struct {
+	Round  uint64
+	Server string
+}
+
+// Group is a service's servers.
+type Group struct {
+	Servers []Server
+}
+
+// Server is a backend server of a service.
+type Server struct {
+	Name    string
+	Leaving bool
+	Base    time.Duration
+}
+
+// service is what the router follows of one service.
+type service struct {
+	tracker  daisyfresh.Tracker
+	used     time.Time // When a session used it last.
+	silent   bool      // The primary of the round did not answer last.
+	round    uint64    // Which silent is about.
+	sampling bool
+}
+
+// Router is safe for concurrent use.
+type Router struct {
+	options Options
+	groups  atomic.Pointer[map[string]Group]
+
+	mu       sync.Mutex
+	services map[string]*service
+	servers  map[string]*daisychoice.Server
+	owners   map[string]string // The workspace that used a server last.
+}
+
+// New returns a router of an empty fleet.
+func New(o Options) *Router {
+	r := &Router{
+		options: o, services: make(map[string]*service),
+		servers: make(map[string]*daisychoice.Server), owners: make(map[string]string),
+	}
+	r.groups.Store(&map[string]Group{})
+	return r
+}
+
+// Refresh takes over the servers that the fleet's state holds, with the host's
+// share of the connections to each service.
+func (r *Router) Refresh(share func(service string) daisypool.Share) {
+	groups := make(map[string]Group)
+	known := make(map[string]bool)
+	r.options.View.Read(func(s *daisyfleet.State) {
+		s.EachSorted(daisyfleet.KindServer, func(o daisyfleet.Object) {
+			v, ok := o.Value.(daisyfleet.Server)
+			if !ok {
+				return
+			}
+			known[o.Name] = true
+			g := groups[v.Service]
+			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, Base: r.base(v.FailureDomain)})
+			groups[v.Service] = g
+			r.options.Pool.Set(daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}, share(v.Service))
+		})
+	})
+	r.groups.Store(&groups)
+	for _, name := range r.options.Pool.Names() {
+		if !known[name] {
+			r.options.Pool.Remove(name)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name := range r.servers {
+		if !known[name] {
+			delete(r.servers, name)
+			delete(r.owners, name)
+		}
+	}
+}
+
+func (r *Router) base(domain string) time.Duration {
+	switch {
+	case domain == r.options.Place.FailureDomain:
+		return 0
+	case r.options.Regions[domain] == r.options.Place.Region:
+		return nearTrip
+	}
+	return farTrip
+}
+
+// Group returns the servers of a service.
+func (r *Router) Group(name string) Group { return (*r.groups.Load())[name] }
+
+// Leader returns who leads the service, or false if nobody does or the host may
+// not act on what it holds.
+func (r *Router) Leader(name string) (Leader, bool) {
+	p, ok := r.options.View.Primacy(name)
+	l := Leader{Round: p.Round, Server: p.Server}
+	return l, ok && p.Server != "" && r.options.Right.Valid()
+}
+
+// Leads reports whether the leader still leads, as far as the host may say so.
+func (r *Router) Leads(name string, l Leader) bool {
+	now, ok := r.Leader(name)
+	return ok && now == l
+}
+
+// Round returns the round of the service's primacy, also during a succession.
+func (r *Router) Round(name string) uint64 {
+	p, _ := r.options.View.Primacy(name)
+	return p.Round
+}
+
+// Changed returns a channel that is closed when the held state changes.
+func (r *Router) Changed() <-chan struct{} { return r.options.View.Changed() }
+
+func (r *Router) service(name string) *service {
+	s := r.services[name]
+	if s == nil {
+		s = &service{}
+		r.services[name] = s
+	}
+	return s
+}
+
+func (r *Router) server(name string) *daisychoice.Server {
+	s := r.servers[name]
+	if s == nil {
+		s = &daisychoice.Server{}
+		r.servers[name] = s
+	}
+	return s
+}
+
+// Floor returns the position that a log must have reached for reads of the
+// service that may be as old as the age when they arrive.
+func (r *Router) Floor(name string, round uint64, arrived time.Time, age time.Duration) (daisystatement.Position, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(name)
+	s.used = daisyclock.Now()
+	return s.tracker.Floor(round, arrived, age)
+}
+
+// Choose returns the server that is expected to answer a read first, among
+// those that are not leaving and not in the list.
+func (r *Router) Choose(name, workspace string, not []string) (string, bool) {
+	leader := r.primary(name)
+	now := daisyclock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var candidates []daisychoice.Candidate
+	for _, s := range r.Group(name).Servers {
+		if s.Leaving || contains(not, s.Name) {
+			continue
+		}
+		c := r.server(s.Name)
+		c.Base = s.Base
+		candidates = append(candidates, daisychoice.Candidate{
+			Name: s.Name, Server: c, Primary: s.Name == leader,
+			Full: !r.options.Pool.Free(s.Name, workspace),
+		})
+	}
+	best := daisychoice.Best(now, candidates)
+	if best < 0 {
+		return "", false
+	}
+	return candidates[best].Name, true
+}
+
+// primary returns the server that leads as far as the host knows, which may
+// have lost its lease: for choices that do not depend on it.
+func (r *Router) primary(name string) string {
+	p, _ := r.options.View.Primacy(name)
+	return p.Server
+}
+
+func contains(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Expected returns the time in which the server is expected to answer.
+func (r *Router) Expected(server string) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.server(server).Expected(daisyclock.Now(), false)
+}
+
+// Started notes that a statement of the workspace was sent to the server.
+func (r *Router) Started(server, workspace string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server(server).Start()
+	r.owners[server] = workspace
+}
+
+// Ended notes how a statement that was sent at the time ended: answered, or
+// not. The leader, if the server was asked as such, is then known to answer or
+// to be silent.
+func (r *Router) Ended(name, server string, sent time.Time, answered bool) {
+	now := daisyclock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if answered {
+		r.server(server).Answered(now, now.Sub(sent))
+	} else {
+		r.server(server).Failed(now)
+	}
+	r.hear(name, server, answered)
+}
+
+// Abandoned notes that a statement ended without telling anything of the server.
+func (r *Router) Abandoned(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server(server).Dropped()
+}
+
+// Unreachable notes that no connection to the server could be opened.
+func (r *Router) Unreachable(name, server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.server(server)
+	c.Start()
+	c.Failed(daisyclock.Now())
+	r.hear(name, server, false)
+}
+
+// Lagged notes that the server's log had not reached the floor of a read.
+func (r *Router) Lagged(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server(server).Lagged(daisyclock.Now())
+}
+
+// hear notes whether a server answers, if it is the primary.
+func (r *Router) hear(name, server string, answers bool) {
+	p, _ := r.options.View.Primacy(name)
+	if p.Server != server {
+		return
+	}
+	s := r.service(name)
+	news := !answers && (!s.silent || s.round != p.Round)
+	s.silent, s.round = !answers, p.Round
+	if news && r.options.Doubt != nil {
+		r.options.Doubt()
+	}
+}
+
+// Note records the position in an answer of the leader that was asked at the
+// time.
+func (r *Router) Note(name string, l Leader, asked time.Time, p daisystatement.Position) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service(name).tracker.Note(l.Round, asked, p)
+}
+
+// Sights returns the primaries that do not answer this host.
+func (r *Router) Sights() []daisybeat.Sight {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var sights []daisybeat.Sight
+	for name, s := range r.services {
+		p, ok := r.options.View.Primacy(name)
+		if ok && s.silent && s.round == p.Round && p.Server != "" {
+			sights = append(sights, daisybeat.Sight{Tenancy: daisybeat.Tenancy{Database: name, Term: p.Round}, Member: p.Server})
+		}
+	}
+	return sights
+}
--- /dev/null
+++ b/internal/session/daisysession/direct.go
@@ -0,0 +1,103 @@
+package daisysession
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+const (
+	// leaderRetry is the pause before a statement that was not run is tried
+	// again at the primary.
+	leaderRetry = 25 * time.Millisecond
+	// rightRetry is how often a statement looks whether the host may act again.
+	rightRetry = 50 * time.Millisecond
+)
+
+// errNoLeader is returned while a service has no primary that may be used.
+var errNoLeader = errors.New("the service has no primary")
+
+// awaitLeader waits until the service has a primary that the host may use.
+func (s *Session) awaitLeader(service string, until time.Time) (daisyrouter.Leader, error) {
+	for {
+		changed := s.desk.Router.Changed()
+		if l, ok := s.desk.Router.Leader(service); ok {
+			return l, nil
+		}
+		left := time.Until(until)
+		if left <= 0 {
+			return daisyrouter.Leader{}, errNoLeader
+		}
+		select {
+		case <-changed:
+		case <-time.After(min(left, rightRetry)):
+		}
+	}
+}
+
+// direct serves a statement that only the primary may run. What was certainly
+// not run is tried again until the statement's timeout.
+func (s *Session) direct(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+	deadline := arrived.Add(p.Timeout)
+	st.After = daisystatement.Position{}
+	for {
+		a, err, sent := s.tryDirect(p, st, deadline)
+		switch {
+		case err == nil && (a.Failure == nil || !a.Failure.Code.NotRun()):
+			return a
+		case err != nil && sent && !s.reads(st):
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
+		case time.Until(deadline) < leaderRetry && err == nil:
+			a.State = daisystatement.StateIdle
+			return a
+		case time.Until(deadline) < leaderRetry:
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err)
+		}
+		time.Sleep(leaderRetry)
+	}
+}
+
+// tryDirect runs the statement at the primary once. It reports whether the
+// statement was sent.
+func (s *Session) tryDirect(p daisydesire.Profile, st daisystatement.Statement, deadline time.Time) (a daisystatement.Answer, err error, sent bool) { //nolint:revive // The report belongs to the error.
+	l, err := s.awaitLeader(p.Service, deadline)
+	if err != nil {
+		return a, err, false
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	c, err := s.connect(ctx, p.Service, l.Server, deadline)
+	if err != nil {
+		return a, err, false
+	}
+	defer c.Release()
+	asked := daisyclock.Now()
+	if !s.desk.Router.Leads(p.Service, l) {
+		return a, errNoLeader, false
+	}
+	a, err = s.ask(p.Service, c, s.translated(c, st), deadline)
+	if err != nil || a.Failure != nil {
+		return a, err, true
+	}
+	if !s.reads(st) {
+		return s.acknowledge(p.Service, l, a), nil, true
+	}
+	s.desk.Router.Note(p.Service, l, asked, a.Position)
+	return a, nil, true
+}
+
+// acknowledge returns the answer to a write that succeeded, unless the server
+// may have been replaced before it ran.
+func (s *Session) acknowledge(service string, l daisyrouter.Leader, a daisystatement.Answer) daisystatement.Answer {
+	if !s.desk.Router.Leads(service, l) {
+		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "the primary may have been replaced before the write")
+	}
+	s.mark = daisyfresh.Mark{Round: l.Round, Position: a.Position}
+	return a
+}
--- /dev/null
+++ b/internal/session/daisysession/read.go
@@ -0,0 +1,139 @@
+package daisysession
+
+import (
+	"context"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+const (
+	// readAttempts bounds the servers that one read is tried on.
+	readAttempts = 4
+	// hedgeMin is the least time without an answer after which a read is also
+	// sent to another server: above the work of nearly all statements.
+	hedgeMin = 250 * time.Millisecond
+	// hedgeFactor is how many times the expected time must have passed.
+	hedgeFactor = 4
+	// freshRetry is the pause before a read looks again for a server that is
+	// fresh enough.
+	freshRetry = 20 * time.Millisecond
+	// drainTime is how long an answer that is not needed any more is awaited,
+	// so that its connection can be used again.
+	drainTime = time.Second
+)
+
+// outcome is what became of a read on one server.
+type outcome struct {
+	server string
+	answer daisystatement.Answer
+	err    error
+}
+
+// read serves a read that a replica may serve.
+func (s *Session) read(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+	deadline := arrived.Add(p.Timeout)
+	last := daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "no backend server is fresh enough and reachable")
+	for {
+		floor, round, ok := s.floor(p, arrived)
+		if !ok {
+			return s.direct(p, st, arrived)
+		}
+		st.After = floor
+		a, again := s.race(p, st, round, deadline)
+		if !again {
+			return a
+		}
+		if a.Failure != nil {
+			last = a
+		}
+		if time.Until(deadline) < freshRetry {
+			return last
+		}
+		time.Sleep(freshRetry)
+	}
+}
+
+// floor returns the position that the session's reads need, and the round in
+// which it counts; false if no sample is recent enough.
+func (s *Session) floor(p daisydesire.Profile, arrived time.Time) (floor daisystatement.Position, round uint64, ok bool) {
+	round = s.desk.Router.Round(p.Service)
+	floor, ok = s.desk.Router.Floor(p.Service, round, arrived, p.MaxAge)
+	if p.Freshness == daisydesire.FreshSession {
+		floor = s.mark.Floor(round, floor)
+	}
+	return floor, round, ok
+}
+
+// race sends the read to the best server and, when that takes long, to a second
+// one. It returns true if nothing ran and it is worth trying anew.
+func (s *Session) race(p daisydesire.Profile, st daisystatement.Statement, round uint64, deadline time.Time) (a daisystatement.Answer, again bool) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	outcomes := make(chan outcome, readAttempts)
+	frozen := *s // The session goes on while an attempt that lost is drained.
+	var tried []string
+	underway := 0
+	launch := func() time.Duration {
+		server, ok := s.desk.Router.Choose(p.Service, s.workspace, tried)
+		if !ok || len(tried) == readAttempts {
+			return 0
+		}
+		tried = append(tried, server)
+		underway++
+		go func() { outcomes <- frozen.tryRead(ctx, p.Service, server, st, deadline) }()
+		return max(hedgeMin, hedgeFactor*s.desk.Router.Expected(server))
+	}
+	hedge := time.NewTimer(launch())
+	defer hedge.Stop()
+	for underway > 0 {
+		select {
+		case o := <-outcomes:
+			underway--
+			if o.err == nil && (o.answer.Failure == nil || !o.answer.Failure.Code.NotRun()) {
+				return o.answer, false
+			}
+			a = o.failed(a)
+			if underway == 0 {
+				launch()
+			}
+		case <-hedge.C:
+			launch()
+		case <-ctx.Done():
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeTimeout, "no backend server answered in time"), false
+		}
+	}
+	return a, true
+}
+
+// failed returns the answer to a read after the outcome, unless a later one is
+// better.
+func (o outcome) failed(before daisystatement.Answer) daisystatement.Answer {
+	if o.err == nil {
+		o.answer.State = daisystatement.StateIdle
+		return o.answer
+	}
+	if before.Failure != nil {
+		return before
+	}
+	return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", o.err)
+}
+
+// tryRead runs the read on one server. A race that has ended leaves the answer
+// to be drained, so that the connection can be used again.
+func (s *Session) tryRead(ctx context.Context, service, server string, st daisystatement.Statement, deadline time.Time) outcome {
+	c, err := s.connect(ctx, service, server, deadline)
+	if err != nil {
+		return outcome{server: server, err: err}
+	}
+	defer c.Release()
+	if ctx.Err() != nil {
+		return outcome{server: server, err: ctx.Err()}
+	}
+	a, err := s.ask(service, c, s.translated(c, st), deadline.Add(drainTime))
+	if err == nil && a.Failure != nil && a.Failure.Code == daisystatement.CodeLagging {
+		s.desk.Router.Lagged(server)
+	}
+	return outcome{server: server, answer: a, err: err}
+}
--- /dev/null
+++ b/internal/session/daisysession/session.go
@@ -0,0 +1,342 @@
+package daisysession
+
+import (
+	"maps"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
+	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+const (
+	// defaultIdle ends a transaction that is idle if the desired state sets no
+	// limit.
+	defaultIdle = 30 * time.Second
+	// tokenShare is the part of the latency objective that an operation may
+	// wait for its workspace's tokens.
+	tokenShare = 4
+)
+
+// Desk is what all sessions of a host share.
+type Desk struct {
+	Index  func() *daisydesire.Index // Of the desired state in force; nil before the first.
+	Router *daisyrouter.Router
+	Pool   *daisypool.Pool
+	Gate   *daisygate.Gate
+	Count  Counter
+	Log    log.Interface
+}
+
+// Counter counts what became of operations and statements.
+type Counter interface {
+	// Statement counts an answered statement of a profile.
+	Statement(profile string, code daisystatement.Code, took time.Duration)
+}
+
+// prepared is a prepared statement of a session.
+type prepared struct {
+	readOnly bool
+	shape    string
+	name     string // On connections, where names of many sessions meet.
+}
+
+// Session is one caller's session. It is not safe for concurrent use.
+type Session struct {
+	desk      *Desk
+	database  string
+	key       string
+	workspace string
+	values    map[string]string
+	prepared  map[string]prepared
+	mark      daisyfresh.Mark
+	tx        *transaction
+	ended     bool // The caller may not go on.
+}
+
+// Open begins a session for a database with a caller's key.
+func (d *Desk) Open(database, key string) (*Session, *daisystatement.Failure) {
+	s := &Session{desk: d, database: database, key: key}
+	if _, failure := s.authorize(); failure != nil {
+		return nil, failure
+	}
+	return s, nil
+}
+
+// authorize returns the profile in force for the session and sets its workspace.
+func (s *Session) authorize() (daisydesire.Profile, *daisystatement.Failure) {
+	index := s.desk.Index()
+	if index == nil {
+		return daisydesire.Profile{}, failure(daisystatement.CodeBusy, "no desired state is known yet")
+	}
+	p, ok := index.Profile(s.database)
+	if !ok {
+		return p, failure(daisystatement.CodeNoDatabase, "no profile serves the database")
+	}
+	w, ok := index.Owner(s.key)
+	if !ok && !p.Public {
+		return p, failure(daisystatement.CodeDenied, "the key opens no workspace")
+	}
+	s.workspace = w.Name
+	return p, nil
+}
+
+func failure(c daisystatement.Code, text string) *daisystatement.Failure {
+	return &daisystatement.Failure{Code: c, Text: text}
+}
+
+// Ended reports whether the session is to be closed: its key or its profile has
+// been withdrawn.
+func (s *Session) Ended() bool { return s.ended }
+
+// InTransaction reports whether the session is in a transaction.
+func (s *Session) InTransaction() bool { return s.tx != nil }
+
+// IdleLimit returns how long the session may send nothing before its
+// transaction is rolled back.
+func (s *Session) IdleLimit() time.Duration {
+	if index := s.desk.Index(); index != nil && index.TransactionIdle > 0 {
+		return index.TransactionIdle
+	}
+	return defaultIdle
+}
+
+// Expire rolls back the transaction because the session sent nothing.
+func (s *Session) Expire() {
+	if s.tx != nil && !s.tx.failed {
+		s.desk.Log.WithFields(log.Fields{"Workspace": s.workspace, "Database": s.database}).Info("session: idle transaction rolled back")
+		s.tx.fail()
+	}
+}
+
+// Close ends the session. Its transaction is rolled back.
+func (s *Session) Close() {
+	if s.tx != nil {
+		s.tx.end()
+		s.tx = nil
+	}
+}
+
+// Do serves one statement that arrived at the time.
+func (s *Session) Do(st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer) {
+	defer func() { s.report(st, arrived, a) }()
+	if s.tx != nil && s.tx.failed && st.Kind != daisystatement.KindCommit && st.Kind != daisystatement.KindRollback {
+		return daisystatement.Fail(daisystatement.StateFailed, s.tx.code(), "the transaction has failed; end it")
+	}
+	switch st.Kind {
+	case daisystatement.KindSet:
+		s.set(st.Name, st.Value)
+		return daisystatement.Done(s.state())
+	case daisystatement.KindPrepare:
+		s.prepare(st)
+		return daisystatement.Done(s.state())
+	case daisystatement.KindDeallocate:
+		s.deallocate(st.Name)
+		return daisystatement.Done(s.state())
+	case daisystatement.KindBegin:
+		return s.begin(st, arrived)
+	case daisystatement.KindCommit, daisystatement.KindRollback:
+		return s.finish(st, arrived)
+	case daisystatement.KindRead, daisystatement.KindWrite, daisystatement.KindExecute:
+		return s.run(st, arrived)
+	}
+	return daisystatement.Fail(s.state(), daisystatement.CodeMalformed, "the statement is not understood")
+}
+
+func (s *Session) state() daisystatement.State {
+	switch {
+	case s.tx == nil:
+		return daisystatement.StateIdle
+	case s.tx.failed:
+		return daisystatement.StateFailed
+	}
+	return daisystatement.StateOpen
+}
+
+// set changes a session value. The maps of a session are replaced, not changed,
+// since reads that are no longer awaited may still use those before.
+func (s *Session) set(name, value string) {
+	values := maps.Clone(s.values)
+	if values == nil {
+		values = make(map[string]string)
+	}
+	values[name] = value
+	s.values = values
+}
+
+func (s *Session) prepare(st daisystatement.Statement) {
+	p := prepared{readOnly: st.ReadOnly, shape: st.Shape}
+	p.name = connectionName(p)
+	all := maps.Clone(s.prepared)
+	if all == nil {
+		all = make(map[string]prepared)
+	}
+	all[st.Name] = p
+	s.prepared = all
+}
+
+func (s *Session) deallocate(name string) {
+	s.prepared = maps.Clone(s.prepared)
+	delete(s.prepared, name)
+}
+
+// connectionName names what is prepared by what it is, so that sessions that
+// prepare the same share it on a connection.
+func connectionName(p prepared) string {
+	const digits = "0123456789abcdefghijklmnopqrstuv"
+	text := "w" + p.shape
+	if p.readOnly {
+		text = "r" + p.shape
+	}
+	sum := xxhash.Sum64String(text)
+	name := []byte{'p'}
+	for range 13 {
+		name = append(name, digits[sum&31])
+		sum >>= 5
+	}
+	return string(name)
+}
+
+// admit authorizes an operation and takes its token.
+func (s *Session) admit(arrived time.Time) (daisydesire.Profile, *daisystatement.Failure) {
+	p, refused := s.authorize()
+	if refused != nil {
+		s.ended = true
+		return p, refused
+	}
+	if p.Public && s.workspace == "" {
+		return p, nil
+	}
+	ok, retryAfter := s.desk.Gate.Admit(s.workspace, p.Latency/tokenShare)
+	if !ok {
+		return p, failure(daisystatement.CodeBusy, "over the workspace's rate; retry in "+retryAfter.Round(time.Millisecond).String())
+	}
+	return p, nil
+}
+
+// run serves a read or a write.
+func (s *Session) run(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+	if st.Kind == daisystatement.KindExecute {
+		if _, ok := s.prepared[st.Name]; !ok {
+			return daisystatement.Fail(s.state(), daisystatement.CodeNoStatement, "the statement is not prepared")
+		}
+	}
+	if s.tx != nil {
+		return s.tx.run(st, arrived)
+	}
+	p, refused := s.admit(arrived)
+	if refused != nil {
+		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
+	}
+	if s.reads(st) && p.Freshness != daisydesire.FreshPrimary {
+		return s.read(p, st, arrived)
+	}
+	return s.direct(p, st, arrived)
+}
+
+// reads reports whether the statement only reads.
+func (s *Session) reads(st daisystatement.Statement) bool {
+	if st.Kind == daisystatement.KindExecute {
+		return s.prepared[st.Name].readOnly
+	}
+	return st.Kind == daisystatement.KindRead
+}
+
+func (s *Session) begin(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+	if s.tx != nil {
+		return daisystatement.Fail(s.state(), daisystatement.CodeMalformed, "a transaction is open")
+	}
+	p, refused := s.admit(arrived)
+	if refused != nil {
+		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
+	}
+	s.tx = &transaction{session: s, profile: p, readOnly: st.ReadOnly, began: arrived}
+	return daisystatement.Done(daisystatement.StateOpen)
+}
+
+func (s *Session) finish(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+	if s.tx == nil {
+		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeMalformed, "no transaction is open")
+	}
+	tx := s.tx
+	if st.Kind == daisystatement.KindCommit && !tx.failed {
+		a := tx.commit(st, arrived)
+		if a.State == daisystatement.StateIdle {
+			s.tx = nil
+		}
+		return a
+	}
+	s.tx = nil
+	tx.end()
+	if st.Kind == daisystatement.KindCommit {
+		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeAborted, "the transaction has failed and is rolled back")
+	}
+	return daisystatement.Done(daisystatement.StateIdle)
+}
+
+// alignment returns the statements that bring the connection's session values
+// in line with the session's.
+func (s *Session) alignment(c *daisypool.Conn) []daisystatement.Statement {
+	held := c.Values()
+	var all []daisystatement.Statement
+	for name := range held {
+		if _, ok := s.values[name]; !ok {
+			all = append(all, system(daisystatement.KindDiscard))
+			held = nil
+			break
+		}
+	}
+	if maps.Equal(held, s.values) {
+		return all
+	}
+	for name, value := range s.values {
+		if v, ok := held[name]; !ok || v != value {
+			set := system(daisystatement.KindSet)
+			set.Name, set.Value = name, value
+			all = append(all, set)
+		}
+	}
+	return all
+}
+
+func system(k daisystatement.Kind) daisystatement.Statement {
+	return daisystatement.Statement{ID: daisystatement.SystemID, Kind: k}
+}
+
+// translated returns the statement with the connection's name for what it
+// executes, after the statement that prepares it where that is missing.
+func (s *Session) translated(c *daisypool.Conn, st daisystatement.Statement) []daisystatement.Statement {
+	if st.Kind != daisystatement.KindExecute {
+		return []daisystatement.Statement{st}
+	}
+	p := s.prepared[st.Name]
+	st.Name = p.name
+	if c.Prepared(p.name) {
+		return []daisystatement.Statement{st}
+	}
+	parse := system(daisystatement.KindPrepare)
+	parse.Name, parse.Shape, parse.ReadOnly = p.name, p.shape, p.readOnly
+	return []daisystatement.Statement{parse, st}
+}
+
+// report counts the statement and writes a line if it was not served.
+func (s *Session) report(st daisystatement.Statement, arrived time.Time, a daisystatement.Answer) {
+	code := daisystatement.CodeNone
+	took := time.Since(arrived)
+	if a.Failure != nil {
+		code = a.Failure.Code
+		s.desk.Log.WithFields(log.Fields{
+			"Request": st.ID, "Workspace": s.workspace, "Database": s.database, "Code": int(code),
+			"Reason": a.Failure.Text, "Took": took.Milliseconds(),
+		}).Info("session: statement not served")
+	}
+	if s.desk.Count != nil {
+		s.desk.Count.Statement(s.database, code, took)
+	}
+}
--- a/internal/wire/daisycodec/beat.go
+++ b/internal/wire/daisycodec/beat.go
@@ -34,6 +34,7 @@
 			FailureDomain: a.Value.FailureDomain, Leaving: a.Value.Leaving, Age: int64(a.Age),
 		})
 	}
+	w.Demands = fromDemands(b.Demands)
 	return encode(daisywire.Frame{Beat: w})
 }
 
@@ -69,6 +70,7 @@
 			Value: daisyfleet.Member{Database: a.Database, Address: addr, FailureDomain: a.FailureDomain, Leaving: a.Leaving},
 		})
 	}
+	b.Demands = toDemands(w.Demands)
 	return b, nil
 }
 
@@ -78,6 +80,10 @@
 	for _, p := range r.Probes {
 		w.Probes = append(w.Probes, daisywire.Probe{Database: p.Database, Term: p.Term, Member: p.Member, Address: formatAddr(p.Address)})
 	}
+	for _, c := range r.Controls {
+		w.Controls = append(w.Controls, c.String())
+	}
+	w.Grants = fromDemands(r.Grants)
 	return encode(daisywire.Frame{BeatReply: w})
 }
 
@@ -96,10 +102,34 @@
 		tenancy := daisybeat.Tenancy{Database: p.Database, Term: p.Term}
 		r.Probes = append(r.Probes, daisybeat.Probe{Tenancy: tenancy, Member: p.Member, Address: addr})
 	}
+	for _, c := range w.Controls {
+		addr, err := netip.ParseAddrPort(c)
+		if err != nil {
+			return r, err
+		}
+		r.Controls = append(r.Controls, addr)
+	}
+	r.Grants = toDemands(w.Grants)
 	r.Leader, err = parseAddr(w.Leader)
 	return r, err
 }
 
+func fromDemands(demands []daisybeat.Demand) []daisywire.Demand {
+	var ws []daisywire.Demand
+	for _, d := range demands {
+		ws = append(ws, daisywire.Demand{Workspace: d.Workspace, Tokens: d.Tokens})
+	}
+	return ws
+}
+
+func toDemands(ws []daisywire.Demand) []daisybeat.Demand {
+	var demands []daisybeat.Demand
+	for _, w := range ws {
+		demands = append(demands, daisybeat.Demand{Workspace: w.Workspace, Tokens: w.Tokens})
+	}
+	return demands
+}
+
 // Proposal asks the control leader to decide a change.
 type Proposal struct {
 	ID     uint64
--- a/internal/wire/daisycodec/fleet.go
+++ b/internal/wire/daisycodec/fleet.go
@@ -36,6 +36,8 @@
 			Term: v.Term, Holder: v.Holder, Incarnation: v.Incarnation,
 			Primary: v.Primary, Last: v.Last, Avoid: v.Avoid, Revoked: v.Revoked,
 		}
+	default:
+		fromServiceValue(v, w)
 	}
 }
 
@@ -71,7 +73,7 @@
 			}, nil
 		}
 	default:
-		return nil, unknown("kind of object", w.Kind)
+		return toServiceValue(w)
 	}
 	return nil, errors.New(w.Kind + " has no value")
 }
--- /dev/null
+++ b/internal/wire/daisycodec/service.go
@@ -0,0 +1,55 @@
+package daisycodec
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+// fromServiceValue fills the union of the wire object for the kinds of a fleet
+// whose desired state is one document.
+func fromServiceValue(v daisyfleet.Value, w *daisywire.Object) {
+	switch v := v.(type) {
+	case daisyfleet.Document:
+		w.Document = &daisywire.Document{Version: v.Version, Content: []byte(v.Content)}
+	case daisyfleet.Server:
+		w.Server = &daisywire.Server{
+			Service: v.Service, Address: v.Address.String(), FailureDomain: v.FailureDomain,
+			Born: v.Born.UnixMilli(), Leaving: v.Leaving,
+		}
+	case daisyfleet.Primacy:
+		w.Primacy = &daisywire.Primacy{Round: v.Round, Server: v.Server, Term: v.Term, Previous: v.Previous}
+	}
+}
+
+func toServiceValue(w *daisywire.Object) (daisyfleet.Value, error) {
+	switch daisyfleet.Kind(w.Kind) {
+	case daisyfleet.KindDocument:
+		if d := w.Document; d != nil {
+			return daisyfleet.Document{Version: d.Version, Content: string(d.Content)}, nil
+		}
+	case daisyfleet.KindServer:
+		return toServer(w.Server)
+	case daisyfleet.KindPrimacy:
+		if p := w.Primacy; p != nil {
+			return daisyfleet.Primacy{Round: p.Round, Server: p.Server, Term: p.Term, Previous: p.Previous}, nil
+		}
+	default:
+		return nil, unknown("kind of object", w.Kind)
+	}
+	return nil, errors.New(w.Kind + " has no value")
+}
+
+func toServer(w *daisywire.Server) (daisyfleet.Value, error) {
+	if w == nil {
+		return nil, errors.New("Server has no value")
+	}
+	addr, err := netip.ParseAddrPort(w.Address)
+	return daisyfleet.Server{
+		Service: w.Service, Address: addr, FailureDomain: w.FailureDomain,
+		Born: time.UnixMilli(w.Born).UTC(), Leaving: w.Leaving,
+	}, err
+}
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -1,5 +1,8 @@
 // Package daisylink carries messages between hosts of a fleet over WebSocket
 // with mutual TLS. Each message is one binary frame.
+//
+// On a network that only hosts of the fleet can reach, links may go without
+// TLS if the settings ask for it. A host then says its name itself.
 package daisylink
 
 import (
@@ -69,9 +72,14 @@
 // Close ends the link without waiting for the other side.
 func (c *Conn) Close() { _ = c.ws.CloseNow() }
 
+// nameHeader carries the name of the dialling host on links without TLS.
+const nameHeader = "Daisyglade-Host"
+
 // Dialer opens links.
 type Dialer struct {
 	client *http.Client
+	scheme string
+	header http.Header
 }
 
 // NewDialer returns a dialer that shows the certificate in the configuration.
@@ -83,7 +91,14 @@
 		}
 		return n.Dial(ctx, addr)
 	}
-	return &Dialer{client: &http.Client{Transport: &http.Transport{TLSClientConfig: c, DialContext: dial}}}
+	return &Dialer{scheme: "https://", client: &http.Client{Transport: &http.Transport{TLSClientConfig: c, DialContext: dial}}}
+}
+
+// NewPlainDialer returns a dialer for links without TLS that says the name.
+func NewPlainDialer(name string, n daisynet.Network) *Dialer {
+	d := NewDialer(nil, n)
+	d.scheme, d.header = "http://", http.Header{nameHeader: []string{name}}
+	return d
 }
 
 // Dial opens a link to the address.
@@ -91,13 +106,17 @@
 	defer daisyerror.Annotate(&err, "dial %s%s", addr, path)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	url := "https://" + addr.String() + string(path)
-	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: d.client}) //nolint:bodyclose // The library closes it.
+	url := d.scheme + addr.String() + string(path)
+	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: d.client, HTTPHeader: d.header}) //nolint:bodyclose // The library closes it.
 	if err != nil {
 		return nil, err
 	}
 	ws.SetReadLimit(path.limit())
-	return &Conn{ws: ws, peer: daisycert.PeerName(response.TLS)}, nil
+	peer := addr.String()
+	if response.TLS != nil {
+		peer = daisycert.PeerName(response.TLS)
+	}
+	return &Conn{ws: ws, peer: peer}, nil
 }
 
 // Handler serves one accepted link and returns when it is done with it.
@@ -106,6 +125,8 @@
 // Mux routes accepted links to handlers.
 type Mux struct {
 	http.ServeMux
+	Plain bool // Links come without TLS and hosts say their names themselves.
+
 	wait sync.WaitGroup
 }
 
@@ -117,6 +138,9 @@
 func (m *Mux) Handle(path Path, h Handler) {
 	m.HandleFunc(string(path), func(w http.ResponseWriter, r *http.Request) {
 		peer := daisycert.PeerName(r.TLS)
+		if m.Plain && r.TLS == nil {
+			peer = r.Header.Get(nameHeader)
+		}
 		if peer == "" {
 			http.Error(w, "host certificate required", http.StatusForbidden)
 			return
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -67,6 +67,9 @@
 	// Tenures claimed.
 	Claims []Claimed `json:"Claims,omitempty,omitzero"`
 
+	// Tokens of workspaces that the host asks for.
+	Demands []Demand `json:"Demands,omitempty,omitzero"`
+
 	// Where it runs.
 	FailureDomain string `json:"FailureDomain"`
 
@@ -100,9 +103,15 @@
 
 // The control leader's answer to a heartbeat.
 type BeatReply struct {
+	// The addresses of the control hosts.
+	Controls []string `json:"Controls,omitempty,omitzero"`
+
 	// Delta corresponds to the JSON schema field "Delta".
 	Delta *Delta `json:"Delta,omitempty,omitzero"`
 
+	// Tokens of workspaces granted to the host.
+	Grants []Demand `json:"Grants,omitempty,omitzero"`
+
 	// The beat.
 	ID uint64 `json:"ID"`
 
@@ -210,6 +219,24 @@
 	To uint64 `json:"To"`
 }
 
+// What a host asks for, or is granted, of a workspace's limit.
+type Demand struct {
+	// Requests.
+	Tokens float64 `json:"Tokens"`
+
+	// The workspace.
+	Workspace string `json:"Workspace"`
+}
+
+// The desired state as one versioned document.
+type Document struct {
+	// The document as it was sent, compressed with DEFLATE.
+	Content []byte `json:"Content"`
+
+	// The operator's version; the highest is in force.
+	Version uint64 `json:"Version"`
+}
+
 // One entry of the replicated log.
 type Entry struct {
 	// Change corresponds to the JSON schema field "Change".
@@ -380,6 +407,9 @@
 	// Whether it is a tombstone.
 	Deleted bool `json:"Deleted,omitempty,omitzero"`
 
+	// Document corresponds to the JSON schema field "Document".
+	Document *Document `json:"Document,omitempty,omitzero"`
+
 	// Host corresponds to the JSON schema field "Host".
 	Host *Host `json:"Host,omitempty,omitzero"`
 
@@ -395,12 +425,18 @@
 	// The name within its kind.
 	Name string `json:"Name"`
 
+	// Primacy corresponds to the JSON schema field "Primacy".
+	Primacy *Primacy `json:"Primacy,omitempty,omitzero"`
+
 	// Profile corresponds to the JSON schema field "Profile".
 	Profile *Profile `json:"Profile,omitempty,omitzero"`
 
 	// The log index at which it last changed.
 	Revision uint64 `json:"Revision,omitempty,omitzero"`
 
+	// Server corresponds to the JSON schema field "Server".
+	Server *Server `json:"Server,omitempty,omitzero"`
+
 	// Tenure corresponds to the JSON schema field "Tenure".
 	Tenure *Tenure `json:"Tenure,omitempty,omitzero"`
 
@@ -453,6 +489,21 @@
 	Term uint64 `json:"Term"`
 }
 
+// Which backend server leads a service, for one round of succession.
+type Primacy struct {
+	// The server that led before.
+	Previous string `json:"Previous,omitempty,omitzero"`
+
+	// Numbers the successions of the service.
+	Round uint64 `json:"Round"`
+
+	// The server that serves writes; empty during a succession.
+	Server string `json:"Server,omitempty,omitzero"`
+
+	// The term of the server's log when it was confirmed.
+	Term uint64 `json:"Term"`
+}
+
 // A primary that a host is asked to probe.
 type Probe struct {
 	// IP and port.
@@ -607,6 +658,24 @@
 	Voting bool `json:"Voting,omitempty,omitzero"`
 }
 
+// A backend server that announced itself.
+type Server struct {
+	// IP and port.
+	Address string `json:"Address"`
+
+	// When its process started, in Unix milliseconds.
+	Born int64 `json:"Born"`
+
+	// Where it runs.
+	FailureDomain string `json:"FailureDomain,omitempty,omitzero"`
+
+	// Whether it asked for no new work.
+	Leaving bool `json:"Leaving,omitempty,omitzero"`
+
+	// The service that it belongs to.
+	Service string `json:"Service"`
+}
+
 // The definition of a prepared statement.
 type Statement struct {
 	// The fleet-wide name, derived from the definition.
