Refer a newcomer to the leader; let a host's next process succeed the one before

Besides, two processes of one host were declared up in turns, ten times a second. Ruled out: a slow catch-up (the log shows no seat change at all). Change: a follower refers the newcomer to the leader; the question has an address; a host's new process makes the leader forget those before; shares of connections never exceed the members' number together.

--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -36,15 +36,12 @@
 	Most int // Open at once.
 }
 
-// ShareOf returns the share of one among so many hosts. Hosts may go beyond an
-// equal part for as long as a server has room, since their peaks differ.
+// ShareOf returns the share of one among so many hosts. A server resets
+// connections beyond its number, so the shares together never exceed it.
 func ShareOf(connections, hosts int) Share {
-	const (
-		reserved = 2 // For the control leader's probes.
-		overlap  = 2 // How far one host may go beyond its equal part.
-	)
+	const reserved = 1 // For the control leader's probes.
 	kept := max(1, (connections-reserved)/max(1, hosts))
-	return Share{Kept: kept, Most: kept * overlap}
+	return Share{Kept: kept, Most: kept}
 }
 
 // Pool keeps the connections to all servers.
--- a/internal/control/daisycontrol/leader.go
+++ b/internal/control/daisycontrol/leader.go
@@ -87,6 +87,9 @@
 	p := process{host: b.Host, incarnation: b.Incarnation}
 	r := l.records[p]
 	if r == nil {
+		if l.terms.Successive {
+			l.succeed(b.Host)
+		}
 		r = &record{heard: l.began}
 		l.records[p] = r
 	}
@@ -113,6 +116,15 @@
 	return l.terms.Lease
 }
 
+// succeed forgets the earlier processes of a host, one of which has just started.
+func (l *Leader) succeed(host string) {
+	for p := range l.records {
+		if p.host == host {
+			delete(l.records, p)
+		}
+	}
+}
+
 func (l *Leader) note(now time.Time, b daisybeat.Beat, s daisybeat.Sight) {
 	seen := l.sights[s.Database]
 	if seen == nil {
--- a/internal/control/daisycouncil/peers.go
+++ b/internal/control/daisycouncil/peers.go
@@ -104,7 +104,7 @@
 		if err != nil {
 			return
 		}
-		if m.Seat != nil && m.Seat.Name != link.Peer() {
+		if m.Kind == daisylog.KindJoin && (m.Seat == nil || m.Seat.Name != link.Peer()) {
 			return
 		}
 		step(m)
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -44,10 +44,10 @@
 
 // Options configure a Keeper.
 type Options struct {
-	Hosts  []netip.AddrPort        // The control hosts.
-	Dial   Dial                    // Opens links.
-	Report func() daisybeat.Beat   // The host's present reports; ID and Revision are filled in.
-	Probe  func([]daisybeat.Probe) // Told of the primaries to probe.
+	Hosts  []netip.AddrPort         // The control hosts.
+	Dial   Dial                     // Opens links.
+	Report func() daisybeat.Beat    // The host's present reports; ID and Revision are filled in.
+	Probe  func([]daisybeat.Probe)  // Told of the primaries to probe.
 	Grant  func([]daisybeat.Demand) // Told of granted tokens; may be nil.
 	View   *daisyfleet.View
 	Log    log.Interface
--- /dev/null
+++ b/internal/control/daisylog/refer_test.go
@@ -0,0 +1,63 @@
+package daisylog_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+)
+
+// A newcomer that knows only followers is told of the leader.
+func TestFollowerRefersNewcomer(t *testing.T) {
+	c := formed(t, 1, 3)
+	leader, follower := c.leader(), c.follower()
+	newcomer := daisylog.Seat{Replica: 99, Name: "c9"}
+	follower.replica.Step(c.now, daisylog.Join(newcomer))
+	ready := follower.replica.Ready()
+	assert.Equal(t, len(ready.Messages), 1)
+	m := ready.Messages[0]
+	assert.Equal(t, m.Kind, daisylog.KindRefer)
+	assert.Equal(t, m.To, newcomer.Replica)
+	assert.Equal(t, m.Seat.Replica, leader.disk.saved.Replica)
+}
+
+// A newcomer beyond the number of voters takes the seat of a silent one only.
+func TestNewcomerReplacesSilentSeat(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(c *cluster)
+		votes  bool
+	}{
+		{"AllAnswer", func(*cluster) {}, false},
+		{"FollowerSilent", func(c *cluster) { c.crash(c.follower()) }, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := formed(t, 1, 3)
+			for _, m := range c.members {
+				m.replica.SetVoters(3)
+			}
+			test.strike(c)
+			m := &member{name: "c9", disk: &disk{}}
+			m.disk.saved.Replica = c.newID()
+			c.members = append(c.members, m)
+			c.start(m)
+			m.replica.SetVoters(3)
+			c.advance(daisylog.RetireAfter+2*time.Second, 0)
+			votes := false
+			for _, s := range c.leader().replica.Seats() {
+				votes = votes || s.Replica == m.disk.saved.Replica && s.Voting
+			}
+			assert.Equal(t, votes, test.votes)
+		})
+	}
+}
+
+// The question carries the address to which it is answered.
+func TestJoinCarriesAddress(t *testing.T) {
+	seat := daisylog.Seat{Replica: 9, Name: "c9", Address: netip.MustParseAddrPort("10.0.0.9:7000")}
+	assert.Equal(t, daisylog.Join(seat).Address, seat.Address)
+}
--- a/internal/control/daisylog/seats.go
+++ b/internal/control/daisylog/seats.go
@@ -44,13 +44,19 @@
 
 // Join returns the message with which a newcomer asks for a seat.
 func Join(seat Seat) Message {
-	return Message{Kind: KindJoin, From: seat.Replica, Seat: &seat}
+	return Message{Kind: KindJoin, From: seat.Replica, Address: seat.Address, Seat: &seat}
 }
 
 // stepJoin gives a newcomer a seat without a vote. A newcomer with the name of
 // a seated host has lost its disk: it takes the seat over once it has caught up.
 func (r *Replica) stepJoin(now time.Time, m Message) {
-	if r.role != Leading || m.Seat == nil {
+	if m.Seat == nil {
+		return
+	}
+	if r.role != Leading {
+		if leader, ok := r.Leader(); ok && leader.Replica != m.From {
+			r.send(Message{Kind: KindRefer, To: m.From, Seat: &leader})
+		}
 		return
 	}
 	newcomer := *m.Seat
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -73,6 +73,7 @@
 	KindAppendReply  MessageKind = "AppendReply"
 	KindImage        MessageKind = "Image"
 	KindJoin         MessageKind = "Join"
+	KindRefer        MessageKind = "Refer"
 )
 
 // Message passes between replicas.
@@ -89,7 +90,7 @@
 	Reject  bool
 	Round   uint64 // Numbers the leader's rounds; echoed by replies.
 	Image   *Image
-	Seat    *Seat // Join: the newcomer.
+	Seat    *Seat // Join: the newcomer. Refer: the leader, to be asked instead.
 }
 
 // Saved is what a replica finds on its disk when it starts.
--- a/internal/control/daisypromote/orders.go
+++ b/internal/control/daisypromote/orders.go
@@ -109,6 +109,10 @@
 		return
 	}
 	p.pending = false
+	if r.Refused {
+		p.failures = 0
+		return
+	}
 	if r.Status == nil {
 		p.failures++
 		return
--- a/internal/control/daisypromote/types.go
+++ b/internal/control/daisypromote/types.go
@@ -73,5 +73,6 @@
 type Result struct {
 	Order
 	Status  *Status // Nil if a probe was not answered.
+	Refused bool    // The server answered a probe without a status.
 	Verdict Verdict // Of a promotion.
 }
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -8,6 +8,8 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -70,13 +72,14 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 
-	mu      sync.Mutex
-	replica *daisylog.Replica
-	waiters map[uint64]waiter
-	known   map[daisylog.ReplicaID]netip.AddrPort // Where senders listen.
-	applied uint64
-	failed  error // The disk failed; the node does nothing more.
-	role    daisylog.Role
+	mu       sync.Mutex
+	replica  *daisylog.Replica
+	waiters  map[uint64]waiter
+	known    map[daisylog.ReplicaID]netip.AddrPort // Where senders listen.
+	referred netip.AddrPort                        // The leader as another host said; invalid if none did.
+	applied  uint64
+	failed   error // The disk failed; the node does nothing more.
+	role     daisylog.Role
 }
 
 // Open starts a node from what its storage had saved.
@@ -136,9 +139,28 @@
 	}
 }
 
+// refer notes the leader that a newcomer is to ask, and asks it. The hosts that
+// the newcomer was told of need not include it.
+func (n *Node) refer(m daisylog.Message) {
+	if m.Seat == nil || !m.Seat.Address.IsValid() {
+		return
+	}
+	n.mu.Lock()
+	news := n.referred != m.Seat.Address
+	n.referred = m.Seat.Address
+	n.mu.Unlock()
+	if news && !n.seated() {
+		n.options.Transport.Send(m.Seat.Address, daisylog.Join(n.options.Self))
+	}
+}
+
+// peers returns the hosts that a newcomer asks for a seat.
 func (n *Node) peers() []netip.AddrPort {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.referred.IsValid() && !slices.Contains(n.options.Peers, n.referred) {
+		return append(slices.Clone(n.options.Peers), n.referred)
+	}
 	return n.options.Peers
 }
 
@@ -162,6 +184,10 @@
 
 // Step handles a message from another replica.
 func (n *Node) Step(m daisylog.Message) {
+	if m.Kind == daisylog.KindRefer {
+		n.refer(m)
+		return
+	}
 	n.with(func(now time.Time) {
 		n.known[m.From] = m.Address
 		n.replica.Step(now, m)
@@ -237,6 +263,9 @@
 }
 
 func (n *Node) applyEntry(e daisylog.Entry) {
+	if e.Seats != nil {
+		n.options.Log.WithFields(log.Fields{"Seats": seatText(e.Seats), "Revision": e.Index}).Info("quorum: seats changed")
+	}
 	var outcome daisyfleet.Outcome
 	_ = n.options.View.Update(func(s *daisyfleet.State) error {
 		if e.Change == nil {
@@ -296,6 +325,19 @@
 	}
 }
 
+// seatText lists seats; those without a vote are in brackets.
+func seatText(seats []daisylog.Seat) string {
+	var names []string
+	for _, s := range seats {
+		if s.Voting {
+			names = append(names, s.Name)
+			continue
+		}
+		names = append(names, "("+s.Name+")")
+	}
+	return strings.Join(names, " ")
+}
+
 func roleText(r daisylog.Role) string {
 	switch r {
 	case daisylog.Leading:
--- a/internal/host/daisycore/command.go
+++ b/internal/host/daisycore/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
 const (
@@ -102,11 +104,16 @@
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
 		status, err := c.options.Prober.Probe(ctx, o)
-		if err != nil {
+		var refused *daisystatement.Failure
+		switch {
+		case err == nil:
+			result.Status = &status
+		case errors.As(err, &refused):
+			result.Refused = true
+			line.WithError(err).Info("core: probe refused")
+		default:
 			line.WithError(err).Info("core: probe not answered")
-			break
 		}
-		result.Status = &status
 	case daisypromote.OrderPromote:
 		result.Verdict = c.promote(leader, o)
 	case daisypromote.OrderStepDown:
