--- a/internal/backend/daisypool/conn.go
+++ b/internal/backend/daisypool/conn.go
@@ -32,6 +32,9 @@
 // Dialer opens links. A server's refusal is a *daisystatement.Failure.
 type Dialer interface {
 	Dial(ctx context.Context, t Target) (Link, error)
+	// Reach returns an error if no connection to the address can be opened. It
+	// costs the server nothing and does not wait for its queue.
+	Reach(ctx context.Context, addr netip.AddrPort) error
 }
 
 // ErrUnanswered is returned if a connection broke or went silent before an
--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -115,6 +115,15 @@
 	return s.acquire(ctx, workspace)
 }
 
+// Reach returns an error if the server cannot be reached.
+func (p *Pool) Reach(ctx context.Context, server string) error {
+	s := p.server(server)
+	if s == nil {
+		return ErrUnknown
+	}
+	return p.dialer.Reach(ctx, s.target.Address)
+}
+
 // Free reports whether a connection for the workspace is free or may be opened.
 func (p *Pool) Free(server, workspace string) bool {
 	s := p.server(server)
--- a/internal/control/daisypromote/leader.go
+++ b/internal/control/daisypromote/leader.go
@@ -47,7 +47,7 @@
 	pending  bool
 	status   Status
 	answered time.Time // When the probe that was answered last was ordered.
-	failures int       // Unanswered in a row.
+	failures int       // In a row without a connection.
 }
 
 // sight is a host's report that a primary does not answer it.
--- a/internal/control/daisypromote/orders.go
+++ b/internal/control/daisypromote/orders.go
@@ -109,15 +109,14 @@
 		return
 	}
 	p.pending = false
-	if r.Refused {
+	switch {
+	case r.Status != nil:
+		p.failures, p.status, p.answered = 0, *r.Status, p.ordered
+	case r.Reached:
 		p.failures = 0
-		return
-	}
-	if r.Status == nil {
+	default:
 		p.failures++
-		return
 	}
-	p.failures, p.status, p.answered = 0, *r.Status, p.ordered
 }
 
 func (l *Leader) promoted(now time.Time, r Result) {
--- a/internal/control/daisypromote/succession.go
+++ b/internal/control/daisypromote/succession.go
@@ -16,7 +16,7 @@
 	// silentAlone is the share of hosts that must miss a primary which answers
 	// the leader; below it, callers reach it through other hosts.
 	silentAlone = 0.7
-	// probeFailures is how many probes in a row a lost primary leaves unanswered.
+	// probeFailures is how many probes in a row do not reach a lost primary.
 	probeFailures = 2
 	// gatherLimit is how long the leader waits for the positions of all servers
 	// once the old state is recalled.
@@ -148,11 +148,11 @@
 	unanswered := probed != nil && probed.failures >= probeFailures
 	switch {
 	case unanswered && silent > 0 && float64(silent) >= silentWithProbe*float64(up):
-		return fmt.Sprintf("%d of %d hosts and the control leader get no answer", silent, up)
+		return fmt.Sprintf("%d of %d hosts and the control leader cannot reach it", silent, up)
 	case unanswered && l.quiet(now, p.Server):
-		return "it announces nothing and does not answer the control leader"
+		return "it announces nothing and the control leader cannot reach it"
 	case silent > 0 && float64(silent) >= silentAlone*float64(up):
-		return fmt.Sprintf("%d of %d hosts get no answer", silent, up)
+		return fmt.Sprintf("%d of %d hosts cannot reach it", silent, up)
 	}
 	return ""
 }
--- a/internal/control/daisypromote/types.go
+++ b/internal/control/daisypromote/types.go
@@ -73,6 +73,6 @@
 type Result struct {
 	Order
 	Status  *Status // Nil if a probe was not answered.
-	Refused bool    // The server answered a probe without a status.
+	Reached bool    // The probed server took a connection; it may be too busy to answer.
 	Verdict Verdict // Of a promotion.
 }
--- a/internal/host/daisycore/command.go
+++ b/internal/host/daisycore/command.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/apex/log"
@@ -12,7 +11,6 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
-	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
 const (
@@ -103,17 +101,17 @@
 	case daisypromote.OrderProbe:
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
+		if err := c.options.Prober.Reach(ctx, o.Address); err != nil {
+			line.WithError(err).Info("core: server not reached")
+			break
+		}
+		result.Reached = true
 		status, err := c.options.Prober.Probe(ctx, o)
-		var refused *daisystatement.Failure
-		switch {
-		case err == nil:
-			result.Status = &status
-		case errors.As(err, &refused):
-			result.Refused = true
-			line.WithError(err).Info("core: probe refused")
-		default:
+		if err != nil {
 			line.WithError(err).Info("core: probe not answered")
+			break
 		}
+		result.Status = &status
 	case daisypromote.OrderPromote:
 		result.Verdict = c.promote(leader, o)
 	case daisypromote.OrderStepDown:
--- a/internal/host/daisycore/core.go
+++ b/internal/host/daisycore/core.go
@@ -45,6 +45,8 @@
 
 // Prober asks servers directly.
 type Prober interface {
+	// Reach returns an error if no connection to the server can be opened.
+	Reach(ctx context.Context, addr netip.AddrPort) error
 	Probe(ctx context.Context, o daisypromote.Order) (daisypromote.Status, error)
 	StepDown(ctx context.Context, o daisypromote.Order) error
 }
--- a/internal/session/daisychoice/choice.go
+++ b/internal/session/daisychoice/choice.go
@@ -35,17 +35,33 @@
 	average  time.Duration // Of the answers, without Base.
 	observed time.Time
 	underway int
+	since    time.Time // When the first statement under way began to wait for the next answer.
 	failures int
 	avoid    time.Time // Until when it is avoided after failures.
 	lagging  time.Time // Until when it is avoided for fresh reads.
 }
 
 // Start notes that a statement was sent.
-func (s *Server) Start() { s.underway++ }
+func (s *Server) Start(now time.Time) {
+	if s.underway == 0 {
+		s.since = now
+	}
+	s.underway++
+}
+
+// Unanswered returns for how long the server has answered none of the
+// statements under way, 0 if there is none.
+func (s *Server) Unanswered(now time.Time) time.Duration {
+	if s.underway == 0 {
+		return 0
+	}
+	return now.Sub(s.since)
+}
 
 // Answered notes an answer.
 func (s *Server) Answered(now time.Time, took time.Duration) {
 	s.underway--
+	s.since = now
 	s.failures, s.avoid = 0, time.Time{}
 	took = max(0, took-s.Base)
 	if s.observed.IsZero() {
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -66,9 +66,11 @@
 type service struct {
 	tracker  daisyfresh.Tracker
 	used     time.Time // When a session used it last.
-	silent   bool      // The primary of the round did not answer last.
+	silent   bool      // The primary of the round could not be reached last.
 	round    uint64    // Which silent is about.
 	sampling bool
+	checking bool
+	checked  time.Time // When the primary was last checked.
 }
 
 // Router is safe for concurrent use.
@@ -243,13 +245,12 @@
 func (r *Router) Started(server, workspace string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.server(server).Start()
+	r.server(server).Start(daisyclock.Now())
 	r.owners[server] = workspace
 }
 
 // Ended notes how a statement that was sent at the time ended: answered, or
-// not. The leader, if the server was asked as such, is then known to answer or
-// to be silent.
+// not.
 func (r *Router) Ended(name, server string, sent time.Time, answered bool) {
 	now := daisyclock.Now()
 	r.mu.Lock()
@@ -259,7 +260,9 @@
 	} else {
 		r.server(server).Failed(now)
 	}
-	r.hear(name, server, answered)
+	if answered {
+		r.reached(name, server)
+	}
 }
 
 // Abandoned notes that a statement ended without telling anything of the server.
@@ -274,9 +277,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.server(server)
-	c.Start()
-	c.Failed(daisyclock.Now())
-	r.hear(name, server, false)
+	now := daisyclock.Now()
+	c.Start(now)
+	c.Failed(now)
 }
 
 // Lagged notes that the server's log had not reached the floor of a read.
@@ -286,15 +289,19 @@
 	r.server(server).Lagged(daisyclock.Now())
 }
 
-// hear notes whether a server answers, if it is the primary.
-func (r *Router) hear(name, server string, answers bool) {
-	p, _ := r.options.View.Primacy(name)
-	if p.Server != server {
-		return
+// reached notes that a server can be reached, if it is the primary.
+func (r *Router) reached(name, server string) {
+	if p, _ := r.options.View.Primacy(name); p.Server == server {
+		s := r.service(name)
+		s.silent, s.round = false, p.Round
 	}
+}
+
+// missed notes that the primary of the round cannot be reached.
+func (r *Router) missed(name string, round uint64) {
 	s := r.service(name)
-	news := !answers && (!s.silent || s.round != p.Round)
-	s.silent, s.round = !answers, p.Round
+	news := !s.silent || s.round != round
+	s.silent, s.round = true, round
 	if news && r.options.Doubt != nil {
 		r.options.Doubt()
 	}
@@ -308,7 +315,7 @@
 	r.service(name).tracker.Note(l.Round, asked, p)
 }
 
-// Sights returns the primaries that do not answer this host.
+// Sights returns the primaries that this host cannot reach.
 func (r *Router) Sights() []daisybeat.Sight {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -45,6 +45,9 @@
 		for _, name := range r.stale() {
 			wait.Go(func() { r.sample(ctx, name) })
 		}
+		for _, d := range r.doubtful() {
+			wait.Go(func() { r.check(ctx, d) })
+		}
 	}
 }
 
