--- /dev/null
+++ b/internal/control/daisypromote/leader_test.go
@@ -0,0 +1,387 @@
+package daisypromote_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisypromote"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+)
+
+const (
+	lease   = 4 * time.Second
+	service = "baskets"
+	step    = 50 * time.Millisecond
+)
+
+// server is a backend server as the world knows it.
+type server struct {
+	id      string
+	role    daisypromote.Role
+	term    uint64
+	number  uint64
+	down    bool
+	leaving bool
+	refuses bool // Promotions are refused.
+}
+
+// host is an entry host.
+type host struct {
+	name        string
+	incarnation uint64
+	down        bool // Sends no heartbeats.
+	misses      bool // Cannot reach m1.
+	held        uint64
+}
+
+// world plays the servers, the hosts and the log around one leadership.
+type world struct {
+	t        *testing.T
+	now      time.Time
+	state    daisyfleet.State
+	index    uint64
+	leader   *daisypromote.Leader
+	servers  []*server
+	hosts    []*host
+	sequence uint64
+	promoted []string // Servers, in the order of promotions taken.
+	pending  []daisypromote.Result
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, now: time.Unix(1000, 0)}
+	for i := range 3 {
+		s := &server{id: fmt.Sprintf("m%d", i+1), role: daisypromote.RoleReplica, term: 1, number: 10}
+		w.servers = append(w.servers, s)
+		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i+1), incarnation: uint64(i + 1)})
+	}
+	w.servers[0].role = daisypromote.RolePrimary
+	w.lead()
+	return w
+}
+
+// lead begins a new leadership, as after the loss of the leader.
+func (w *world) lead() {
+	w.leader = daisypromote.NewLeader(daisypromote.Options{Began: w.now, Lease: lease})
+	w.pending = nil
+}
+
+func (w *world) advance(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		w.announce()
+		w.beat()
+		for _, c := range w.leader.Due(w.now, &w.state) {
+			w.index++
+			w.state.Apply(w.index, c)
+		}
+		w.leader.Decided()
+		results := w.pending
+		w.pending = nil
+		for _, r := range results {
+			w.leader.Reported(w.now, r)
+		}
+		for _, o := range w.leader.Orders(w.now, &w.state) {
+			w.pending = append(w.pending, w.carryOut(o))
+		}
+	}
+}
+
+func (w *world) announce() {
+	w.sequence++
+	for i, s := range w.servers {
+		if s.down {
+			continue
+		}
+		w.leader.Announce(w.now, daisypromote.Announcement{
+			ID: s.id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+i)),
+			Born: time.Unix(900, 0), Sequence: w.sequence, Leaving: s.leaving, Role: s.role,
+		})
+	}
+}
+
+func (w *world) beat() {
+	p := w.primacy()
+	for _, h := range w.hosts {
+		if h.down {
+			continue
+		}
+		b := daisybeat.Beat{
+			Host: h.name, Incarnation: h.incarnation, Address: netip.MustParseAddrPort("10.0.1.1:1"), Revision: h.held,
+		}
+		if h.misses && p.Server == w.servers[0].id {
+			b.Sights = []daisybeat.Sight{{Tenancy: daisybeat.Tenancy{Database: service, Term: p.Round}, Member: p.Server}}
+		}
+		w.leader.Beat(w.now, &w.state, b)
+		h.held = w.state.Revision()
+	}
+}
+
+func (w *world) carryOut(o daisypromote.Order) daisypromote.Result {
+	r := daisypromote.Result{Order: o}
+	for _, s := range w.servers {
+		if s.id != o.Server || s.down {
+			continue
+		}
+		switch o.Kind {
+		case daisypromote.OrderProbe:
+			r.Reached, r.Status = true, &daisypromote.Status{Role: s.role, Term: s.term, Received: s.number}
+		case daisypromote.OrderPromote:
+			r.Verdict = w.promote(s)
+		case daisypromote.OrderStepDown:
+			if s.term < o.Term {
+				s.role = daisypromote.RoleReplica
+			}
+		}
+	}
+	return r
+}
+
+func (w *world) promote(s *server) daisypromote.Verdict {
+	if s.refuses {
+		return daisypromote.VerdictRefused
+	}
+	w.promoted = append(w.promoted, s.id)
+	if s.role == daisypromote.RolePrimary && s.term == w.latestTerm() {
+		return daisypromote.VerdictTaken
+	}
+	s.term = w.latestTerm() + 1
+	s.role = daisypromote.RolePrimary
+	return daisypromote.VerdictTaken
+}
+
+func (w *world) latestTerm() uint64 {
+	latest := uint64(0)
+	for _, s := range w.servers {
+		latest = max(latest, s.term)
+	}
+	return latest
+}
+
+func (w *world) primacy() daisyfleet.Primacy {
+	o, _ := w.state.Get(daisyfleet.ID{Kind: daisyfleet.KindPrimacy, Name: service})
+	p, _ := o.Value.(daisyfleet.Primacy)
+	return p
+}
+
+func TestSuccession(t *testing.T) {
+	tests := []struct {
+		name    string
+		strike  func(w *world)
+		primary string
+		within  time.Duration
+	}{
+		{"Nothing", func(*world) {}, "m1", time.Second},
+		{"PrimaryLost", func(w *world) {
+			w.servers[0].down = true
+			w.servers[2].number = 12
+			w.missAll(true)
+		}, "m3", 2 * time.Second},
+		{"OneHostMisses", func(w *world) { w.hosts[0].misses = true }, "m1", 3 * time.Second},
+		{"PrimaryCutFromAllHosts", func(w *world) { w.missAll(true) }, "m2", 2 * time.Second},
+		{"PrimaryCutFromLeaderOnly", func(w *world) { w.servers[0].down = true }, "m1", 2 * time.Second},
+		{"PrimaryLeaves", func(w *world) { w.servers[0].leaving = true }, "m2", 2 * time.Second},
+		{"BestCannotBePromoted", func(w *world) {
+			w.servers[0].down = true
+			w.servers[1].number, w.servers[1].refuses = 20, true
+			w.missAll(true)
+		}, "m3", 2 * time.Second},
+		{"HostLostToo", func(w *world) {
+			w.servers[0].down = true
+			w.missAll(true)
+			w.hosts[0].down = true
+		}, "m2", lease + 2*time.Second},
+		{"LeaderLostToo", func(w *world) {
+			w.servers[0].down = true
+			w.missAll(true)
+			w.advance(300 * time.Millisecond)
+			w.lead()
+		}, "m2", 3 * time.Second},
+		{"LeaderLostAfterPromotion", func(w *world) {
+			w.servers[0].down = true
+			w.missAll(true)
+			for len(w.promoted) == 0 {
+				w.advance(step)
+			}
+			w.lead()
+		}, "m2", 2 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.advance(2 * time.Second)
+			assert.Equal(t, w.primacy().Server, "m1")
+			test.strike(w)
+			w.advance(test.within)
+			assert.Equal(t, w.primacy().Server, test.primary)
+			assert.Assert(t, len(w.promoted) <= 2, "promoted %v", w.promoted)
+		})
+	}
+}
+
+func (w *world) missAll(misses bool) {
+	for _, h := range w.hosts {
+		h.misses = misses
+	}
+}
+
+// Nobody is promoted while a host may act on the state before.
+func TestPromotionWaitsForEveryHost(t *testing.T) {
+	w := newWorld(t)
+	w.advance(2 * time.Second)
+	w.servers[0].down = true
+	w.missAll(true)
+	w.hosts[2].down = true
+	struck := w.now
+	for len(w.promoted) == 0 {
+		w.advance(step)
+	}
+	assert.Assert(t, w.now.Sub(struck) >= lease, "promoted after %v", w.now.Sub(struck))
+}
+
+// A host whose process is killed and starts again holds nobody up.
+func TestRestartedHostHoldsNobodyUp(t *testing.T) {
+	w := newWorld(t)
+	w.advance(2 * time.Second)
+	w.servers[0].down = true
+	w.missAll(true)
+	w.hosts[2].incarnation, w.hosts[2].held = 77, 0
+	w.advance(2 * time.Second)
+	assert.Equal(t, w.primacy().Server, "m2")
+	// The two processes of the host are not declared up in turns.
+	before := w.index
+	w.advance(2 * time.Second)
+	assert.Assert(t, w.index-before <= 1, "%d changes", w.index-before)
+}
+
+// A primary that comes back is told the term that replaced it.
+func TestReplacedPrimaryStepsDown(t *testing.T) {
+	w := newWorld(t)
+	w.advance(2 * time.Second)
+	w.servers[0].down = true
+	w.missAll(true)
+	w.advance(2 * time.Second)
+	w.missAll(false)
+	w.servers[0].down = false
+	w.advance(time.Second)
+	assert.Equal(t, w.servers[0].role, daisypromote.RoleReplica)
+	assert.Equal(t, w.primacy().Server, "m2")
+}
+
+// With a synchronous replica, an acknowledged write may be on the one replica
+// that does not answer.
+func TestSyncReplicaIsWaitedFor(t *testing.T) {
+	w := newWorld(t)
+	w.leader.SetDesired(w.now, daisypromote.Desired{SyncReplicas: map[string]int{service: 1}})
+	w.advance(2 * time.Second)
+	w.servers[0].down, w.servers[1].down = true, true
+	w.servers[1].number = 11
+	w.missAll(true)
+	w.advance(3 * time.Second)
+	assert.Equal(t, len(w.promoted), 0)
+	w.servers[1].down = false
+	w.advance(2 * time.Second)
+	assert.Equal(t, w.primacy().Server, "m2")
+}
+
+func TestAnnouncements(t *testing.T) {
+	addr, other := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	a := func(id string, at netip.AddrPort, born, sequence int64, leaving bool) daisypromote.Announcement {
+		return daisypromote.Announcement{
+			ID: id, Service: service, Address: at, Born: time.Unix(born, 0), Sequence: uint64(sequence), Leaving: leaving,
+		}
+	}
+	tests := []struct {
+		name  string
+		sent  []daisypromote.Announcement
+		leave string
+		want  map[string]bool // Server names, and whether they leave.
+	}{
+		{"Two", []daisypromote.Announcement{a("x", addr, 1, 1, false), a("y", other, 1, 1, false)}, "", map[string]bool{"x": false, "y": false}},
+		{"LateCall", []daisypromote.Announcement{a("x", addr, 1, 2, true), a("x", addr, 1, 1, false)}, "", map[string]bool{"x": true}},
+		{"Reborn", []daisypromote.Announcement{a("x", addr, 1, 9, true), a("x", addr, 2, 1, false)}, "", map[string]bool{"x": false}},
+		{"AddressReused", []daisypromote.Announcement{a("x", addr, 1, 1, false), a("y", addr, 2, 1, false)}, "", map[string]bool{"y": false}},
+		{"DelayedCallOfTheDead", []daisypromote.Announcement{a("y", addr, 2, 1, false), a("x", addr, 1, 1, false)}, "", map[string]bool{"y": false}},
+		{"Left", []daisypromote.Announcement{a("x", addr, 1, 1, true)}, "x", map[string]bool{}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			l := daisypromote.NewLeader(daisypromote.Options{Began: now, Lease: lease})
+			var s daisyfleet.State
+			index := uint64(0)
+			apply := func() {
+				for _, c := range l.Due(now, &s) {
+					index++
+					s.Apply(index, c)
+				}
+			}
+			for _, a := range test.sent {
+				l.Announce(now, a)
+				apply()
+			}
+			if test.leave != "" {
+				l.Leave(now, test.leave)
+				apply()
+				l.Announce(now, test.sent[0]) // Delayed.
+				apply()
+			}
+			got := make(map[string]bool)
+			s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+				v, _ := o.Value.(daisyfleet.Server)
+				got[o.Name] = v.Leaving
+			})
+			assert.DeepEqual(t, got, test.want)
+		})
+	}
+}
+
+// The tokens that hosts take in any window stay within the limit, however
+// demand moves between them and however often they restart.
+func TestTokensStayWithinTheLimit(t *testing.T) {
+	const hosts, window = 6, 5 * time.Second
+	limit := daisyallowance.Limit{Workspace: "w", Rate: 100, Burst: 100}
+	now := time.Unix(1000, 0)
+	pool := daisyallowance.NewPool(now, limit)
+	purses := make([]*daisyallowance.Purse, hosts)
+	for i := range purses {
+		purses[i] = daisyallowance.NewPurse(now, limit, hosts)
+	}
+	var taken []time.Time
+	for tick := range 6000 {
+		now = now.Add(10 * time.Millisecond)
+		busy := purses[tick/500%hosts] // All demand meets one host for 5 s.
+		short := false
+		for range 5 {
+			ok, _ := busy.Take(now)
+			if ok {
+				taken = append(taken, now)
+			}
+			short = short || !ok
+		}
+		if short && tick%6 == 0 { // A host that is short asks at once, every 60 ms at most.
+			busy.Put(now, pool.Draw(now, busy.Wanted(now)))
+		}
+		if tick%50 == 0 {
+			for _, p := range purses {
+				p.Put(now, pool.Draw(now, p.Wanted(now)))
+			}
+		}
+		if tick%700 == 0 {
+			purses[tick/700%hosts] = daisyallowance.NewPurse(now, limit, hosts)
+		}
+	}
+	most := (limit.Rate*window.Seconds() + limit.Burst) * 1.1
+	for first, last := 0, 0; last < len(taken); last++ {
+		for taken[last].Sub(taken[first]) > window {
+			first++
+		}
+		assert.Assert(t, float64(last-first+1) <= most, "%d in a window, at most %v", last-first+1, most)
+	}
+	assert.Assert(t, float64(len(taken)) > 0.5*limit.Rate*60, "%d taken", len(taken))
+}
--- a/internal/limit/daisyallowance/doc.go
+++ b/internal/limit/daisyallowance/doc.go
@@ -1,8 +1,8 @@
 // Package daisyallowance decides how the limit of a workspace, a rate and a
 // burst, is shared by many hosts of which each may be cut off at any time.
 //
-// Half of the rate belongs to the hosts in equal parts, which they spend
-// without asking. The other half is a pool at the control leader, from which a
+// A part of the rate belongs to the hosts in equal shares, which they spend
+// without asking. The rest is a pool at the control leader, from which a
 // host draws what its demand lacks with its heartbeats. A host that is cut off
 // keeps serving on its part; one without demand draws nothing.
 //
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -20,6 +20,15 @@
 	rightRetry = 50 * time.Millisecond
 )
 
+// runShare is the part of a statement's timeout that is kept for its run: one
+// that would be sent later is refused as not run instead of left in doubt.
+const runShare = 4
+
+// holdLimit returns until when a statement may wait to be sent.
+func holdLimit(p daisydesire.Profile, arrived time.Time) time.Time {
+	return arrived.Add(p.Timeout - p.Timeout/runShare)
+}
+
 // errNoLeader is returned while a service has no primary that may be used.
 var errNoLeader = errors.New("the service has no primary")
 
@@ -44,19 +53,19 @@
 // direct serves a statement that only the primary may run. What was certainly
 // not run is tried again until the statement's timeout.
 func (s *Session) direct(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
-	deadline := arrived.Add(p.Timeout)
+	hold := holdLimit(p, arrived)
 	st.After = daisystatement.Position{}
 	for {
-		a, err, sent := s.tryDirect(p, st, deadline)
+		a, err, sent := s.tryDirect(p, st, arrived)
 		switch {
 		case err == nil && (a.Failure == nil || !a.Failure.Code.NotRun()):
 			return a
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
-		case time.Until(deadline) < leaderRetry && err == nil:
+		case time.Until(hold) < leaderRetry && err == nil:
 			a.State = daisystatement.StateIdle
 			return a
-		case time.Until(deadline) < leaderRetry:
+		case time.Until(hold) < leaderRetry:
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err)
 		}
 		time.Sleep(leaderRetry)
@@ -65,12 +74,13 @@
 
 // tryDirect runs the statement at the primary once. It reports whether the
 // statement was sent.
-func (s *Session) tryDirect(p daisydesire.Profile, st daisystatement.Statement, deadline time.Time) (a daisystatement.Answer, err error, sent bool) { //nolint:revive // The report belongs to the error.
-	l, err := s.awaitLeader(p.Service, deadline)
+func (s *Session) tryDirect(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, err error, sent bool) { //nolint:revive // The report belongs to the error.
+	hold, deadline := holdLimit(p, arrived), arrived.Add(p.Timeout)
+	l, err := s.awaitLeader(p.Service, hold)
 	if err != nil {
 		return a, err, false
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), hold)
 	defer cancel()
 	c, err := s.connect(ctx, p.Service, l.Server, deadline)
 	if err != nil {
--- /dev/null
+++ b/internal/session/daisysession/group_test.go
@@ -0,0 +1,303 @@
+package daisysession_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
+	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
+	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
+	"github.com/daisyglade/daisyglade/internal/session/daisysession"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+// run is a statement that a server ran.
+type run struct {
+	id     string
+	kind   daisystatement.Kind
+	text   string
+	values map[string]string
+	inside bool // In a transaction.
+}
+
+// server is a backend server in memory.
+type server struct {
+	mu          sync.Mutex
+	name        string
+	primary     bool
+	position    daisystatement.Position
+	unreachable bool
+	work        time.Duration                                        // Before each answer.
+	lose        func(s daisystatement.Statement) bool                // Runs the statement and loses its answer.
+	before      func(s daisystatement.Statement)                     // Called before a statement runs.
+	refuse      func(s daisystatement.Statement) daisystatement.Code // Not run.
+	runs        []run
+	commits     int
+}
+
+func (s *server) ran(kind daisystatement.Kind) []run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []run
+	for _, r := range s.runs {
+		if r.kind == kind {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// link is a connection to a server in memory. Answers take the server's work.
+type link struct {
+	server   *server
+	state    daisystatement.State
+	values   map[string]string
+	prepared map[string]string
+	wrote    bool
+	answers  []daisystatement.Answer
+	lost     bool
+	closed   atomic.Bool
+}
+
+func (l *link) Alive() bool { return !l.closed.Load() }
+func (l *link) Close()      { l.closed.Store(true) }
+
+func (l *link) Send(statements []daisystatement.Statement) error {
+	if l.server.unreachable {
+		return io.ErrClosedPipe
+	}
+	for _, s := range statements {
+		l.handle(s)
+	}
+	return nil
+}
+
+func (l *link) handle(s daisystatement.Statement) {
+	if l.server.before != nil {
+		l.server.before(s)
+	}
+	l.server.mu.Lock()
+	defer l.server.mu.Unlock()
+	a := l.answer(s)
+	if l.server.lose != nil && l.server.lose(s) {
+		l.lost = true
+	}
+	l.answers = append(l.answers, a)
+}
+
+func (l *link) answer(s daisystatement.Statement) daisystatement.Answer {
+	v := l.server
+	fail := func(c daisystatement.Code) daisystatement.Answer {
+		if l.state == daisystatement.StateOpen {
+			l.state = daisystatement.StateFailed
+		}
+		return daisystatement.Answer{Failure: &daisystatement.Failure{Code: c}, State: l.state, Position: v.position}
+	}
+	if v.refuse != nil {
+		if c := v.refuse(s); c != daisystatement.CodeNone {
+			return fail(c)
+		}
+	}
+	if s.After.Compare(v.position) > 0 {
+		return fail(daisystatement.CodeLagging)
+	}
+	v.runs = append(v.runs, run{id: s.ID, kind: s.Kind, text: s.Text, values: maps.Clone(l.values), inside: l.state == daisystatement.StateOpen})
+	switch s.Kind {
+	case daisystatement.KindBegin:
+		if !s.ReadOnly && !v.primary {
+			return fail(daisystatement.CodeReadOnly)
+		}
+		l.state, l.wrote = daisystatement.StateOpen, false
+	case daisystatement.KindCommit:
+		l.state = daisystatement.StateIdle
+		if l.wrote {
+			v.position.Number++
+			v.commits++
+		}
+	case daisystatement.KindRollback:
+		l.state = daisystatement.StateIdle
+	case daisystatement.KindWrite:
+		if !v.primary {
+			return fail(daisystatement.CodeReadOnly)
+		}
+		l.wrote = true
+		if l.state == daisystatement.StateIdle {
+			v.position.Number++
+			v.commits++
+		}
+	case daisystatement.KindSet:
+		if l.values == nil {
+			l.values = make(map[string]string)
+		}
+		l.values[s.Name] = s.Value
+	case daisystatement.KindDiscard:
+		l.values, l.prepared = nil, nil
+	case daisystatement.KindPrepare:
+		if l.prepared == nil {
+			l.prepared = make(map[string]string)
+		}
+		l.prepared[s.Name] = s.Shape
+	case daisystatement.KindExecute:
+		shape, ok := l.prepared[s.Name]
+		if !ok {
+			return fail(daisystatement.CodeNoStatement)
+		}
+		v.runs[len(v.runs)-1].text = shape
+	}
+	return daisystatement.Answer{Signature: "signed-" + v.name, State: l.state, Position: v.position}
+}
+
+func (l *link) Receive(deadline time.Time) (daisystatement.Answer, error) {
+	left := time.Until(deadline)
+	if l.server.work > left {
+		time.Sleep(left)
+		return daisystatement.Answer{}, os.ErrDeadlineExceeded
+	}
+	time.Sleep(l.server.work)
+	if l.lost {
+		return daisystatement.Answer{}, io.ErrUnexpectedEOF
+	}
+	a := l.answers[0]
+	l.answers = l.answers[1:]
+	return a, nil
+}
+
+// right is a lease that a test gives and takes.
+type right struct{ valid atomic.Bool }
+
+func (r *right) Valid() bool { return r.valid.Load() }
+
+// fleet is a host's view of one service with a primary and a replica.
+type fleet struct {
+	t       *testing.T
+	servers map[string]*server
+	view    *daisyfleet.View
+	right   *right
+	router  *daisyrouter.Router
+	pool    *daisypool.Pool
+	desk    *daisysession.Desk
+	index   atomic.Pointer[daisydesire.Index]
+	applied uint64
+	doubts  atomic.Int32
+}
+
+const (
+	serviceName = "baskets"
+	keyText     = "key-1"
+)
+
+func (f *fleet) Dial(_ context.Context, t daisypool.Target) (daisypool.Link, error) {
+	s := f.servers[t.Server]
+	if s.unreachable {
+		return nil, errors.New("unreachable")
+	}
+	return &link{server: s}, nil
+}
+
+func (f *fleet) Reach(_ context.Context, addr netip.AddrPort) error {
+	for i, name := range serverNames {
+		if addr.Port() == uint16(7000+i) && f.servers[name].unreachable {
+			return errors.New("unreachable")
+		}
+	}
+	return nil
+}
+
+var serverNames = []string{"m1", "m2"}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	f := &fleet{t: t, servers: make(map[string]*server), view: daisyfleet.NewView(), right: &right{}}
+	f.right.valid.Store(true)
+	for i, name := range serverNames {
+		f.servers[name] = &server{name: name, primary: i == 0, work: 20 * time.Millisecond, position: daisystatement.Position{Term: 1, Number: 10}}
+		f.put(daisyfleet.KindServer, name, daisyfleet.Server{
+			Service: serviceName, Address: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7000+i)),
+		})
+	}
+	f.put(daisyfleet.KindPrimacy, serviceName, daisyfleet.Primacy{Round: 1, Server: "m1", Term: 1})
+	f.pool = daisypool.New(f)
+	f.router = daisyrouter.New(daisyrouter.Options{
+		View: f.view, Right: f.right, Pool: f.pool, Doubt: func() { f.doubts.Add(1) },
+	})
+	f.router.Refresh(func(string) daisypool.Share { return daisypool.Share{Kept: 3, Most: 3} })
+	gate := daisygate.New(func() {})
+	gate.SetLimits([]daisyallowance.Limit{{Workspace: "w1", Rate: 1000, Burst: 1000}})
+	time.Sleep(time.Second) // Purses begin empty.
+	f.setKeys(keyText)
+	f.desk = &daisysession.Desk{
+		Index: f.index.Load, Router: f.router, Pool: f.pool, Gate: gate,
+		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+	}
+	return f
+}
+
+func (f *fleet) close() { assert.NilError(f.t, f.pool.Close()) }
+
+func (f *fleet) setKeys(keys ...string) {
+	profile := func(database string, fresh daisydesire.Freshness) daisydesire.Profile {
+		return daisydesire.Profile{
+			Name: database, Database: database, Service: serviceName, Freshness: fresh,
+			MaxAge: 1500 * time.Millisecond, Timeout: time.Second, Latency: 500 * time.Millisecond,
+		}
+	}
+	f.index.Store(daisydesire.NewIndex(&daisydesire.Document{
+		Version:    1,
+		Profiles:   []daisydesire.Profile{profile("strict", daisydesire.FreshPrimary), profile("loose", daisydesire.FreshBounded), profile("own", daisydesire.FreshSession)},
+		Services:   []daisydesire.Service{{Name: serviceName, Connections: 21}},
+		Workspaces: []daisydesire.Workspace{{Name: "w1", Keys: keys, Rate: 1000, Burst: 1000}},
+	}))
+}
+
+// put changes an object of the held state.
+func (f *fleet) put(k daisyfleet.Kind, name string, v daisyfleet.Value) {
+	err := f.view.Update(func(s *daisyfleet.State) error {
+		id := daisyfleet.ID{Kind: k, Name: name}
+		o, _ := s.Get(id)
+		f.applied++
+		out := s.Apply(f.applied, daisyfleet.Change{Operations: []daisyfleet.Operation{{ID: id, Against: o.Revision, Value: v}}})
+		if !out.Accepted {
+			return errors.New(out.Message)
+		}
+		return nil
+	})
+	assert.NilError(f.t, err)
+}
+
+func (f *fleet) session(database string) *daisysession.Session {
+	f.t.Helper()
+	s, refused := f.desk.Open(database, keyText)
+	assert.Assert(f.t, refused == nil, "%v", refused)
+	return s
+}
+
+func statement(k daisystatement.Kind, id string) daisystatement.Statement {
+	return daisystatement.Statement{ID: id, Kind: k, Text: fmt.Sprint("text of ", id)}
+}
+
+func do(s *daisysession.Session, st daisystatement.Statement) daisystatement.Answer {
+	return s.Do(st, time.Now())
+}
+
+func code(a daisystatement.Answer) daisystatement.Code {
+	if a.Failure == nil {
+		return daisystatement.CodeNone
+	}
+	return a.Failure.Code
+}
--- /dev/null
+++ b/internal/session/daisysession/session_test.go
@@ -0,0 +1,250 @@
+package daisysession_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+func kindIs(k daisystatement.Kind) func(daisystatement.Statement) bool {
+	return func(s daisystatement.Statement) bool { return s.Kind == k }
+}
+
+// What a caller is told after a fault, for each statement that it may strike.
+func TestFaultsAndPromises(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(f *fleet)
+		within bool // The statement is sent in a transaction.
+		kind   daisystatement.Kind
+		want   daisystatement.Code
+	}{
+		{"WriteAnswerLost", func(f *fleet) { f.servers["m1"].lose = kindIs(daisystatement.KindWrite) }, false, daisystatement.KindWrite, daisystatement.CodeInDoubt},
+		{"WriteInTransactionAnswerLost", func(f *fleet) { f.servers["m1"].lose = kindIs(daisystatement.KindWrite) }, true, daisystatement.KindWrite, daisystatement.CodeAborted},
+		{"PrimaryUnreachable", func(f *fleet) { f.servers["m1"].unreachable = true }, false, daisystatement.KindWrite, daisystatement.CodeBusy},
+		{"NoRight", func(f *fleet) { f.right.valid.Store(false) }, false, daisystatement.KindWrite, daisystatement.CodeBusy},
+		{"WriteRefused", func(f *fleet) {
+			f.servers["m1"].refuse = func(daisystatement.Statement) daisystatement.Code { return daisystatement.CodeReadOnly }
+		}, false, daisystatement.KindWrite, daisystatement.CodeReadOnly},
+		{"ReplacedWhileWriting", func(f *fleet) {
+			f.servers["m1"].before = func(s daisystatement.Statement) {
+				if s.Kind == daisystatement.KindWrite {
+					f.put(daisyfleet.KindPrimacy, serviceName, daisyfleet.Primacy{Round: 2, Previous: "m1"})
+				}
+			}
+		}, false, daisystatement.KindWrite, daisystatement.CodeInDoubt},
+		{"RightLostWhileWriting", func(f *fleet) {
+			f.servers["m1"].before = func(s daisystatement.Statement) {
+				if s.Kind == daisystatement.KindWrite {
+					f.right.valid.Store(false)
+				}
+			}
+		}, false, daisystatement.KindWrite, daisystatement.CodeInDoubt},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				s := f.session("strict")
+				defer s.Close()
+				test.strike(f)
+				if test.within {
+					assert.Equal(t, code(do(s, statement(daisystatement.KindBegin, "b"))), daisystatement.CodeNone)
+				}
+				a := do(s, statement(test.kind, "x"))
+				assert.Equal(t, code(a), test.want)
+				if a.Failure.Code.NotRun() {
+					assert.Equal(t, f.servers["m1"].commits, 0)
+				}
+			})
+		})
+	}
+}
+
+// A commit without an answer is in doubt; nothing sent before it is kept if the
+// connection is lost earlier.
+func TestCommitWithoutAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		f.servers["m1"].lose = kindIs(daisystatement.KindCommit)
+		s := f.session("strict")
+		do(s, statement(daisystatement.KindBegin, "b"))
+		assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w"))), daisystatement.CodeNone)
+		a := do(s, statement(daisystatement.KindCommit, "c"))
+		assert.Equal(t, code(a), daisystatement.CodeInDoubt)
+		assert.Equal(t, a.State, daisystatement.StateIdle)
+	})
+}
+
+// A transaction does not go on once its primary is being replaced.
+func TestTransactionEndsWithItsRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("strict")
+		do(s, statement(daisystatement.KindBegin, "b"))
+		do(s, statement(daisystatement.KindWrite, "w"))
+		f.put(daisyfleet.KindPrimacy, serviceName, daisyfleet.Primacy{Round: 2, Previous: "m1"})
+		a := do(s, statement(daisystatement.KindCommit, "c"))
+		assert.Equal(t, code(a), daisystatement.CodeAborted)
+		assert.Equal(t, a.State, daisystatement.StateIdle)
+		assert.Equal(t, f.servers["m1"].commits, 0)
+	})
+}
+
+// A read whose answer is lost runs again on another server.
+func TestReadRunsElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("loose")
+		assert.Equal(t, code(do(s, statement(daisystatement.KindRead, "warm"))), daisystatement.CodeNone)
+		f.servers["m2"].lose = kindIs(daisystatement.KindRead)
+		for range 3 {
+			assert.Equal(t, code(do(s, statement(daisystatement.KindRead, "r"))), daisystatement.CodeNone)
+		}
+		assert.Assert(t, len(f.servers["m2"].ran(daisystatement.KindRead)) > 0)
+	})
+}
+
+// Without a recent position of the primary no replica may serve a read.
+func TestReadWithoutSampleGoesToPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("loose")
+		do(s, statement(daisystatement.KindRead, "r1"))
+		assert.Equal(t, len(f.servers["m1"].ran(daisystatement.KindRead)), 1)
+		do(s, statement(daisystatement.KindRead, "r2"))
+		assert.Equal(t, len(f.servers["m2"].ran(daisystatement.KindRead)), 1)
+		time.Sleep(2 * time.Second)
+		do(s, statement(daisystatement.KindRead, "r3"))
+		assert.Equal(t, len(f.servers["m1"].ran(daisystatement.KindRead)), 2)
+	})
+}
+
+// A session reads its own write although the replica lags.
+func TestSessionReadsItsWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("own")
+		do(s, statement(daisystatement.KindRead, "warm"))
+		assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w"))), daisystatement.CodeNone)
+		assert.Equal(t, code(do(s, statement(daisystatement.KindRead, "r"))), daisystatement.CodeNone)
+		assert.Equal(t, len(f.servers["m2"].ran(daisystatement.KindRead)), 0)
+	})
+}
+
+// Statements run under the session's own values, on whichever connection.
+func TestValuesFollowTheSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		set := func(name, value string) daisystatement.Statement {
+			return daisystatement.Statement{ID: "s", Kind: daisystatement.KindSet, Name: name, Value: value}
+		}
+		a, b := f.session("strict"), f.session("strict")
+		do(a, set("zone", "north"))
+		do(b, set("round", "7"))
+		do(a, statement(daisystatement.KindWrite, "w1"))
+		do(b, statement(daisystatement.KindWrite, "w2"))
+		do(a, statement(daisystatement.KindWrite, "w3"))
+		runs := f.servers["m1"].ran(daisystatement.KindWrite)
+		assert.Equal(t, len(runs), 3)
+		assert.DeepEqual(t, runs[0].values, map[string]string{"zone": "north"})
+		assert.DeepEqual(t, runs[1].values, map[string]string{"round": "7"})
+		assert.DeepEqual(t, runs[2].values, map[string]string{"zone": "north"})
+	})
+}
+
+// A prepared name means what its own session prepared.
+func TestPreparedNamesDoNotMeet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		a, b := f.session("strict"), f.session("strict")
+		prepare := func(shape string) daisystatement.Statement {
+			return daisystatement.Statement{ID: "p", Kind: daisystatement.KindPrepare, Name: "s1", Shape: shape, ReadOnly: true}
+		}
+		do(a, prepare("first"))
+		do(b, prepare("second"))
+		execute := daisystatement.Statement{ID: "e", Kind: daisystatement.KindExecute, Name: "s1", Rest: "1"}
+		do(a, execute)
+		do(b, execute)
+		runs := f.servers["m1"].ran(daisystatement.KindExecute)
+		assert.Equal(t, runs[0].text, "first")
+		assert.Equal(t, runs[1].text, "second")
+	})
+}
+
+// A withdrawn key ends connected sessions.
+func TestWithdrawnKeyEndsSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("strict")
+		f.setKeys("other")
+		assert.Equal(t, code(do(s, statement(daisystatement.KindRead, "r"))), daisystatement.CodeDenied)
+		assert.Assert(t, s.Ended())
+	})
+}
+
+// An idle transaction is rolled back and its caller told so once.
+func TestIdleTransactionExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		s := f.session("strict")
+		do(s, statement(daisystatement.KindBegin, "b"))
+		do(s, statement(daisystatement.KindWrite, "w"))
+		s.Expire()
+		assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w2"))), daisystatement.CodeAborted)
+		assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w3"))), daisystatement.CodeMalformed)
+		assert.Equal(t, code(do(s, statement(daisystatement.KindRollback, "r"))), daisystatement.CodeNone)
+		assert.Equal(t, f.servers["m1"].commits, 0)
+	})
+}
+
+// A primary that answers late because of its queue is not reported; one to which
+// no connection can be opened is. Reads of replicas that lag far behind all go
+// to the primary, and replacing it would only move the load.
+func TestBusyPrimaryIsNotLost(t *testing.T) {
+	tests := []struct {
+		name   string
+		strike func(s *server)
+		sights int
+	}{
+		{"AnswersLate", func(s *server) { s.work = 900 * time.Millisecond }, 0},
+		{"Unreachable", func(s *server) { s.unreachable = true }, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				ctx, cancel := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() { defer close(done); f.router.Sample(ctx) }()
+				s := f.session("loose")
+				do(s, statement(daisystatement.KindRead, "warm"))
+				test.strike(f.servers["m1"])
+				for range 10 {
+					do(s, statement(daisystatement.KindRead, "r"))
+					time.Sleep(200 * time.Millisecond)
+				}
+				assert.Equal(t, len(f.router.Sights()), test.sights)
+				cancel()
+				<-done
+			})
+		})
+	}
+}
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -109,7 +109,7 @@
 // ready makes sure that the transaction has a connection on which it may go on.
 func (t *transaction) ready(deadline time.Time) (refused daisystatement.Answer, ok bool) {
 	if t.conn == nil {
-		if a, ok := t.open(deadline); !ok {
+		if a, ok := t.open(deadline.Add(-t.profile.Timeout / runShare)); !ok {
 			return a, false
 		}
 	}
@@ -119,14 +119,14 @@
 	return refused, true
 }
 
-// open begins the transaction on a server.
-func (t *transaction) open(deadline time.Time) (refused daisystatement.Answer, ok bool) {
+// open begins the transaction on a server, if one can be had until hold.
+func (t *transaction) open(hold time.Time) (refused daisystatement.Answer, ok bool) {
 	code, why := daisystatement.CodeBusy, "no backend server could begin the transaction in time"
 	var tried []string
 	for {
-		server, begin, found := t.target(deadline, tried)
+		server, begin, found := t.target(hold, tried)
 		if found {
-			a, err := t.tryOpen(server, begin, deadline)
+			a, err := t.tryOpen(server, begin, hold)
 			if err == nil && a.Failure == nil {
 				return refused, true
 			}
@@ -137,7 +137,7 @@
 		} else {
 			tried = nil
 		}
-		if time.Until(deadline) < leaderRetry {
+		if time.Until(hold) < leaderRetry {
 			break
 		}
 		if !t.readOnly || !found {
@@ -153,7 +153,7 @@
 }
 
 // target returns the server to begin on and the statement that begins.
-func (t *transaction) target(deadline time.Time, tried []string) (server string, begin daisystatement.Statement, ok bool) {
+func (t *transaction) target(hold time.Time, tried []string) (server string, begin daisystatement.Statement, ok bool) {
 	s := t.session
 	begin = system(daisystatement.KindBegin)
 	begin.ReadOnly = t.readOnly
@@ -164,16 +164,17 @@
 			return server, begin, ok
 		}
 	}
-	l, err := s.awaitLeader(t.profile.Service, deadline)
+	l, err := s.awaitLeader(t.profile.Service, hold)
 	t.leader = l
 	return l.Server, begin, err == nil
 }
 
 // tryOpen begins on the server.
-func (t *transaction) tryOpen(server string, begin daisystatement.Statement, deadline time.Time) (a daisystatement.Answer, err error) {
+func (t *transaction) tryOpen(server string, begin daisystatement.Statement, hold time.Time) (a daisystatement.Answer, err error) {
 	s := t.session
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), hold)
 	defer cancel()
+	deadline := hold.Add(t.profile.Timeout / runShare)
 	c, err := s.connect(ctx, t.profile.Service, server, deadline)
 	if err != nil {
 		return a, err
