--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -36,14 +36,6 @@
 	Most int // Open at once.
 }
 
-// ShareOf returns the share of one among so many hosts. A server resets
-// connections beyond its number, so the shares together never exceed it.
-func ShareOf(connections, hosts int) Share {
-	const reserved = 1 // For the control leader's probes.
-	kept := max(1, (connections-reserved)/max(1, hosts))
-	return Share{Kept: kept, Most: kept}
-}
-
 // Pool keeps the connections to all servers.
 type Pool struct {
 	dialer Dialer
@@ -115,6 +107,17 @@
 	return s.acquire(ctx, workspace)
 }
 
+// Usable reports whether the host has a share of the server's connections.
+func (p *Pool) Usable(server string) bool {
+	s := p.server(server)
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.share.Most > 0
+}
+
 // Reach returns an error if the server cannot be reached.
 func (p *Pool) Reach(ctx context.Context, server string) error {
 	s := p.server(server)
--- a/internal/control/daisyfleet/service.go
+++ b/internal/control/daisyfleet/service.go
@@ -35,6 +35,7 @@
 	FailureDomain string
 	Born          time.Time // When its process started, to the millisecond.
 	Leaving       bool      // The server asked for no new work.
+	Slots         int       // How many statements it runs at once; 0 if unknown.
 }
 
 // Kind implements Value.
--- a/internal/control/daisypromote/leader.go
+++ b/internal/control/daisypromote/leader.go
@@ -159,7 +159,7 @@
 		held, _ := o.Value.(daisyfleet.Server)
 		next := daisyfleet.Server{
 			Service: k.Service, Address: k.Address, FailureDomain: k.FailureDomain,
-			Born: k.Born, Leaving: k.Leaving,
+			Born: k.Born, Leaving: k.Leaving, Slots: k.Slots,
 		}
 		if ok && held == next {
 			continue
--- a/internal/control/daisypromote/types.go
+++ b/internal/control/daisypromote/types.go
@@ -25,6 +25,7 @@
 	Sequence      uint64    // Increases with each announcement of a process.
 	Leaving       bool      // The server asks for no new work.
 	Role          Role
+	Slots         int // How many statements it runs at once; 0 if unknown.
 }
 
 // Status is what a server says of itself when it is probed.
--- /dev/null
+++ b/internal/entry/daisycarrier/carrier.go
@@ -0,0 +1,129 @@
+package daisycarrier
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+// errNoGateway is returned while no host is known that reaches the server.
+var errNoGateway = errors.New("no gateway of the server is known")
+
+// Conn is a connection to another host.
+type Conn interface {
+	Send(ctx context.Context, message []byte) error
+	Receive(ctx context.Context) ([]byte, error)
+	Close()
+}
+
+// Dial opens a connection to another host.
+type Dial func(ctx context.Context, addr netip.AddrPort) (Conn, error)
+
+// Options configure a Carrier.
+type Options struct {
+	Host  string // The name of this host.
+	Local *daisygateway.Gateway
+	Place Place
+	Dial  Dial
+	Log   log.Interface
+}
+
+// Carrier brings errands to gateways. It is safe for concurrent use.
+type Carrier struct {
+	options  Options
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	gateways atomic.Pointer[map[string][]Gateway] // By server.
+
+	mu    sync.Mutex
+	links map[netip.AddrPort]*link
+}
+
+// New returns a carrier that knows no gateways yet.
+func New(o Options) *Carrier {
+	c := &Carrier{options: o, links: make(map[netip.AddrPort]*link)}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.gateways.Store(&map[string][]Gateway{})
+	return c
+}
+
+// Refresh takes over the gateways that follow from the fleet's state.
+func (c *Carrier) Refresh(s *daisyfleet.State) {
+	next := make(map[string][]Gateway)
+	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+		if v, ok := o.Value.(daisyfleet.Server); ok {
+			next[o.Name] = c.options.Place.Gateways(s, o.Name, v.FailureDomain)
+		}
+	})
+	c.gateways.Store(&next)
+}
+
+// Rank returns the rank of this host among the gateways of a server, or -1.
+func (c *Carrier) Rank(server string) int {
+	for i, g := range (*c.gateways.Load())[server] {
+		if g.Host == c.options.Host {
+			return i
+		}
+	}
+	return -1
+}
+
+// Run has the errand run by the first gateway that can send it. Errors are as
+// for daisygateway.Gateway.Run.
+func (c *Carrier) Run(e daisygateway.Errand) (a daisystatement.Answer, lane daisygateway.Lane, err error) {
+	err = fmt.Errorf("%w: %w", daisygateway.ErrNotSent, errNoGateway)
+	for _, g := range (*c.gateways.Load())[e.Server] {
+		if time.Until(e.Hold) <= 0 {
+			break
+		}
+		a, lane, err = c.runAt(g, e)
+		if !errors.Is(err, daisygateway.ErrUnreachable) {
+			return a, lane, err
+		}
+	}
+	return a, nil, err
+}
+
+// runAt runs the errand at one gateway. A gateway that cannot be reached counts
+// like a server that cannot.
+func (c *Carrier) runAt(g Gateway, e daisygateway.Errand) (daisystatement.Answer, daisygateway.Lane, error) {
+	if g.Host == c.options.Host {
+		return c.options.Local.Run(e)
+	}
+	l, err := c.link(g.Address, e.Hold)
+	if err != nil {
+		return daisystatement.Answer{}, nil, fmt.Errorf("%w: %w: %w", daisygateway.ErrNotSent, daisygateway.ErrUnreachable, err)
+	}
+	return l.run(e)
+}
+
+// link returns a link to the host, which it opens if there is none.
+func (c *Carrier) link(addr netip.AddrPort, until time.Time) (*link, error) {
+	c.mu.Lock()
+	l := c.links[addr]
+	if l == nil || l.done() && !l.recent() {
+		l = newLink(addr)
+		c.links[addr] = l
+		c.wait.Go(func() { l.serve(c.ctx, c.options.Dial, c.options.Log) })
+	}
+	c.mu.Unlock()
+	return l, l.await(until)
+}
+
+// Close ends all links and waits for them.
+func (c *Carrier) Close() error {
+	c.cancel()
+	c.wait.Wait()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/daisycarrier/serve.go
@@ -0,0 +1,134 @@
+package daisycarrier
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+)
+
+// guest is another host's link to this host's gateway.
+type guest struct {
+	gateway *daisygateway.Gateway
+	conn    Conn
+	wait    sync.WaitGroup
+
+	mu    sync.Mutex
+	next  uint64
+	lanes map[uint64]daisygateway.Lane
+}
+
+// Serve runs the errands of another host until its link ends. Its lanes end
+// with it.
+func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, logger log.Interface) {
+	s := &guest{gateway: g, conn: conn, lanes: make(map[uint64]daisygateway.Lane)}
+	defer s.close()
+	for {
+		message, err := conn.Receive(ctx)
+		if err != nil {
+			return
+		}
+		call, err := daisycodec.DecodeCall(message, time.Now())
+		if err != nil {
+			logger.WithError(err).Warn("carrier: call not understood")
+			return
+		}
+		s.handle(ctx, call)
+	}
+}
+
+func (s *guest) handle(ctx context.Context, call daisycodec.Call) {
+	switch call.Act {
+	case daisycodec.ActEnd:
+		if lane := s.take(call.Lane); lane != nil {
+			lane.Close()
+		}
+	case daisycodec.ActRun:
+		s.wait.Go(func() { s.reply(ctx, s.run(call)) })
+	default:
+		s.reply(ctx, daisycodec.Reply{ID: call.ID})
+	}
+}
+
+// take returns a lane, which its caller then holds alone.
+func (s *guest) take(id uint64) daisygateway.Lane {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lane := s.lanes[id]
+	delete(s.lanes, id)
+	return lane
+}
+
+// keep puts a lane back, or ends it if the link has ended meanwhile.
+func (s *guest) keep(id uint64, lane daisygateway.Lane) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.lanes == nil {
+		lane.Close()
+		return 0
+	}
+	if id == 0 {
+		s.next++
+		id = s.next
+	}
+	s.lanes[id] = lane
+	return id
+}
+
+func (s *guest) run(call daisycodec.Call) (r daisycodec.Reply) {
+	r.ID = call.ID
+	var lane daisygateway.Lane
+	var err error
+	if call.Lane == 0 {
+		r.Answer, lane, err = s.gateway.Run(call.Errand)
+	} else if lane = s.take(call.Lane); lane == nil {
+		err = daisygateway.ErrLaneEnded
+	} else if r.Answer, err = lane.Do(call.Errand); err != nil {
+		lane.Close()
+		lane = nil
+	}
+	if lane != nil {
+		r.Lane = s.keep(call.Lane, lane)
+	}
+	r.Fault, r.Text = fault(err)
+	return r
+}
+
+func fault(err error) (daisycodec.Fault, string) {
+	switch {
+	case err == nil:
+		return daisycodec.FaultNone, ""
+	case errors.Is(err, daisygateway.ErrUnreachable):
+		return daisycodec.FaultUnreachable, err.Error()
+	case errors.Is(err, daisygateway.ErrNotSent):
+		return daisycodec.FaultNotSent, err.Error()
+	case errors.Is(err, daisygateway.ErrLaneEnded):
+		return daisycodec.FaultLaneEnded, err.Error()
+	}
+	return daisycodec.FaultUnknown, err.Error()
+}
+
+func (s *guest) reply(ctx context.Context, r daisycodec.Reply) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if s.conn.Send(ctx, daisycodec.EncodeCallReply(r)) != nil {
+		s.conn.Close()
+	}
+}
+
+// close ends the lanes and waits for errands under way.
+func (s *guest) close() {
+	s.mu.Lock()
+	lanes := s.lanes
+	s.lanes = nil
+	s.mu.Unlock()
+	for _, lane := range lanes {
+		lane.Close()
+	}
+	s.wait.Wait()
+}
--- /dev/null
+++ b/internal/holder/daisygateway/errand.go
@@ -0,0 +1,45 @@
+package daisygateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+var (
+	// ErrNotSent is returned for a statement that certainly did not reach the
+	// server.
+	ErrNotSent = errors.New("statement was not sent")
+	// ErrUnreachable is returned, with ErrNotSent, if no connection to the server
+	// could be opened.
+	ErrUnreachable = errors.New("backend server cannot be reached")
+	// ErrLaneEnded is returned for a lane that has ended; its transaction is
+	// rolled back.
+	ErrLaneEnded = errors.New("lane has ended")
+)
+
+// Errand is a statement to be run on a backend server.
+type Errand struct {
+	Service   string
+	Server    string
+	Workspace string
+	Weight    float64 // The share of the server that the workspace is due.
+	Priority  int     // 0 is the highest.
+	Class     string  // Errands of one class take alike.
+	Values    map[string]string
+	Statement daisystatement.Statement
+	Hold      time.Time // Until when it may wait to be sent.
+	Limit     time.Time // Until when it must have ended.
+	Keep      bool      // The connection is kept as a lane, for a transaction.
+}
+
+// Lane is a connection that is kept for a transaction. It is not safe for
+// concurrent use.
+type Lane interface {
+	// Do runs the errand on the lane. Server and workspace stay as they were.
+	Do(e Errand) (daisystatement.Answer, error)
+	// Close rolls back what is open and gives the connection back. It does not
+	// wait.
+	Close()
+}
--- a/internal/holder/daisyqueue/queue.go
+++ b/internal/holder/daisyqueue/queue.go
@@ -1,14 +1,15 @@
 // Package daisyqueue shares a fixed number of slots fairly between workspaces.
 //
 // The measure of fairness is the time for which a workspace holds slots: a
-// free slot goes to the waiting workspace that has had the least, as in
-// start-time fair queueing (Goyal, Vin and Cheng, 1996). A workspace that was
-// idle gains no credit for it.
+// free slot goes to the waiting workspace that has had the least for its weight,
+// as in start-time fair queueing (Goyal, Vin and Cheng, 1996). A workspace that
+// was idle gains no credit for it. Within a workspace the least rank goes first.
 package daisyqueue
 
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -33,14 +34,23 @@
 	floor  time.Duration // The least service of any active workspace so far.
 }
 
+// Claim is a request for a slot.
+type Claim struct {
+	Workspace string
+	Weight    float64 // The share that the workspace is due; 0 counts as 1.
+	Rank      float64 // Orders the claims of a workspace, the least first.
+}
+
 type tenant struct {
-	served  time.Duration // Slot time of finished uses, with the floor as base.
+	served  time.Duration // Slot time of finished uses by weight, with the floor as base.
+	weight  float64
 	holding map[*Slot]bool
-	line    []*waiter
+	line    []*waiter // By rank, then by arrival.
 }
 
 type waiter struct {
 	ready chan struct{}
+	rank  float64
 	slot  *Slot
 	err   error
 }
@@ -66,7 +76,38 @@
 
 // Acquire waits for a slot until ctx ends.
 func (q *Queue) Acquire(ctx context.Context, workspace string) (*Slot, error) {
-	w, err := q.join(workspace)
+	return q.Claim(ctx, Claim{Workspace: workspace})
+}
+
+// Waiting returns how many claims would be served before a new one, if every
+// workspace's claims of the same rank or a lesser one were.
+func (q *Queue) Waiting(rank float64) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	n := 0
+	for _, t := range q.tenant {
+		for _, w := range t.line {
+			if w.rank <= rank {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// SetSlots changes the number of slots from now on.
+func (q *Queue) SetSlots(slots int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.free += slots - q.slots
+	q.slots = slots
+	q.dispatch()
+}
+
+// Claim waits for a slot until ctx ends.
+func (q *Queue) Claim(ctx context.Context, c Claim) (*Slot, error) {
+	workspace := c.Workspace
+	w, err := q.join(c)
 	if err != nil {
 		return nil, err
 	}
@@ -85,9 +126,10 @@
 	return nil, ctx.Err()
 }
 
-func (q *Queue) join(workspace string) (*waiter, error) {
+func (q *Queue) join(c Claim) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	workspace := c.Workspace
 	if q.closed {
 		return nil, ErrClosed
 	}
@@ -96,14 +138,21 @@
 		t = &tenant{served: q.floor, holding: make(map[*Slot]bool)}
 		q.tenant[workspace] = t
 	}
+	if t.weight = c.Weight; t.weight <= 0 {
+		t.weight = 1
+	}
 	if len(t.line) >= lineLimit {
 		return nil, ErrFull
 	}
 	if len(t.line) == 0 && len(t.holding) == 0 {
 		t.served = max(t.served, q.floor)
 	}
-	w := &waiter{ready: make(chan struct{})}
-	t.line = append(t.line, w)
+	w := &waiter{ready: make(chan struct{}), rank: c.Rank}
+	at := len(t.line)
+	for at > 0 && t.line[at-1].rank > w.rank {
+		at--
+	}
+	t.line = slices.Insert(t.line, at, w)
 	q.dispatch()
 	return w, nil
 }
@@ -162,11 +211,15 @@
 func (t *tenant) service(now time.Time) time.Duration {
 	total := t.served
 	for s := range t.holding {
-		total += now.Sub(s.since)
+		total += t.weigh(now.Sub(s.since))
 	}
 	return total
 }
 
+func (t *tenant) weigh(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / t.weight)
+}
+
 // Release gives the slot back. It may be called once.
 func (s *Slot) Release() {
 	s.queue.mu.Lock()
@@ -176,7 +229,7 @@
 
 func (q *Queue) release(s *Slot) {
 	t := q.tenant[s.workspace]
-	t.served += time.Since(s.since)
+	t.served += t.weigh(time.Since(s.since))
 	delete(t.holding, s)
 	q.free++
 	q.retire(s.workspace, t)
--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -8,6 +8,7 @@
 	"errors"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -22,7 +23,9 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisykeeper"
+	"github.com/daisyglade/daisyglade/internal/entry/daisycarrier"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyserver"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
 	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
@@ -36,8 +39,10 @@
 	// balancer still sends callers to the host: two checks, a second apart.
 	rotationTime = 2200 * time.Millisecond
 	// drainShare is the part of the grace period after which open transactions
-	// are given up: five sixths.
-	drainShare = 5.0 / 6
+	// are given up; the rest is for what is under way then.
+	drainShare = 0.7
+	// headerTimeout bounds the opening of a link.
+	headerTimeout = 5 * time.Second
 )
 
 // Options configure a Front.
@@ -60,13 +65,17 @@
 	wait        sync.WaitGroup
 	leaving     atomic.Bool
 
-	view   *daisyfleet.View
-	index  atomic.Pointer[daisydesire.Index]
-	keeper *daisykeeper.Keeper
-	pool   *daisypool.Pool
-	gate   *daisygate.Gate
-	router *daisyrouter.Router
-	server *daisyserver.Server
+	view    *daisyfleet.View
+	index   atomic.Pointer[daisydesire.Index]
+	keeper  *daisykeeper.Keeper
+	pool    *daisypool.Pool
+	gateway *daisygateway.Gateway
+	carrier *daisycarrier.Carrier
+	mux     daisylink.Mux
+	links   *http.Server
+	gate    *daisygate.Gate
+	router  *daisyrouter.Router
+	server  *daisyserver.Server
 }
 
 // Open starts an entry host.
@@ -87,12 +96,26 @@
 		},
 	})
 	f.pool = daisypool.New(o.Dialer)
+	f.gateway = daisygateway.New(f.pool)
+	f.carrier = daisycarrier.New(daisycarrier.Options{
+		Host: s.Host, Local: f.gateway, Place: daisycarrier.Place{Regions: s.Regions}, Log: o.Log,
+		Dial: func(ctx context.Context, addr netip.AddrPort) (daisycarrier.Conn, error) {
+			c, err := dialer.Dial(ctx, addr, daisylink.PathErrand)
+			if err != nil {
+				return nil, err
+			}
+			return c, nil
+		},
+	})
 	f.gate = daisygate.New(f.keeper.Wake)
 	f.router = daisyrouter.New(daisyrouter.Options{
-		View: f.view, Right: f.keeper, Pool: f.pool, Doubt: f.keeper.Wake, Regions: s.Regions,
+		View: f.view, Right: f.keeper, Carrier: f.carrier, Reach: f.pool.Reach, Doubt: f.keeper.Wake, Regions: s.Regions,
 		Place: daisyrouter.Place{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
-	desk := &daisysession.Desk{Index: f.index.Load, Router: f.router, Pool: f.pool, Gate: f.gate, Count: o.Count, Log: o.Log}
+	desk := &daisysession.Desk{Index: f.index.Load, Router: f.router, Carrier: f.carrier, Gate: f.gate, Count: o.Count, Log: o.Log}
+	if err := f.openLinks(); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
 	f.server, err = daisyserver.Open(f.ctx, daisyserver.Options{
 		Network: o.Network, Listen: s.Callers, Codec: o.Codec, Desk: desk, Log: o.Log,
 	})
@@ -105,11 +128,29 @@
 	return f, nil
 }
 
+// openLinks serves the errands of other hosts.
+func (f *Front) openLinks() error {
+	f.mux.Plain = true
+	f.mux.Handle(daisylink.PathErrand, func(ctx context.Context, c *daisylink.Conn) {
+		daisycarrier.Serve(ctx, c, f.gateway, f.options.Log)
+	})
+	listener, err := f.options.Network.Listen(f.ctx, f.options.Settings.Link)
+	if err != nil {
+		return err
+	}
+	f.links = &http.Server{
+		Handler: &f.mux, ReadHeaderTimeout: headerTimeout,
+		BaseContext: func(net.Listener) context.Context { return f.ctx },
+	}
+	f.wait.Go(func() { _ = f.links.Serve(listener) })
+	return nil
+}
+
 // report gathers what the next heartbeat says.
 func (f *Front) report() daisybeat.Beat {
 	s := &f.options.Settings
 	return daisybeat.Beat{
-		Host: s.Host, Incarnation: f.incarnation, Address: s.Callers, FailureDomain: s.FailureDomain,
+		Host: s.Host, Incarnation: f.incarnation, Address: s.Link, FailureDomain: s.FailureDomain,
 		Region: s.Region(), Leaving: f.leaving.Load(), Sights: f.router.Sights(), Demands: f.gate.Demands(),
 	}
 }
@@ -140,15 +181,44 @@
 		s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
 	})
 	f.gate.SetHosts(max(1, hosts))
-	f.router.Refresh(func(service string) daisypool.Share {
-		connections := 0
-		if index := f.index.Load(); index != nil {
-			if v, ok := index.Service(service); ok {
-				connections = v.Connections
+	f.view.Read(f.carrier.Refresh)
+	f.refreshServers()
+	f.router.Refresh()
+}
+
+// refreshServers gives each server its share of connections and its slots.
+func (f *Front) refreshServers() {
+	known := make(map[string]bool)
+	f.view.Read(func(s *daisyfleet.State) {
+		s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+			v, ok := o.Value.(daisyfleet.Server)
+			if !ok {
+				return
 			}
-		}
-		return daisypool.ShareOf(connections, hosts)
+			known[o.Name] = true
+			most := daisycarrier.Share(f.connections(v.Service), f.carrier.Rank(o.Name))
+			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
+			f.pool.Set(target, daisypool.Share{Kept: most, Most: most})
+			regions := f.options.Settings.Regions
+			f.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != f.options.Settings.Region())
+		})
 	})
+	for _, name := range f.pool.Names() {
+		if !known[name] {
+			f.pool.Remove(name)
+			f.gateway.Forget(name)
+		}
+	}
+}
+
+// connections returns how many connections a server of the service takes.
+func (f *Front) connections(service string) int {
+	index := f.index.Load()
+	if index == nil {
+		return 0
+	}
+	v, _ := index.Service(service)
+	return v.Connections
 }
 
 // adopt puts a desired state in force.
@@ -205,7 +275,11 @@
 	if f.server != nil {
 		errs = append(errs, f.server.Close())
 	}
-	errs = append(errs, f.keeper.Close(), f.pool.Close())
+	if f.links != nil {
+		errs = append(errs, f.links.Close())
+		f.mux.Wait()
+	}
+	errs = append(errs, f.keeper.Close(), f.carrier.Close(), f.gateway.Close(), f.pool.Close())
 	f.wait.Wait()
 	return errors.Join(errs...)
 }
--- a/internal/session/daisychoice/choice.go
+++ b/internal/session/daisychoice/choice.go
@@ -18,6 +18,8 @@
 	backoffMax = 2 * time.Second
 	// lagPause is how long a replica that lagged behind a floor is avoided.
 	lagPause = 150 * time.Millisecond
+	// fullPause is how long a server that refused is avoided.
+	fullPause = 60 * time.Millisecond
 	// primaryPenalty keeps reads that a replica can serve off the slots that
 	// only the primary has for writes.
 	primaryPenalty = 15 * time.Millisecond
@@ -39,6 +41,7 @@
 	failures int
 	avoid    time.Time // Until when it is avoided after failures.
 	lagging  time.Time // Until when it is avoided for fresh reads.
+	full     time.Time // Until when it is avoided because it refused.
 }
 
 // Start notes that a statement was sent.
@@ -72,8 +75,12 @@
 	s.observed = now
 }
 
-// Dropped notes that a statement ended without telling anything of the server.
-func (s *Server) Dropped() { s.underway-- }
+// Refused notes that a statement was not sent because too much waits for the
+// server.
+func (s *Server) Refused(now time.Time) {
+	s.underway--
+	s.full = now.Add(fullPause)
+}
 
 // Failed notes that the server did not answer or could not be reached.
 func (s *Server) Failed(now time.Time) {
@@ -109,17 +116,15 @@
 	Name    string
 	Server  *Server
 	Primary bool
-	Full    bool // No connection to it is free.
 }
 
 // Best returns the index of the best candidate, or -1 if there is none. Servers
-// that failed lately come last, then those that lagged or have no free
-// connection.
+// that failed lately come last, then those that lagged or refused.
 func Best(now time.Time, candidates []Candidate) int {
 	best, bestRank, bestExpected := -1, 0, time.Duration(0)
 	for i, c := range candidates {
 		rank := 0
-		if c.Full {
+		if now.Before(c.Server.full) {
 			rank++
 		}
 		if !c.Primary && now.Before(c.Server.lagging) {
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -49,7 +49,7 @@
 func (r *Router) check(ctx context.Context, d doubt) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
-	err := r.options.Pool.Reach(ctx, d.leader.Server)
+	err := r.options.Reach(ctx, d.leader.Server)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(d.service)
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -3,14 +3,15 @@
 package daisyrouter
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisychoice"
 	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -28,6 +29,11 @@
 	Valid() bool
 }
 
+// Carrier has errands run on backend servers.
+type Carrier interface {
+	Run(e daisygateway.Errand) (daisystatement.Answer, daisygateway.Lane, error)
+}
+
 // Place is where a host or a server runs.
 type Place struct {
 	FailureDomain string
@@ -38,7 +44,8 @@
 type Options struct {
 	View    *daisyfleet.View
 	Right   Right
-	Pool    *daisypool.Pool
+	Carrier Carrier                                        // Runs samples.
+	Reach   func(ctx context.Context, server string) error // Returns an error if the server cannot be reached.
 	Place   Place
 	Regions map[string]string // The region of each failure domain.
 	Doubt   func()            // Called when a primary stops answering.
@@ -94,9 +101,8 @@
 	return r
 }
 
-// Refresh takes over the servers that the fleet's state holds, with the host's
-// share of the connections to each service.
-func (r *Router) Refresh(share func(service string) daisypool.Share) {
+// Refresh takes over the servers that the fleet's state holds.
+func (r *Router) Refresh() {
 	groups := make(map[string]Group)
 	known := make(map[string]bool)
 	r.options.View.Read(func(s *daisyfleet.State) {
@@ -109,15 +115,9 @@
 			g := groups[v.Service]
 			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, Base: r.base(v.FailureDomain)})
 			groups[v.Service] = g
-			r.options.Pool.Set(daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}, share(v.Service))
 		})
 	})
 	r.groups.Store(&groups)
-	for _, name := range r.options.Pool.Names() {
-		if !known[name] {
-			r.options.Pool.Remove(name)
-		}
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name := range r.servers {
@@ -194,7 +194,7 @@
 
 // Choose returns the server that is expected to answer a read first, among
 // those that are not leaving and not in the list.
-func (r *Router) Choose(name, workspace string, not []string) (string, bool) {
+func (r *Router) Choose(name string, not []string) (string, bool) {
 	leader := r.primary(name)
 	now := daisyclock.Now()
 	r.mu.Lock()
@@ -206,10 +206,7 @@
 		}
 		c := r.server(s.Name)
 		c.Base = s.Base
-		candidates = append(candidates, daisychoice.Candidate{
-			Name: s.Name, Server: c, Primary: s.Name == leader,
-			Full: !r.options.Pool.Free(s.Name, workspace),
-		})
+		candidates = append(candidates, daisychoice.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
 	}
 	best := daisychoice.Best(now, candidates)
 	if best < 0 {
@@ -265,21 +262,12 @@
 	}
 }
 
-// Abandoned notes that a statement ended without telling anything of the server.
-func (r *Router) Abandoned(server string) {
+// Refused notes that a statement was not sent because too much waits for the
+// server.
+func (r *Router) Refused(server string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.server(server).Dropped()
-}
-
-// Unreachable notes that no connection to the server could be opened.
-func (r *Router) Unreachable(name, server string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c := r.server(server)
-	now := daisyclock.Now()
-	c.Start(now)
-	c.Failed(now)
+	r.server(server).Refused(daisyclock.Now())
 }
 
 // Lagged notes that the server's log had not reached the floor of a read.
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
@@ -25,8 +25,6 @@
 	sampleTimeout = 700 * time.Millisecond
 	// usedLife is how long after its last use a service is sampled.
 	usedLife = 10 * time.Second
-	// freeTimeout is how long the sampler waits for a connection.
-	freeTimeout = 300 * time.Millisecond
 )
 
 // Sample asks primaries for their positions until ctx ends, so that samples
@@ -43,7 +41,7 @@
 			return
 		}
 		for _, name := range r.stale() {
-			wait.Go(func() { r.sample(ctx, name) })
+			wait.Go(func() { r.sample(name) })
 		}
 		for _, d := range r.doubtful() {
 			wait.Go(func() { r.check(ctx, d) })
@@ -74,55 +72,33 @@
 	return names
 }
 
-func (r *Router) sample(ctx context.Context, name string) {
+// sample asks the primary of a service for its position.
+func (r *Router) sample(name string) {
 	defer func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.service(name).sampling = false
 	}()
 	l, ok := r.Leader(name)
-	if !ok {
-		return
-	}
 	r.mu.Lock()
 	workspace := r.owners[l.Server]
 	r.mu.Unlock()
-	if workspace == "" {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, freeTimeout)
-	defer cancel()
-	c, err := r.options.Pool.Acquire(ctx, l.Server, workspace)
-	if err != nil {
-		r.dialFailed(name, l.Server, err)
-		return
-	}
-	defer c.Release()
-	r.ask(name, l, c)
-}
-
-// dialFailed notes a failed attempt to get a connection, unless it says nothing
-// of the server.
-func (r *Router) dialFailed(name, server string, err error) {
-	var refused *daisystatement.Failure
-	if errors.As(err, &refused) || errors.Is(err, daisypool.ErrFull) || errors.Is(err, daisypool.ErrUnknown) {
+	if !ok || workspace == "" {
 		return
 	}
-	r.Unreachable(name, server)
-}
-
-func (r *Router) ask(name string, l Leader, c *daisypool.Conn) {
 	asked := daisyclock.Now()
-	if !r.Leads(name, l) {
-		return
-	}
-	r.Started(l.Server, c.Workspace())
-	err := c.Send([]daisystatement.Statement{{ID: daisystatement.SystemID, Kind: daisystatement.KindStatus}})
-	var a daisystatement.Answer
-	if err == nil {
-		a, err = c.Receive(time.Now().Add(sampleTimeout))
+	r.Started(l.Server, workspace)
+	limit := time.Now().Add(sampleTimeout)
+	a, _, err := r.options.Carrier.Run(daisygateway.Errand{
+		Service: name, Server: l.Server, Workspace: workspace, Hold: limit, Limit: limit,
+		Statement: daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindStatus},
+	})
+	switch {
+	case errors.Is(err, daisygateway.ErrNotSent) && !errors.Is(err, daisygateway.ErrUnreachable):
+		r.Refused(l.Server)
+	default:
+		r.Ended(name, l.Server, asked, err == nil)
 	}
-	r.Ended(name, l.Server, asked, err == nil)
 	if err == nil && !a.Position.IsZero() {
 		r.Note(name, l, asked, a.Position)
 	}
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -1,12 +1,12 @@
 package daisysession
 
 import (
-	"context"
 	"errors"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -73,27 +73,19 @@
 }
 
 // tryDirect runs the statement at the primary once. It reports whether the
-// statement was sent.
+// statement may have been sent.
 func (s *Session) tryDirect(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, err error, sent bool) { //nolint:revive // The report belongs to the error.
-	hold, deadline := holdLimit(p, arrived), arrived.Add(p.Timeout)
+	hold := holdLimit(p, arrived)
 	l, err := s.awaitLeader(p.Service, hold)
 	if err != nil {
 		return a, err, false
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), hold)
-	defer cancel()
-	c, err := s.connect(ctx, p.Service, l.Server, deadline)
-	if err != nil {
-		return a, err, false
-	}
-	defer c.Release()
 	asked := daisyclock.Now()
-	if !s.desk.Router.Leads(p.Service, l) {
-		return a, errNoLeader, false
-	}
-	a, err = s.ask(p.Service, c, s.translated(c, st), deadline)
+	e := s.errand(p, st, hold, arrived.Add(p.Timeout))
+	e.Server = l.Server
+	a, _, err = s.carry(e)
 	if err != nil || a.Failure != nil {
-		return a, err, true
+		return a, err, !errors.Is(err, daisygateway.ErrNotSent)
 	}
 	if !s.reads(st) {
 		return s.acknowledge(p.Service, l, a), nil, true
--- a/internal/session/daisysession/group_test.go
+++ b/internal/session/daisysession/group_test.go
@@ -20,6 +20,7 @@
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyallowance"
 	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
@@ -191,6 +192,7 @@
 	right   *right
 	router  *daisyrouter.Router
 	pool    *daisypool.Pool
+	gateway *daisygateway.Gateway
 	desk    *daisysession.Desk
 	index   atomic.Pointer[daisydesire.Index]
 	applied uint64
@@ -233,22 +235,30 @@
 	}
 	f.put(daisyfleet.KindPrimacy, serviceName, daisyfleet.Primacy{Round: 1, Server: "m1", Term: 1})
 	f.pool = daisypool.New(f)
+	for i, name := range serverNames {
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7000+i))
+		f.pool.Set(daisypool.Target{Server: name, Service: serviceName, Address: addr}, daisypool.Share{Kept: 3, Most: 3})
+	}
+	f.gateway = daisygateway.New(f.pool)
 	f.router = daisyrouter.New(daisyrouter.Options{
-		View: f.view, Right: f.right, Pool: f.pool, Doubt: func() { f.doubts.Add(1) },
+		View: f.view, Right: f.right, Carrier: f.gateway, Reach: f.pool.Reach, Doubt: func() { f.doubts.Add(1) },
 	})
-	f.router.Refresh(func(string) daisypool.Share { return daisypool.Share{Kept: 3, Most: 3} })
+	f.router.Refresh()
 	gate := daisygate.New(func() {})
 	gate.SetLimits([]daisyallowance.Limit{{Workspace: "w1", Rate: 1000, Burst: 1000}})
 	time.Sleep(time.Second) // Purses begin empty.
 	f.setKeys(keyText)
 	f.desk = &daisysession.Desk{
-		Index: f.index.Load, Router: f.router, Pool: f.pool, Gate: gate,
+		Index: f.index.Load, Router: f.router, Carrier: f.gateway, Gate: gate,
 		Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 	}
 	return f
 }
 
-func (f *fleet) close() { assert.NilError(f.t, f.pool.Close()) }
+func (f *fleet) close() {
+	assert.NilError(f.t, f.gateway.Close())
+	assert.NilError(f.t, f.pool.Close())
+}
 
 func (f *fleet) setKeys(keys ...string) {
 	profile := func(database string, fresh daisydesire.Freshness) daisydesire.Profile {
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -1,7 +1,6 @@
 package daisysession
 
 import (
-	"context"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
@@ -19,9 +18,6 @@
 	// freshRetry is the pause before a read looks again for a server that is
 	// fresh enough.
 	freshRetry = 20 * time.Millisecond
-	// drainTime is how long an answer that is not needed any more is awaited,
-	// so that its connection can be used again.
-	drainTime = time.Second
 )
 
 // outcome is what became of a read on one server.
@@ -33,56 +29,57 @@
 
 // read serves a read that a replica may serve.
 func (s *Session) read(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
-	deadline := arrived.Add(p.Timeout)
+	hold := holdLimit(p, arrived)
 	last := daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "no backend server is fresh enough and reachable")
 	for {
-		floor, round, ok := s.floor(p, arrived)
+		floor, ok := s.floor(p, arrived)
 		if !ok {
 			return s.direct(p, st, arrived)
 		}
 		st.After = floor
-		a, again := s.race(p, st, round, deadline)
+		a, again := s.race(p, st, arrived)
 		if !again {
 			return a
 		}
 		if a.Failure != nil {
 			last = a
 		}
-		if time.Until(deadline) < freshRetry {
+		if time.Until(hold) < freshRetry {
 			return last
 		}
 		time.Sleep(freshRetry)
 	}
 }
 
-// floor returns the position that the session's reads need, and the round in
-// which it counts; false if no sample is recent enough.
-func (s *Session) floor(p daisydesire.Profile, arrived time.Time) (floor daisystatement.Position, round uint64, ok bool) {
-	round = s.desk.Router.Round(p.Service)
+// floor returns the position that the session's reads need; false if no sample
+// is recent enough.
+func (s *Session) floor(p daisydesire.Profile, arrived time.Time) (floor daisystatement.Position, ok bool) {
+	round := s.desk.Router.Round(p.Service)
 	floor, ok = s.desk.Router.Floor(p.Service, round, arrived, p.MaxAge)
 	if p.Freshness == daisydesire.FreshSession {
 		floor = s.mark.Floor(round, floor)
 	}
-	return floor, round, ok
+	return floor, ok
 }
 
 // race sends the read to the best server and, when that takes long, to a second
 // one. It returns true if nothing ran and it is worth trying anew.
-func (s *Session) race(p daisydesire.Profile, st daisystatement.Statement, round uint64, deadline time.Time) (a daisystatement.Answer, again bool) {
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
+func (s *Session) race(p daisydesire.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, again bool) {
+	hold, limit := holdLimit(p, arrived), arrived.Add(p.Timeout)
+	late := time.NewTimer(time.Until(limit))
+	defer late.Stop()
 	outcomes := make(chan outcome, readAttempts)
 	frozen := *s // The session goes on while an attempt that lost is drained.
 	var tried []string
 	underway := 0
 	launch := func() time.Duration {
-		server, ok := s.desk.Router.Choose(p.Service, s.workspace, tried)
+		server, ok := s.desk.Router.Choose(p.Service, tried)
 		if !ok || len(tried) == readAttempts {
 			return 0
 		}
 		tried = append(tried, server)
 		underway++
-		go func() { outcomes <- frozen.tryRead(ctx, p.Service, server, st, deadline) }()
+		go func() { outcomes <- frozen.tryRead(p, server, st, hold, limit) }()
 		return max(hedgeMin, hedgeFactor*s.desk.Router.Expected(server))
 	}
 	hedge := time.NewTimer(launch())
@@ -100,7 +97,7 @@
 			}
 		case <-hedge.C:
 			launch()
-		case <-ctx.Done():
+		case <-late.C:
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeTimeout, "no backend server answered in time"), false
 		}
 	}
@@ -120,18 +117,12 @@
 	return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", o.err)
 }
 
-// tryRead runs the read on one server. A race that has ended leaves the answer
-// to be drained, so that the connection can be used again.
-func (s *Session) tryRead(ctx context.Context, service, server string, st daisystatement.Statement, deadline time.Time) outcome {
-	c, err := s.connect(ctx, service, server, deadline)
-	if err != nil {
-		return outcome{server: server, err: err}
-	}
-	defer c.Release()
-	if ctx.Err() != nil {
-		return outcome{server: server, err: ctx.Err()}
-	}
-	a, err := s.ask(service, c, s.translated(c, st), deadline.Add(drainTime))
+// tryRead runs the read on one server. If another answers first, this answer is
+// still awaited, so that its connection can be used again.
+func (s *Session) tryRead(p daisydesire.Profile, server string, st daisystatement.Statement, hold, limit time.Time) outcome {
+	e := s.errand(p, st, hold, limit)
+	e.Server = server
+	a, _, err := s.carry(e)
 	if err == nil && a.Failure != nil && a.Failure.Code == daisystatement.CodeLagging {
 		s.desk.Router.Lagged(server)
 	}
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/cespare/xxhash/v2"
 
-	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
 	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
 	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
@@ -26,12 +24,12 @@
 
 // Desk is what all sessions of a host share.
 type Desk struct {
-	Index  func() *daisydesire.Index // Of the desired state in force; nil before the first.
-	Router *daisyrouter.Router
-	Pool   *daisypool.Pool
-	Gate   *daisygate.Gate
-	Count  Counter
-	Log    log.Interface
+	Index   func() *daisydesire.Index // Of the desired state in force; nil before the first.
+	Router  *daisyrouter.Router
+	Carrier Carrier
+	Gate    *daisygate.Gate
+	Count   Counter
+	Log     log.Interface
 }
 
 // Counter counts what became of operations and statements.
@@ -44,7 +42,6 @@
 type prepared struct {
 	readOnly bool
 	shape    string
-	name     string // On connections, where names of many sessions meet.
 }
 
 // Session is one caller's session. It is not safe for concurrent use.
@@ -53,6 +50,7 @@
 	database  string
 	key       string
 	workspace string
+	weight    float64 // The share of servers that the workspace is due.
 	values    map[string]string
 	prepared  map[string]prepared
 	mark      daisyfresh.Mark
@@ -83,7 +81,7 @@
 	if !ok && !p.Public {
 		return p, failure(daisystatement.CodeDenied, "the key opens no workspace")
 	}
-	s.workspace = w.Name
+	s.workspace, s.weight = w.Name, w.Rate
 	return p, nil
 }
 
@@ -171,13 +169,11 @@
 }
 
 func (s *Session) prepare(st daisystatement.Statement) {
-	p := prepared{readOnly: st.ReadOnly, shape: st.Shape}
-	p.name = connectionName(p)
 	all := maps.Clone(s.prepared)
 	if all == nil {
 		all = make(map[string]prepared)
 	}
-	all[st.Name] = p
+	all[st.Name] = prepared{readOnly: st.ReadOnly, shape: st.Shape}
 	s.prepared = all
 }
 
@@ -186,23 +182,6 @@
 	delete(s.prepared, name)
 }
 
-// connectionName names what is prepared by what it is, so that sessions that
-// prepare the same share it on a connection.
-func connectionName(p prepared) string {
-	const digits = "0123456789abcdefghijklmnopqrstuv"
-	text := "w" + p.shape
-	if p.readOnly {
-		text = "r" + p.shape
-	}
-	sum := xxhash.Sum64String(text)
-	name := []byte{'p'}
-	for range 13 {
-		name = append(name, digits[sum&31])
-		sum >>= 5
-	}
-	return string(name)
-}
-
 // admit authorizes an operation and takes its token.
 func (s *Session) admit(arrived time.Time) (daisydesire.Profile, *daisystatement.Failure) {
 	p, refused := s.authorize()
@@ -280,51 +259,6 @@
 	return daisystatement.Done(daisystatement.StateIdle)
 }
 
-// alignment returns the statements that bring the connection's session values
-// in line with the session's.
-func (s *Session) alignment(c *daisypool.Conn) []daisystatement.Statement {
-	held := c.Values()
-	var all []daisystatement.Statement
-	for name := range held {
-		if _, ok := s.values[name]; !ok {
-			all = append(all, system(daisystatement.KindDiscard))
-			held = nil
-			break
-		}
-	}
-	if maps.Equal(held, s.values) {
-		return all
-	}
-	for name, value := range s.values {
-		if v, ok := held[name]; !ok || v != value {
-			set := system(daisystatement.KindSet)
-			set.Name, set.Value = name, value
-			all = append(all, set)
-		}
-	}
-	return all
-}
-
-func system(k daisystatement.Kind) daisystatement.Statement {
-	return daisystatement.Statement{ID: daisystatement.SystemID, Kind: k}
-}
-
-// translated returns the statement with the connection's name for what it
-// executes, after the statement that prepares it where that is missing.
-func (s *Session) translated(c *daisypool.Conn, st daisystatement.Statement) []daisystatement.Statement {
-	if st.Kind != daisystatement.KindExecute {
-		return []daisystatement.Statement{st}
-	}
-	p := s.prepared[st.Name]
-	st.Name = p.name
-	if c.Prepared(p.name) {
-		return []daisystatement.Statement{st}
-	}
-	parse := system(daisystatement.KindPrepare)
-	parse.Name, parse.Shape, parse.ReadOnly = p.name, p.shape, p.readOnly
-	return []daisystatement.Statement{parse, st}
-}
-
 // report counts the statement and writes a line if it was not served.
 func (s *Session) report(st daisystatement.Statement, arrived time.Time, a daisystatement.Answer) {
 	code := daisystatement.CodeNone
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -1,28 +1,24 @@
 package daisysession
 
 import (
-	"context"
 	"time"
 
-	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
-// rollbackTimeout is how long a server may take to roll back before its
-// connection is closed instead.
-const rollbackTimeout = 500 * time.Millisecond
-
-// transaction is a session's open transaction. It gets its connection with its
-// first statement.
+// transaction is a session's open transaction. It gets its lane with its first
+// statement.
 type transaction struct {
 	session  *Session
 	profile  daisydesire.Profile
 	readOnly bool
 	began    time.Time
-	conn     *daisypool.Conn
+	lane     daisygateway.Lane
+	server   string
 	leader   daisyrouter.Leader // Of a transaction that may write.
 	wrote    bool
 	failed   bool
@@ -39,35 +35,18 @@
 	return daisystatement.CodeAborted
 }
 
-// fail gives the connection up, which rolls back, and marks the transaction.
+// fail rolls back and marks the transaction.
 func (t *transaction) fail() {
 	t.failed = true
-	t.drop()
+	t.end()
 }
 
-// drop closes the connection.
-func (t *transaction) drop() {
-	if t.conn != nil {
-		t.conn.Spoil()
-		t.conn.Release()
-		t.conn = nil
-	}
-}
-
-// end rolls back and gives the connection back, off the caller's path.
+// end rolls back and gives the lane back, off the caller's path.
 func (t *transaction) end() {
-	c := t.conn
-	t.conn = nil
-	if c == nil {
-		return
-	}
-	go func() {
-		defer c.Release()
-		a, err := exchange(c, []daisystatement.Statement{system(daisystatement.KindRollback)}, time.Now().Add(rollbackTimeout))
-		if err != nil || a.State != daisystatement.StateIdle {
-			c.Spoil()
-		}
-	}()
+	if t.lane != nil {
+		t.lane.Close()
+		t.lane = nil
+	}
 }
 
 // abort fails the transaction with the promise that nothing of it is kept.
@@ -77,22 +56,26 @@
 	return daisystatement.Fail(daisystatement.StateFailed, daisystatement.CodeAborted, "%s", why)
 }
 
+// errand returns the errand of a statement on the transaction's lane.
+func (t *transaction) errand(st daisystatement.Statement, limit time.Time) daisygateway.Errand {
+	e := t.session.errand(t.profile, st, limit, limit)
+	e.Server, e.Keep = t.server, true
+	return e
+}
+
 // run serves a statement of the transaction.
 func (t *transaction) run(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
-	deadline := arrived.Add(t.profile.Timeout)
-	if refused, ok := t.ready(deadline); !ok {
+	limit := arrived.Add(t.profile.Timeout)
+	if refused, ok := t.ready(limit); !ok {
 		return refused
 	}
 	s := t.session
-	if err := s.align(t.conn, deadline); err != nil {
-		return t.abort(err.Error())
-	}
 	if !s.reads(st) {
 		t.wrote = true
 	}
-	a, err := s.ask(t.profile.Service, t.conn, s.translated(t.conn, st), deadline)
+	a, err := s.along(t.lane, t.errand(st, limit))
 	if err != nil {
-		return t.abort("the connection to the backend server was lost before the commit")
+		return t.abort("the transaction was lost before its commit: " + err.Error())
 	}
 	if a.Failure == nil && a.State == daisystatement.StateIdle {
 		t.fail()
@@ -106,10 +89,10 @@
 	return a
 }
 
-// ready makes sure that the transaction has a connection on which it may go on.
-func (t *transaction) ready(deadline time.Time) (refused daisystatement.Answer, ok bool) {
-	if t.conn == nil {
-		if a, ok := t.open(deadline.Add(-t.profile.Timeout / runShare)); !ok {
+// ready makes sure that the transaction has a lane on which it may go on.
+func (t *transaction) ready(limit time.Time) (refused daisystatement.Answer, ok bool) {
+	if t.lane == nil {
+		if a, ok := t.open(limit.Add(-t.profile.Timeout / runShare)); !ok {
 			return a, false
 		}
 	}
@@ -133,9 +116,9 @@
 			tried = append(tried, server)
 			if a.Failure != nil {
 				code, why = a.Failure.Code, a.Failure.Text
+			} else {
+				why = err.Error()
 			}
-		} else {
-			tried = nil
 		}
 		if time.Until(hold) < leaderRetry {
 			break
@@ -155,12 +138,11 @@
 // target returns the server to begin on and the statement that begins.
 func (t *transaction) target(hold time.Time, tried []string) (server string, begin daisystatement.Statement, ok bool) {
 	s := t.session
-	begin = system(daisystatement.KindBegin)
-	begin.ReadOnly = t.readOnly
+	begin = daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindBegin, ReadOnly: t.readOnly}
 	if t.readOnly && t.profile.Freshness != daisydesire.FreshPrimary {
-		if floor, _, fresh := s.floor(t.profile, t.began); fresh {
+		if floor, fresh := s.floor(t.profile, t.began); fresh {
 			begin.After = floor
-			server, ok = s.desk.Router.Choose(t.profile.Service, s.workspace, tried)
+			server, ok = s.desk.Router.Choose(t.profile.Service, tried)
 			return server, begin, ok
 		}
 	}
@@ -172,53 +154,44 @@
 // tryOpen begins on the server.
 func (t *transaction) tryOpen(server string, begin daisystatement.Statement, hold time.Time) (a daisystatement.Answer, err error) {
 	s := t.session
-	ctx, cancel := context.WithDeadline(context.Background(), hold)
-	defer cancel()
-	deadline := hold.Add(t.profile.Timeout / runShare)
-	c, err := s.connect(ctx, t.profile.Service, server, deadline)
-	if err != nil {
-		return a, err
-	}
 	asked := daisyclock.Now()
 	onLeader := begin.After.IsZero()
 	if onLeader && !s.desk.Router.Leads(t.profile.Service, t.leader) {
-		c.Release()
 		return a, errNoLeader
 	}
-	a, err = s.ask(t.profile.Service, c, []daisystatement.Statement{begin}, deadline)
-	if err != nil || a.Failure != nil {
-		if err == nil && a.Failure.Code == daisystatement.CodeLagging {
+	e := s.errand(t.profile, begin, hold, hold.Add(t.profile.Timeout/runShare))
+	e.Server, e.Keep = server, true
+	a, lane, err := s.carry(e)
+	switch {
+	case err != nil:
+		return a, err
+	case a.Failure != nil:
+		if a.Failure.Code == daisystatement.CodeLagging {
 			s.desk.Router.Lagged(server)
 		}
-		if a.State != daisystatement.StateIdle {
-			c.Spoil()
-		}
-		c.Release()
-		return a, err
+		return a, nil
+	case lane == nil:
+		return a, daisygateway.ErrLaneEnded
 	}
 	if onLeader {
 		s.desk.Router.Note(t.profile.Service, t.leader, asked, a.Position)
 	}
-	t.conn = c
+	t.lane, t.server = lane, server
 	return a, nil
 }
 
 // commit ends the transaction. If its answer is missing, the outcome of a
 // transaction that wrote is in doubt; otherwise there is nothing to keep.
 func (t *transaction) commit(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
-	deadline := arrived.Add(t.profile.Timeout)
-	if refused, ok := t.ready(deadline); !ok {
+	limit := arrived.Add(t.profile.Timeout)
+	if refused, ok := t.ready(limit); !ok {
 		refused.State = daisystatement.StateIdle
 		t.end()
 		return refused
 	}
 	s := t.session
-	a, err := s.ask(t.profile.Service, t.conn, []daisystatement.Statement{st}, deadline)
-	if err != nil || a.State != daisystatement.StateIdle {
-		t.conn.Spoil()
-	}
-	t.conn.Release()
-	t.conn = nil
+	a, err := s.along(t.lane, t.errand(st, limit))
+	t.end()
 	switch {
 	case err != nil && t.wrote:
 		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
--- /dev/null
+++ b/internal/wire/daisycodec/errand.go
@@ -0,0 +1,150 @@
+package daisycodec
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
+)
+
+// Act is what a gateway is asked for.
+type Act int64
+
+// The acts.
+const (
+	ActRun  Act = iota // Run a statement.
+	ActEnd             // End a lane.
+	ActPing            // Nothing but an answer.
+)
+
+// Call is a message to a gateway.
+type Call struct {
+	ID     uint64
+	Lane   uint64 // The lane to go on with; 0 if there is none.
+	Act    Act
+	Errand daisygateway.Errand
+}
+
+// Fault is what went wrong with an errand that the server did not answer.
+type Fault int64
+
+// The faults.
+const (
+	FaultNone Fault = iota
+	FaultNotSent
+	FaultUnreachable // And not sent.
+	FaultLaneEnded
+	FaultUnknown // The statement may have run.
+)
+
+// Reply answers a Call.
+type Reply struct {
+	ID     uint64
+	Lane   uint64 // The lane that is kept; 0 if there is none.
+	Answer daisystatement.Answer
+	Fault  Fault
+	Text   string
+}
+
+// EncodeCall encodes a call that is sent at the time. Times go as what is left,
+// since the clocks of hosts differ.
+func EncodeCall(c Call, now time.Time) []byte {
+	w := &daisywire.Errand{ID: c.ID, Lane: c.Lane, Act: int64(c.Act)}
+	if c.Act == ActRun {
+		e := &c.Errand
+		w.Service, w.Server, w.Workspace = e.Service, e.Server, e.Workspace
+		w.Weight, w.Priority, w.Class, w.Keep = e.Weight, int64(e.Priority), e.Class, e.Keep
+		w.Hold, w.Limit = int64(e.Hold.Sub(now)), int64(e.Limit.Sub(now))
+		w.Statement = fromServerStatement(&e.Statement)
+		for _, name := range slices.Sorted(maps.Keys(e.Values)) {
+			w.Values = append(w.Values, daisywire.Setting{Name: name, Value: e.Values[name]})
+		}
+	}
+	return encode(daisywire.Frame{Errand: w})
+}
+
+// DecodeCall decodes a call that arrived at the time.
+func DecodeCall(b []byte, now time.Time) (c Call, err error) {
+	defer daisyerror.Annotate(&err, "decode call")
+	f, err := decode(b)
+	if err != nil {
+		return c, err
+	}
+	w := f.Errand
+	if w == nil {
+		return c, ErrKind
+	}
+	c = Call{ID: w.ID, Lane: w.Lane, Act: Act(w.Act)}
+	if c.Act != ActRun {
+		return c, nil
+	}
+	if w.Statement == nil {
+		return c, errors.New("errand has no statement")
+	}
+	c.Errand = daisygateway.Errand{
+		Service: w.Service, Server: w.Server, Workspace: w.Workspace, Weight: w.Weight,
+		Priority: int(w.Priority), Class: w.Class, Keep: w.Keep,
+		Hold: now.Add(time.Duration(w.Hold)), Limit: now.Add(time.Duration(w.Limit)),
+		Statement: toServerStatement(w.Statement),
+	}
+	for _, v := range w.Values {
+		if c.Errand.Values == nil {
+			c.Errand.Values = make(map[string]string, len(w.Values))
+		}
+		c.Errand.Values[v.Name] = v.Value
+	}
+	return c, nil
+}
+
+func fromServerStatement(s *daisystatement.Statement) *daisywire.ServerStatement {
+	return &daisywire.ServerStatement{
+		ID: s.ID, Kind: int64(s.Kind), Text: s.Text, ReadOnly: s.ReadOnly, Name: s.Name, Shape: s.Shape, Rest: s.Rest,
+		AfterTerm: s.After.Term, AfterNumber: s.After.Number,
+	}
+}
+
+func toServerStatement(w *daisywire.ServerStatement) daisystatement.Statement {
+	return daisystatement.Statement{
+		ID: w.ID, Kind: daisystatement.Kind(w.Kind), Text: w.Text, ReadOnly: w.ReadOnly, Name: w.Name, Shape: w.Shape,
+		Rest: w.Rest, After: daisystatement.Position{Term: w.AfterTerm, Number: w.AfterNumber},
+	}
+}
+
+// EncodeCallReply encodes the reply to a call.
+func EncodeCallReply(r Reply) []byte {
+	w := &daisywire.ErrandAnswer{
+		ID: r.ID, Lane: r.Lane, Rows: r.Answer.Rows, Signature: r.Answer.Signature, State: int64(r.Answer.State),
+		Term: r.Answer.Position.Term, Number: r.Answer.Position.Number, Fault: int64(r.Fault), Text: r.Text,
+	}
+	if f := r.Answer.Failure; f != nil {
+		w.Code, w.Text = int64(f.Code), f.Text
+	}
+	return encode(daisywire.Frame{ErrandAnswer: w})
+}
+
+// DecodeCallReply decodes the reply to a call.
+func DecodeCallReply(b []byte) (r Reply, err error) {
+	defer daisyerror.Annotate(&err, "decode reply")
+	f, err := decode(b)
+	if err != nil {
+		return r, err
+	}
+	w := f.ErrandAnswer
+	if w == nil {
+		return r, ErrKind
+	}
+	r = Reply{ID: w.ID, Lane: w.Lane, Fault: Fault(w.Fault), Text: w.Text}
+	r.Answer = daisystatement.Answer{
+		Rows: w.Rows, Signature: w.Signature, State: daisystatement.State(w.State),
+		Position: daisystatement.Position{Term: w.Term, Number: w.Number},
+	}
+	if w.Code != 0 {
+		r.Answer.Failure = &daisystatement.Failure{Code: daisystatement.Code(w.Code), Text: w.Text}
+	}
+	return r, nil
+}
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -31,6 +31,8 @@
 	PathBeat  Path = "/beat"  // Heartbeats and proposals to the control leader.
 	PathLog   Path = "/log"   // Messages between replicas of the log.
 	PathGrant Path = "/grant" // Token requests to owners of buckets.
+
+	PathErrand Path = "/errand" // Statements to gateways of backend servers.
 )
 
 // limit returns the size in bytes up to which a frame is accepted.
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -252,6 +252,84 @@
 	Term uint64 `json:"Term"`
 }
 
+// A statement that a gateway is asked to run.
+type Errand struct {
+	// What is asked for: run, end a lane, or nothing but an answer.
+	Act int64 `json:"Act"`
+
+	// Errands of one class take alike.
+	Class string `json:"Class,omitempty,omitzero"`
+
+	// How long it may wait to be sent, in nanoseconds.
+	Hold int64 `json:"Hold,omitempty,omitzero"`
+
+	// Numbers the errand on its link.
+	ID uint64 `json:"ID"`
+
+	// Whether the connection is kept as a lane.
+	Keep bool `json:"Keep,omitempty,omitzero"`
+
+	// The lane to go on with; 0 if there is none.
+	Lane uint64 `json:"Lane,omitempty,omitzero"`
+
+	// How long it may take in all, in nanoseconds.
+	Limit int64 `json:"Limit,omitempty,omitzero"`
+
+	// 0 is the highest.
+	Priority int64 `json:"Priority,omitempty,omitzero"`
+
+	// The backend server.
+	Server string `json:"Server,omitempty,omitzero"`
+
+	// The service.
+	Service string `json:"Service,omitempty,omitzero"`
+
+	// Statement corresponds to the JSON schema field "Statement".
+	Statement *ServerStatement `json:"Statement,omitempty,omitzero"`
+
+	// The session values to run under.
+	Values []Setting `json:"Values,omitempty,omitzero"`
+
+	// The share of the server that the workspace is due.
+	Weight float64 `json:"Weight,omitempty,omitzero"`
+
+	// Who the connection is for.
+	Workspace string `json:"Workspace,omitempty,omitzero"`
+}
+
+// What became of an errand.
+type ErrandAnswer struct {
+	// Why the server did not serve it.
+	Code int64 `json:"Code,omitempty,omitzero"`
+
+	// What went wrong if the server did not answer.
+	Fault int64 `json:"Fault,omitempty,omitzero"`
+
+	// The errand.
+	ID uint64 `json:"ID"`
+
+	// The lane that is kept.
+	Lane uint64 `json:"Lane,omitempty,omitzero"`
+
+	// The number of the server's position.
+	Number uint64 `json:"Number,omitempty,omitzero"`
+
+	// The rows of a success.
+	Rows []string `json:"Rows,omitempty,omitzero"`
+
+	// The server's signature.
+	Signature string `json:"Signature,omitempty,omitzero"`
+
+	// The transaction state.
+	State int64 `json:"State,omitempty,omitzero"`
+
+	// The term of the server's position.
+	Term uint64 `json:"Term,omitempty,omitzero"`
+
+	// The server's text, or what went wrong before it answered.
+	Text string `json:"Text,omitempty,omitzero"`
+}
+
 // A decision of the fleet.
 type Event struct {
 	// When it was proposed, in nanoseconds since 1970.
@@ -281,6 +359,12 @@
 	// Consensus corresponds to the JSON schema field "Consensus".
 	Consensus *Consensus `json:"Consensus,omitempty,omitzero"`
 
+	// Errand corresponds to the JSON schema field "Errand".
+	Errand *Errand `json:"Errand,omitempty,omitzero"`
+
+	// ErrandAnswer corresponds to the JSON schema field "ErrandAnswer".
+	ErrandAnswer *ErrandAnswer `json:"ErrandAnswer,omitempty,omitzero"`
+
 	// Grant corresponds to the JSON schema field "Grant".
 	Grant *Grant `json:"Grant,omitempty,omitzero"`
 
@@ -674,6 +758,48 @@
 
 	// The service that it belongs to.
 	Service string `json:"Service"`
+
+	// How many statements it runs at once; 0 if unknown.
+	Slots int64 `json:"Slots,omitempty,omitzero"`
+}
+
+// A statement for a backend server.
+type ServerStatement struct {
+	// The number of that position.
+	AfterNumber uint64 `json:"AfterNumber,omitempty,omitzero"`
+
+	// The term of the position that the log must have reached.
+	AfterTerm uint64 `json:"AfterTerm,omitempty,omitzero"`
+
+	// The caller's request.
+	ID string `json:"ID"`
+
+	// What it does.
+	Kind int64 `json:"Kind"`
+
+	// Of a prepared statement.
+	Name string `json:"Name,omitempty,omitzero"`
+
+	// Of a transaction, or of what is prepared.
+	ReadOnly bool `json:"ReadOnly,omitempty,omitzero"`
+
+	// The arguments of an executed statement.
+	Rest string `json:"Rest,omitempty,omitzero"`
+
+	// Of a prepared statement.
+	Shape string `json:"Shape,omitempty,omitzero"`
+
+	// As the caller sent it.
+	Text string `json:"Text,omitempty,omitzero"`
+}
+
+// A session value.
+type Setting struct {
+	// The name.
+	Name string `json:"Name"`
+
+	// The value.
+	Value string `json:"Value"`
 }
 
 // The definition of a prepared statement.
