Shorter elections, leases and checks of lost primaries; hosts' own part of limits 0.55

Change: leases of 3 s, elections after 0.6 to 1.0 s, one failed probe beside hosts' complaints, no wait for a server that cannot be reached, a larger own part.

--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -108,7 +108,7 @@
 			next++
 		}
 		if err := k.attend(addr); err != nil {
-			k.options.Log.WithError(err).WithField("control", addr).Debug("keeper: left control host")
+			k.options.Log.WithError(err).WithField("control", addr).Info("keeper: left control host")
 		}
 		select {
 		case <-time.After(huntInterval):
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -10,12 +10,12 @@
 // Times of the protocol.
 const (
 	// HeartbeatInterval is the time between two rounds of the leader.
-	HeartbeatInterval = 150 * time.Millisecond
+	HeartbeatInterval = 100 * time.Millisecond
 	// ElectionMin is the least time without a leader before an election. A
 	// follower votes for nobody for this long after hearing from a leader.
-	ElectionMin = 1000 * time.Millisecond
+	ElectionMin = 600 * time.Millisecond
 	// ElectionMax is the greatest time without a leader before an election.
-	ElectionMax = 1600 * time.Millisecond
+	ElectionMax = 1000 * time.Millisecond
 	// RetireAfter is how long a voting replica must be silent before a newcomer
 	// that has caught up may take its seat. It outlasts an election, so that a
 	// replica is not given up because a leader has just begun.
--- a/internal/control/daisypromote/succession.go
+++ b/internal/control/daisypromote/succession.go
@@ -16,8 +16,9 @@
 	// silentAlone is the share of hosts that must miss a primary which answers
 	// the leader; below it, callers reach it through other hosts.
 	silentAlone = 0.7
-	// probeFailures is how many probes in a row do not reach a lost primary.
-	probeFailures = 2
+	// quietFailures is how many probes in a row do not reach a primary that is
+	// given up without a host's complaint.
+	quietFailures = 2
 	// gatherLimit is how long the leader waits for the positions of all servers
 	// once the old state is recalled.
 	gatherLimit = 600 * time.Millisecond
@@ -145,11 +146,14 @@
 	}
 	silent, up := l.missing(now, s, service, p)
 	probed := l.probes[p.Server]
-	unanswered := probed != nil && probed.failures >= probeFailures
+	failures := 0
+	if probed != nil {
+		failures = probed.failures
+	}
 	switch {
-	case unanswered && silent > 0 && float64(silent) >= silentWithProbe*float64(up):
+	case failures > 0 && silent > 0 && float64(silent) >= silentWithProbe*float64(up):
 		return fmt.Sprintf("%d of %d hosts and the control leader cannot reach it", silent, up)
-	case unanswered && l.quiet(now, p.Server):
+	case failures >= quietFailures && l.quiet(now, p.Server):
 		return "it announces nothing and the control leader cannot reach it"
 	case silent > 0 && float64(silent) >= silentAlone*float64(up):
 		return fmt.Sprintf("%d of %d hosts cannot reach it", silent, up)
@@ -239,7 +243,9 @@
 	for _, m := range all {
 		status, ok := l.statusOf(now, m.name)
 		if !ok {
-			unheard++
+			if p := l.probes[m.name]; p == nil || p.failures == 0 {
+				unheard++
+			}
 			if m.name != p.Previous {
 				unheardReplicas++
 			}
--- a/internal/host/daisycore/command.go
+++ b/internal/host/daisycore/command.go
@@ -16,6 +16,9 @@
 const (
 	// commandInterval is how often the leader looks for orders that are due.
 	commandInterval = 50 * time.Millisecond
+	// reachTimeout bounds the opening of a connection to a server: eight round
+	// trips between regions.
+	reachTimeout = 200 * time.Millisecond
 	// probeTimeout bounds a probe of a server: some round trips between regions
 	// and a full queue before its slots.
 	probeTimeout = 400 * time.Millisecond
@@ -101,7 +104,10 @@
 	case daisypromote.OrderProbe:
 		ctx, cancel := context.WithTimeout(c.ctx, probeTimeout)
 		defer cancel()
-		if err := c.options.Prober.Reach(ctx, o.Address); err != nil {
+		reachCtx, reached := context.WithTimeout(ctx, reachTimeout)
+		err := c.options.Prober.Reach(reachCtx, o.Address)
+		reached()
+		if err != nil {
 			line.WithError(err).Info("core: server not reached")
 			break
 		}
--- a/internal/host/daisycore/core.go
+++ b/internal/host/daisycore/core.go
@@ -31,7 +31,7 @@
 	// Lease is how long a host may act on the state that it holds. It outlasts
 	// the election of a leader, so that the loss of one stops nobody, and is
 	// short enough that a succession that must wait out a host ends in time.
-	Lease = 4 * time.Second
+	Lease = 3 * time.Second
 	// headerTimeout bounds the opening of a link or a call.
 	headerTimeout = 5 * time.Second
 )
--- a/internal/limit/daisyallowance/pool.go
+++ b/internal/limit/daisyallowance/pool.go
@@ -7,7 +7,7 @@
 
 const (
 	// hostShare is the part of the rate that hosts spend without asking.
-	hostShare = 0.3
+	hostShare = 0.55
 	// hostStock is how much of the burst all hosts together may keep.
 	hostStock = 1.2
 	// poolStock is how much of the burst the pool may keep.
--- a/internal/limit/daisyallowance/purse.go
+++ b/internal/limit/daisyallowance/purse.go
@@ -73,6 +73,19 @@
 	return false, time.Duration((1 - p.level) / rate * float64(time.Second))
 }
 
+// State is what a purse decides by.
+type State struct {
+	Rate   float64 // Of the workspace, in requests per second.
+	Tokens float64
+	Demand float64 // Of this host, in requests per second.
+	Hosts  float64
+}
+
+// State returns what the purse decides by.
+func (p *Purse) State() State {
+	return State{Rate: p.limit.Rate, Tokens: p.level, Demand: p.demand, Hosts: p.hosts}
+}
+
 // Put adds granted tokens.
 func (p *Purse) Put(now time.Time, tokens float64) {
 	p.refill(now)
--- a/internal/limit/daisygate/gate.go
+++ b/internal/limit/daisygate/gate.go
@@ -103,6 +103,16 @@
 	return ok, wait
 }
 
+// State returns what the gate decides by for a workspace.
+func (g *Gate) State(workspace string) (s daisyallowance.State) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p := g.purses[workspace]; p != nil {
+		s = p.State()
+	}
+	return s
+}
+
 // Demands returns the tokens that the host lacks.
 func (g *Gate) Demands() []daisybeat.Demand {
 	g.mu.Lock()
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -13,8 +13,8 @@
 	quietLimit = 250 * time.Millisecond
 	// checkInterval is the least time between two checks of a primary.
 	checkInterval = 150 * time.Millisecond
-	// checkTimeout bounds a check: ten round trips between regions.
-	checkTimeout = 300 * time.Millisecond
+	// checkTimeout bounds a check: eight round trips between regions.
+	checkTimeout = 200 * time.Millisecond
 )
 
 // doubt is a primary to be checked.
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -194,6 +194,11 @@
 	}
 	ok, retryAfter := s.desk.Gate.Admit(s.workspace, p.Latency/tokenShare)
 	if !ok {
+		held := s.desk.Gate.State(s.workspace)
+		s.desk.Log.WithFields(log.Fields{
+			"Workspace": s.workspace, "Rate": held.Rate, "Tokens": held.Tokens, "Demand": held.Demand, "Hosts": held.Hosts,
+			"RetryAfter": retryAfter.Milliseconds(),
+		}).Info("session: over the workspace's rate")
 		return p, failure(daisystatement.CodeBusy, "over the workspace's rate; retry in "+retryAfter.Round(time.Millisecond).String())
 	}
 	return p, nil
