--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -127,10 +127,10 @@
 	return p.dialer.Reach(ctx, s.target.Address)
 }
 
-// Free reports whether a connection for the workspace is free or may be opened.
-func (p *Pool) Free(server, workspace string) bool {
+// Free reports whether a connection is free or may be opened.
+func (p *Pool) Free(server string) bool {
 	s := p.server(server)
-	return s != nil && s.free(workspace)
+	return s != nil && s.free()
 }
 
 // trim closes idle connections beyond the share.
@@ -195,7 +195,7 @@
 	s.serve()
 }
 
-func (s *serverPool) free(workspace string) bool {
+func (s *serverPool) free() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || len(s.waiters) > 0 {
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -247,6 +247,9 @@
 		if err != nil {
 			return true // The next heartbeat tells the revision held.
 		}
+		if recalls(*r.Delta) {
+			k.Wake()
+		}
 	}
 	if len(r.Probes) > 0 {
 		k.options.Probe(r.Probes)
@@ -275,6 +278,15 @@
 	return true
 }
 
+// recalls reports whether somebody waits for this host to hold the delta: between
+// two primaries, until no host acts on the state before.
+func recalls(d daisyfleet.Delta) bool {
+	return slices.ContainsFunc(d.Objects, func(o daisyfleet.Object) bool {
+		p, ok := o.Value.(daisyfleet.Primacy)
+		return ok && p.Server == ""
+	})
+}
+
 func (k *Keeper) decided(d daisycodec.Decision) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return nil, nil, fmt.Errorf("%w: no slot of the server was free: %w", ErrNotSent, err)
 	}
-	if g.pool.Free(e.Server, e.Workspace) {
+	if g.pool.Free(e.Server) {
 		c, err := g.pool.Acquire(ctx, e.Server, e.Workspace)
 		if err == nil {
 			return c, slot, nil
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -112,10 +112,10 @@
 	assert.NilError(t, l.pool.Close())
 }
 
-func (l *load) errand(class, workspace string, priority int, weight float64, st daisystatement.Statement) daisygateway.Errand {
+func (l *load) errand(class, workspace string, priority int, st daisystatement.Statement) daisygateway.Errand {
 	now := time.Now()
 	return daisygateway.Errand{
-		Server: serverName, Workspace: workspace, Weight: weight, Priority: priority, Class: class, Statement: st,
+		Server: serverName, Workspace: workspace, Weight: 1, Priority: priority, Class: class, Statement: st,
 		Hold: now.Add(500 * time.Millisecond), Limit: now.Add(time.Second),
 	}
 }
@@ -131,10 +131,10 @@
 }
 
 // single asks for one statement in the background.
-func (l *load) single(class, workspace string, priority int, weight float64, text string) {
+func (l *load) single(class, workspace string, priority int, text string) {
 	l.wait.Go(func() {
 		began := time.Now()
-		e := l.errand(class, workspace, priority, weight, daisystatement.Statement{ID: "1", Kind: daisystatement.KindRead, Text: text})
+		e := l.errand(class, workspace, priority, daisystatement.Statement{ID: "1", Kind: daisystatement.KindRead, Text: text})
 		_, _, err := l.gateway.Run(e)
 		l.note(class, err == nil, time.Since(began))
 	})
@@ -143,7 +143,7 @@
 // transaction runs five statements in one, with pauses between them.
 func (l *load) transaction(class, workspace string) {
 	l.wait.Go(func() {
-		e := l.errand(class, workspace, 2, 1, daisystatement.Statement{ID: "1", Kind: daisystatement.KindBegin})
+		e := l.errand(class, workspace, 2, daisystatement.Statement{ID: "1", Kind: daisystatement.KindBegin})
 		e.Keep = true
 		_, lane, err := l.gateway.Run(e)
 		if err != nil {
@@ -154,7 +154,7 @@
 		for range 5 {
 			time.Sleep(30 * time.Millisecond)
 			began := time.Now()
-			_, err := lane.Do(l.errand(class, workspace, 2, 1, daisystatement.Statement{ID: "1", Kind: daisystatement.KindWrite, Text: "short"}))
+			_, err := lane.Do(l.errand(class, workspace, 2, daisystatement.Statement{ID: "1", Kind: daisystatement.KindWrite, Text: "short"}))
 			l.note(class+" statement", err == nil, time.Since(began))
 		}
 		l.note(class, true, 0)
@@ -170,10 +170,10 @@
 		l := newLoad(16)
 		for i := range 300 { // 3 s at 10 ms.
 			workspace := fmt.Sprint("w", i%4)
-			l.single("booking", workspace, 1, 1, "short")
-			l.single("lookup", workspace, 2, 1, "long")
+			l.single("booking", workspace, 1, "short")
+			l.single("lookup", workspace, 2, "long")
 			if i%3 == 0 {
-				l.single("rounds", workspace, 2, 1, "short")
+				l.single("rounds", workspace, 2, "short")
 			}
 			if i%20 == 0 {
 				l.transaction("entry", workspace)
@@ -197,10 +197,10 @@
 		l := newLoad(16)
 		for i := range 200 {
 			for range 5 {
-				l.single("hot", "hot", 2, 1, "long")
+				l.single("hot", "hot", 2, "long")
 			}
 			if i%4 == 0 {
-				l.single("calm", fmt.Sprint("calm", i/4%3), 2, 1, "short")
+				l.single("calm", fmt.Sprint("calm", i/4%3), 2, "short")
 			}
 			time.Sleep(10 * time.Millisecond)
 		}
@@ -216,7 +216,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		l := newLoad(16)
 		for i := range 800 {
-			l.single("any", fmt.Sprint("w", i%8), 2, 1, "short")
+			l.single("any", fmt.Sprint("w", i%8), 2, "short")
 			time.Sleep(5 * time.Millisecond)
 		}
 		l.close(t)
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -184,7 +184,7 @@
 }
 
 // admit authorizes an operation and takes its token.
-func (s *Session) admit(arrived time.Time) (daisydesire.Profile, *daisystatement.Failure) {
+func (s *Session) admit() (daisydesire.Profile, *daisystatement.Failure) {
 	p, refused := s.authorize()
 	if refused != nil {
 		s.ended = true
@@ -215,7 +215,7 @@
 	if s.tx != nil {
 		return s.tx.run(st, arrived)
 	}
-	p, refused := s.admit(arrived)
+	p, refused := s.admit()
 	if refused != nil {
 		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
 	}
@@ -237,7 +237,7 @@
 	if s.tx != nil {
 		return daisystatement.Fail(s.state(), daisystatement.CodeMalformed, "a transaction is open")
 	}
-	p, refused := s.admit(arrived)
+	p, refused := s.admit()
 	if refused != nil {
 		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
 	}
