--- a/internal/entry/daisycarrier/carrier_test.go
+++ b/internal/entry/daisycarrier/carrier_test.go
@@ -152,7 +152,7 @@
 		put(daisyfleet.KindHost, h.name, daisyfleet.Host{Address: h.address, FailureDomain: domain, Up: true})
 		h.pool = daisypool.New(dialer{host: h.name, server: f.server})
 		h.pool.Set(daisypool.Target{Server: serverName}, daisypool.Share{Kept: 4, Most: 4})
-		h.gateway = daisygateway.New(h.pool)
+		h.gateway = daisygateway.New(h.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 		h.carrier = daisycarrier.New(daisycarrier.Options{
 			Host: h.name, Local: h.gateway, Place: daisycarrier.Place{Regions: map[string]string{domain: "r"}},
 			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -4,9 +4,12 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyqueue"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -34,6 +37,7 @@
 // is safe for concurrent use.
 type Gateway struct {
 	pool *daisypool.Pool
+	log  log.Interface
 	wait sync.WaitGroup
 
 	mu    sync.Mutex
@@ -51,8 +55,8 @@
 }
 
 // New returns a gateway over the pool.
-func New(p *daisypool.Pool) *Gateway {
-	return &Gateway{pool: p, desks: make(map[string]*desk)}
+func New(p *daisypool.Pool, l log.Interface) *Gateway {
+	return &Gateway{pool: p, log: l, desks: make(map[string]*desk)}
 }
 
 // SetSlots tells how many statements the server runs at once, 0 if unknown, and
@@ -145,6 +149,7 @@
 // Run runs the errand. If it is to be kept and succeeded, it returns a lane.
 // An error that is not ErrNotSent leaves open whether the statement ran.
 func (g *Gateway) Run(e Errand) (a daisystatement.Answer, lane Lane, err error) {
+	defer func() { g.report(e, err) }()
 	if !g.pool.Usable(e.Server) {
 		return a, nil, fmt.Errorf("%w: %w: this host is not a gateway of the server", ErrNotSent, ErrUnreachable)
 	}
@@ -232,6 +237,18 @@
 	return a, nil
 }
 
+// report writes a line for an errand that the server did not answer.
+func (g *Gateway) report(e Errand, err error) {
+	if err == nil {
+		return
+	}
+	d := g.desk(e.Server)
+	g.log.WithError(err).WithFields(log.Fields{
+		"Request": e.Statement.ID, "Service": e.Service, "Server": e.Server, "Workspace": e.Workspace,
+		"Waiting": d.queue.Waiting(math.Inf(1)), "Busy": d.queue.Busy(),
+	}).Info("gateway: errand not answered")
+}
+
 // Close waits until lanes that were ended have rolled back.
 func (g *Gateway) Close() error {
 	g.wait.Wait()
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
@@ -101,7 +103,7 @@
 	}
 	l.pool = daisypool.New(l.backend)
 	l.pool.Set(daisypool.Target{Server: serverName}, daisypool.Share{Kept: connections, Most: connections})
-	l.gateway = daisygateway.New(l.pool)
+	l.gateway = daisygateway.New(l.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	l.gateway.SetSlots(serverName, slots, false)
 	return l
 }
--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -41,6 +41,8 @@
 	// drainShare is the part of the grace period after which open transactions
 	// are given up; the rest is for what is under way then.
 	drainShare = 0.7
+	// beliefInterval is how often a lost or regained lease is looked for.
+	beliefInterval = 200 * time.Millisecond
 	// headerTimeout bounds the opening of a link.
 	headerTimeout = 5 * time.Second
 )
@@ -96,7 +98,7 @@
 		},
 	})
 	f.pool = daisypool.New(o.Dialer)
-	f.gateway = daisygateway.New(f.pool)
+	f.gateway = daisygateway.New(f.pool, o.Log)
 	f.carrier = daisycarrier.New(daisycarrier.Options{
 		Host: s.Host, Local: f.gateway, Place: daisycarrier.Place{Regions: s.Regions}, Log: o.Log,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisycarrier.Conn, error) {
@@ -159,17 +161,59 @@
 
 // follow keeps what sessions use up with the state that the host holds.
 func (f *Front) follow() {
+	held := beliefs{primacies: make(map[string]daisyfleet.Primacy)}
+	ticker := time.NewTicker(beliefInterval)
+	defer ticker.Stop()
 	for {
 		changed := f.view.Changed()
 		f.refresh()
+		if !f.awaitChange(changed, ticker.C, &held) {
+			return
+		}
+	}
+}
+
+// awaitChange reports what the host believes until the held state changes. It
+// returns false if the host is closed.
+func (f *Front) awaitChange(changed <-chan struct{}, tick <-chan time.Time, held *beliefs) bool {
+	for {
+		f.reportBeliefs(held)
 		select {
 		case <-changed:
+			return true
+		case <-tick:
 		case <-f.ctx.Done():
-			return
+			return false
 		}
 	}
 }
 
+// beliefs are what the host has reported to believe.
+type beliefs struct {
+	valid     bool
+	primacies map[string]daisyfleet.Primacy
+}
+
+// reportBeliefs writes a line for each change of what sessions act on.
+func (f *Front) reportBeliefs(held *beliefs) {
+	if valid := f.keeper.Valid(); valid != held.valid {
+		held.valid = valid
+		f.options.Log.WithFields(log.Fields{"Valid": valid, "Revision": f.view.Revision()}).Info("front: lease changed")
+	}
+	f.view.Read(func(s *daisyfleet.State) {
+		s.EachSorted(daisyfleet.KindPrimacy, func(o daisyfleet.Object) {
+			p, ok := o.Value.(daisyfleet.Primacy)
+			if !ok || held.primacies[o.Name] == p {
+				return
+			}
+			held.primacies[o.Name] = p
+			f.options.Log.WithFields(log.Fields{
+				"Service": o.Name, "Round": p.Round, "Primary": p.Server, "Term": p.Term, "Revision": o.Revision,
+			}).Info("front: primary changed")
+		})
+	})
+}
+
 func (f *Front) refresh() {
 	if d, ok := f.view.Document(); ok {
 		if held := f.index.Load(); held == nil || held.Version != d.Version {
--- a/internal/report/daisyjournal/journal.go
+++ b/internal/report/daisyjournal/journal.go
@@ -124,7 +124,7 @@
 
 // line is one line of the journal.
 type line struct {
-	Time    string
+	Time    time.Time
 	Level   string
 	Host    string
 	Message string
@@ -141,7 +141,7 @@
 		fields[k] = v
 	}
 	_ = encoder.Encode(line{
-		Time: e.Timestamp.UTC().Format("15:04:05.000"), Level: e.Level.String(), Host: j.host,
+		Time: e.Timestamp.UTC().Truncate(time.Millisecond), Level: e.Level.String(), Host: j.host,
 		Message: e.Message, Fields: fields,
 	})
 }
--- a/internal/report/daisymetrics/metrics.go
+++ b/internal/report/daisymetrics/metrics.go
@@ -84,7 +84,7 @@
 		return cmp.Or(cmp.Compare(a.profile, b.profile), cmp.Compare(a.code, b.code))
 	})
 	for _, s := range all {
-		_, _ = fmt.Fprintf(w, "daisyglade_statements_total{profile=%q,code=\"%d\"} %d\n", s.profile, s.code, r.statements[s])
+		_, _ = fmt.Fprintf(w, "daisyglade_statements_total{profile=%q,code=%q} %d\n", s.profile, s.code, r.statements[s])
 	}
 	for profile, h := range r.times {
 		for _, q := range quantiles {
--- a/internal/session/daisysession/group_test.go
+++ b/internal/session/daisysession/group_test.go
@@ -239,7 +239,7 @@
 		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(7000+i))
 		f.pool.Set(daisypool.Target{Server: name, Service: serviceName, Address: addr}, daisypool.Share{Kept: 3, Most: 3})
 	}
-	f.gateway = daisygateway.New(f.pool)
+	f.gateway = daisygateway.New(f.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	f.router = daisyrouter.New(daisyrouter.Options{
 		View: f.view, Right: f.right, Carrier: f.gateway, Reach: f.pool.Reach, Doubt: func() { f.doubts.Add(1) },
 	})
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/daisyglade/daisyglade/internal/config/daisydesire"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
@@ -78,6 +80,10 @@
 			return 0
 		}
 		tried = append(tried, server)
+		if len(tried) > 1 {
+			s.line(st).WithFields(log.Fields{"Next": server, "Tried": len(tried) - 1, "After": st.After.String(), "Underway": underway}).
+				Info("session: read sent to another server")
+		}
 		underway++
 		go func() { outcomes <- frozen.tryRead(p, server, st, hold, limit) }()
 		return max(hedgeMin, hedgeFactor*s.desk.Router.Expected(server))
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -184,7 +184,7 @@
 }
 
 // admit authorizes an operation and takes its token.
-func (s *Session) admit() (daisydesire.Profile, *daisystatement.Failure) {
+func (s *Session) admit(st daisystatement.Statement) (daisydesire.Profile, *daisystatement.Failure) {
 	p, refused := s.authorize()
 	if refused != nil {
 		s.ended = true
@@ -197,7 +197,7 @@
 	if !ok {
 		held := s.desk.Gate.State(s.workspace)
 		s.desk.Log.WithFields(log.Fields{
-			"Workspace": s.workspace, "Rate": held.Rate, "Tokens": held.Tokens, "Demand": held.Demand, "Hosts": held.Hosts,
+			"Request": st.ID, "Workspace": s.workspace, "Rate": held.Rate, "Tokens": held.Tokens, "Demand": held.Demand, "Hosts": held.Hosts,
 			"RetryAfter": retryAfter.Milliseconds(),
 		}).Info("session: over the workspace's rate")
 		return p, failure(daisystatement.CodeBusy, "over the workspace's rate; retry in "+retryAfter.Round(time.Millisecond).String())
@@ -215,7 +215,7 @@
 	if s.tx != nil {
 		return s.tx.run(st, arrived)
 	}
-	p, refused := s.admit()
+	p, refused := s.admit(st)
 	if refused != nil {
 		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
 	}
@@ -237,7 +237,7 @@
 	if s.tx != nil {
 		return daisystatement.Fail(s.state(), daisystatement.CodeMalformed, "a transaction is open")
 	}
-	p, refused := s.admit()
+	p, refused := s.admit(st)
 	if refused != nil {
 		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
 	}
@@ -265,18 +265,41 @@
 	return daisystatement.Done(daisystatement.StateIdle)
 }
 
-// report counts the statement and writes a line if it was not served.
+// report counts the statement and writes a line if it was not served, or late.
 func (s *Session) report(st daisystatement.Statement, arrived time.Time, a daisystatement.Answer) {
 	code := daisystatement.CodeNone
 	took := time.Since(arrived)
 	if a.Failure != nil {
 		code = a.Failure.Code
-		s.desk.Log.WithFields(log.Fields{
-			"Request": st.ID, "Workspace": s.workspace, "Database": s.database, "Code": int(code),
-			"Reason": a.Failure.Text, "Took": took.Milliseconds(),
-		}).Info("session: statement not served")
+		s.line(st).WithFields(log.Fields{"Code": code.String(), "Reason": a.Failure.Text, "Took": took.String()}).
+			Info("session: statement not served")
+	} else if p, ok := s.profile(); ok && took > p.Latency {
+		s.line(st).WithFields(log.Fields{"Took": took.String(), "Objective": p.Latency.String()}).Info("session: statement served late")
 	}
 	if s.desk.Count != nil {
 		s.desk.Count.Statement(s.database, code, took)
 	}
 }
+
+func (s *Session) profile() (p daisydesire.Profile, ok bool) {
+	if index := s.desk.Index(); index != nil {
+		p, ok = index.Profile(s.database)
+	}
+	return p, ok
+}
+
+// line returns a logger with the request and what decides about it.
+func (s *Session) line(st daisystatement.Statement) *log.Entry {
+	fields := log.Fields{"Request": st.ID, "Workspace": s.workspace, "Database": s.database}
+	if index := s.desk.Index(); index != nil {
+		fields["Version"] = index.Version
+	}
+	if p, ok := s.profile(); ok {
+		l, leads := s.desk.Router.Leader(p.Service)
+		fields["Service"], fields["Round"], fields["Primary"], fields["Usable"] = p.Service, l.Round, l.Server, leads
+	}
+	if s.tx != nil {
+		fields["Server"], fields["Wrote"] = s.tx.server, s.tx.wrote
+	}
+	return s.desk.Log.WithFields(fields)
+}
--- a/internal/session/daisystatement/statement.go
+++ b/internal/session/daisystatement/statement.go
@@ -107,6 +107,20 @@
 	CodeDenied
 )
 
+// codeNames are the names of the codes in logs and metrics.
+var codeNames = []string{
+	"Served", "Busy", "Aborted", "Lagging", "ReadOnly", "WrongNode", "TooMany", "NoStatement",
+	"Failed", "Timeout", "InDoubt", "Malformed", "NoDatabase", "Denied",
+}
+
+// String returns the name of the code.
+func (c Code) String() string {
+	if c < 0 || int(c) >= len(codeNames) {
+		return fmt.Sprintf("Code(%d)", int(c))
+	}
+	return codeNames[c]
+}
+
 // NotRun reports whether the code promises that the statement had no effect.
 func (c Code) NotRun() bool { return c >= CodeBusy && c <= CodeNoStatement }
 
