Begin anew after a failed write; bring the primary's positions with answers

Ruled out: the log file (records before the full disk were whole). Change: a replica whose storage failed reads it again every 0.5 s and begins anew as after a restart; a host refers to itself only while it leads for certain.

--- a/internal/control/daisypromote/leader_test.go
+++ b/internal/control/daisypromote/leader_test.go
@@ -277,7 +277,7 @@
 // that does not answer.
 func TestSyncReplicaIsWaitedFor(t *testing.T) {
 	w := newWorld(t)
-	w.leader.SetDesired(w.now, daisypromote.Desired{SyncReplicas: map[string]int{service: 1}})
+	w.leader.SetDesired(w.now, &w.state, daisypromote.Desired{SyncReplicas: map[string]int{service: 1}})
 	w.advance(2 * time.Second)
 	w.servers[0].down, w.servers[1].down = true, true
 	w.servers[1].number = 11
@@ -347,7 +347,7 @@
 	const hosts, window = 6, 5 * time.Second
 	limit := daisyallowance.Limit{Workspace: "w", Rate: 100, Burst: 100}
 	now := time.Unix(1000, 0)
-	pool := daisyallowance.NewPool(now, limit)
+	pool := daisyallowance.NewPool(now, limit, hosts)
 	purses := make([]*daisyallowance.Purse, hosts)
 	for i := range purses {
 		purses[i] = daisyallowance.NewPurse(now, limit, hosts)
--- a/internal/control/daisypromote/tokens.go
+++ b/internal/control/daisypromote/tokens.go
@@ -16,17 +16,20 @@
 	SyncReplicas map[string]int
 }
 
-// SetDesired tells the leader the desired state in force.
-func (l *Leader) SetDesired(now time.Time, d Desired) {
+// SetDesired tells the leader the desired state in force, which the hosts of the
+// state share.
+func (l *Leader) SetDesired(now time.Time, s *daisyfleet.State, d Desired) {
+	hosts := 0
+	s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
 	l.syncReplicas = d.SyncReplicas
 	known := make(map[string]bool)
 	for _, limit := range d.Limits {
 		known[limit.Workspace] = true
 		if p := l.pools[limit.Workspace]; p != nil {
-			p.SetLimit(now, limit)
+			p.SetLimit(now, limit, hosts)
 			continue
 		}
-		l.pools[limit.Workspace] = daisyallowance.NewPool(now, limit)
+		l.pools[limit.Workspace] = daisyallowance.NewPool(now, limit, hosts)
 	}
 	for name := range l.pools {
 		if !known[name] {
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -26,6 +26,9 @@
 	compactAfter = 512
 	// joinInterval is how often a newcomer asks for a seat.
 	joinInterval = 500 * time.Millisecond
+	// reopenInterval is how often a replica whose storage failed tries to begin
+	// anew from it. A full disk may have room again at any time.
+	reopenInterval = 500 * time.Millisecond
 )
 
 // ErrLost is returned for a change whose entry was replaced by another
@@ -53,10 +56,13 @@
 	Saved     daisylog.Saved
 	Storage   Storage
 	Transport Transport
-	View      *daisyfleet.View
-	Random    *rand.Rand
-	Voters    int // How many replicas may vote; 0 sets no limit.
-	Log       log.Interface
+	// Reopen reads the storage again after it failed, as a new start of the
+	// process would. Without it the replica stays stopped.
+	Reopen func() (Storage, daisylog.Saved, error)
+	View   *daisyfleet.View
+	Random *rand.Rand
+	Voters int // How many replicas may vote; 0 sets no limit.
+	Log    log.Interface
 }
 
 type waiter struct {
@@ -78,7 +84,7 @@
 	known    map[daisylog.ReplicaID]netip.AddrPort // Where senders listen.
 	referred netip.AddrPort                        // The leader as another host said; invalid if none did.
 	applied  uint64
-	failed   error // The disk failed; the node does nothing more.
+	failed   error // The storage failed; the node does nothing until it is read again.
 	role     daisylog.Role
 }
 
@@ -105,9 +111,13 @@
 	})
 }
 
-// run ticks the replica until the node is closed or its storage fails.
+// run ticks the replica until the node is closed, and begins anew after its
+// storage has failed.
 func (n *Node) run() {
-	for n.Failed() == nil {
+	for {
+		if n.Failed() != nil && !n.reopen() {
+			return
+		}
 		n.mu.Lock()
 		next := n.replica.Next()
 		n.mu.Unlock()
@@ -124,6 +134,35 @@
 	}
 }
 
+// reopen waits until the storage can be used again and begins anew from it. It
+// returns false if the node is closed or cannot begin anew.
+func (n *Node) reopen() bool {
+	if n.options.Reopen == nil {
+		return false
+	}
+	for {
+		select {
+		case <-time.After(reopenInterval):
+		case <-n.ctx.Done():
+			return false
+		}
+		storage, saved, err := n.options.Reopen()
+		if err != nil {
+			n.options.Log.WithError(err).Warn("quorum: storage cannot be read again")
+			continue
+		}
+		n.mu.Lock()
+		n.options.Storage = storage
+		n.replica = daisylog.New(daisyclock.Now(), saved, n.options.Random)
+		n.replica.SetVoters(n.options.Voters)
+		n.restore(saved.Image)
+		n.failed = nil
+		n.mu.Unlock()
+		n.options.Log.Info("quorum: storage is read again, the replica begins anew")
+		return true
+	}
+}
+
 // join asks for a seat until the replica has one.
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
@@ -411,11 +450,16 @@
 	return n.replica.Term(), n.failed == nil && n.replica.Holds(daisyclock.Now())
 }
 
-// Leader returns the address of the leader, if one is known.
+// Leader returns the address of the leader, if one is known: another host, or
+// this one if it leads for certain.
 func (n *Node) Leader() netip.AddrPort {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	seat, _ := n.replica.Leader()
+	self := seat.Replica == n.options.Self.Replica
+	if n.failed != nil || self && !n.replica.Holds(daisyclock.Now()) {
+		return netip.AddrPort{}
+	}
 	return seat.Address
 }
 
--- a/internal/control/daisyquorum/node_test.go
+++ b/internal/control/daisyquorum/node_test.go
@@ -1,11 +1,13 @@
 package daisyquorum_test
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -57,6 +59,8 @@
 	nodes []*daisyquorum.Node
 	views []*daisyfleet.View
 	disks []*noDisk
+	// reopen is how each node's storage is read again; nil if it is not.
+	reopen [replicas]func() (daisyquorum.Storage, daisylog.Saved, error)
 }
 
 func newQuorum(t *testing.T) *quorum {
@@ -76,6 +80,12 @@
 		node, err := daisyquorum.Open(daisyquorum.Options{
 			Self: seat, Peers: addrs, Saved: saved, Storage: q.disks[i], Transport: q.wires, View: q.views[i],
 			Random: rand.New(rand.NewPCG(1, uint64(i))), Log: &log.Logger{Handler: text.New(io.Discard)},
+			Reopen: func() (daisyquorum.Storage, daisylog.Saved, error) {
+				if q.reopen[i] == nil {
+					return nil, daisylog.Saved{}, errors.ErrUnsupported
+				}
+				return q.reopen[i]()
+			},
 		})
 		assert.NilError(t, err)
 		q.wires.mu.Lock()
@@ -199,3 +209,33 @@
 		assert.Check(t, out.Accepted, out.Message)
 	})
 }
+
+// A replica whose disk was full begins anew from what is saved, as after a
+// restart, and a leader that stopped so refers nobody to itself.
+func TestFullDiskRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuorum(t)
+		defer q.close(t)
+		lead := q.leader()
+		var room atomic.Bool
+		q.reopen[lead] = func() (daisyquorum.Storage, daisylog.Saved, error) {
+			if !room.Load() {
+				return nil, daisylog.Saved{}, io.ErrShortWrite
+			}
+			return &noDisk{}, daisylog.Saved{Replica: daisylog.ReplicaID(lead + 1)}, nil
+		}
+		q.disks[lead].fail = io.ErrShortWrite
+		_, err := q.nodes[lead].Propose(t.Context(), change("a", 0))
+		assert.ErrorIs(t, err, io.ErrShortWrite)
+		assert.Check(t, !q.nodes[lead].Leader().IsValid())
+		time.Sleep(3 * time.Second)
+		next := q.leader()
+		out, err := q.nodes[next].Propose(t.Context(), change("b", 0))
+		assert.NilError(t, err)
+		assert.Check(t, out.Accepted, out.Message)
+		room.Store(true)
+		time.Sleep(3 * time.Second)
+		assert.NilError(t, q.nodes[lead].Failed())
+		q.views[lead].Read(func(s *daisyfleet.State) { assert.Check(t, s.Revision() >= out.Revision) })
+	})
+}
--- a/internal/entry/daisycarrier/carrier.go
+++ b/internal/entry/daisycarrier/carrier.go
@@ -11,6 +11,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -40,6 +41,10 @@
 
 // Carrier brings errands to gateways. It is safe for concurrent use.
 type Carrier struct {
+	// Learn is told the positions of primaries that gateways know: the primary of
+	// the round was asked at the time or later. It may be nil.
+	Learn func(service string, round uint64, asked time.Time, p daisystatement.Position)
+
 	options  Options
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -105,7 +110,14 @@
 	if err != nil {
 		return daisystatement.Answer{}, nil, fmt.Errorf("%w: %w: %w", daisygateway.ErrNotSent, daisygateway.ErrUnreachable, err)
 	}
-	return l.run(e)
+	sent := daisyclock.Now()
+	r, lane, err := l.run(e)
+	if s := r.Sample; s.Round > 0 && c.Learn != nil {
+		// The gateway answered after the errand was sent, so the primary was asked
+		// no earlier than this.
+		c.Learn(e.Service, s.Round, sent.Add(-s.Age), s.Position)
+	}
+	return r.Answer, lane, err
 }
 
 // link returns a link to the host, which it opens if there is none.
--- a/internal/entry/daisycarrier/carrier_test.go
+++ b/internal/entry/daisycarrier/carrier_test.go
@@ -126,6 +126,11 @@
 	silent  bool // Loses what is sent to and from it.
 }
 
+// Sample implements daisycarrier.Samples.
+func (h *host) Sample(string) (round uint64, p daisystatement.Position, age time.Duration) {
+	return 7, daisystatement.Position{Term: 3, Number: 40}, 200 * time.Millisecond
+}
+
 // fleet is a few hosts in the failure domain of one server.
 type fleet struct {
 	t      *testing.T
@@ -175,7 +180,7 @@
 			silent := func() bool { return from.silent || to.silent }
 			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent}
 			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent}
-			f.wait.Go(func() { daisycarrier.Serve(f.ctx, far, to.gateway, &log.Logger{Handler: discard.New()}) })
+			f.wait.Go(func() { daisycarrier.Serve(f.ctx, far, to.gateway, to, &log.Logger{Handler: discard.New()}) })
 			return near, nil
 		}
 		return nil, errors.New("refused")
@@ -266,6 +271,30 @@
 	})
 }
 
+// An answer brings the position of the primary that its gateway knows. The time
+// is no later than when the gateway asked, however long the answer took.
+func TestAnswersBringSamples(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 2)
+		defer f.close()
+		_, other := f.first()
+		began := time.Now()
+		learned := 0
+		other.carrier.Learn = func(service string, round uint64, asked time.Time, p daisystatement.Position) {
+			learned++
+			assert.Equal(t, service, "s")
+			assert.Equal(t, round, uint64(7))
+			assert.Equal(t, p, daisystatement.Position{Term: 3, Number: 40})
+			assert.Equal(t, began.Sub(asked), 200*time.Millisecond)
+		}
+		e := errand(daisystatement.KindRead, "r")
+		e.Service = "s"
+		_, _, err := other.carrier.Run(e)
+		assert.NilError(t, err)
+		assert.Equal(t, learned, 1)
+	})
+}
+
 // A transaction's lane ends with the link over which it is used.
 func TestLaneEndsWithItsLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/entry/daisycarrier/link.go
+++ b/internal/entry/daisycarrier/link.go
@@ -219,18 +219,15 @@
 }
 
 // run runs an errand at the other host.
-func (l *link) run(e daisygateway.Errand) (a daisystatement.Answer, lane daisygateway.Lane, err error) {
-	r, err := l.call(daisycodec.Call{Act: daisycodec.ActRun, Errand: e}, e.Limit)
+func (l *link) run(e daisygateway.Errand) (r daisycodec.Reply, lane daisygateway.Lane, err error) {
+	r, err = l.call(daisycodec.Call{Act: daisycodec.ActRun, Errand: e}, e.Limit)
 	if err == nil {
 		err = faultError(r)
 	}
-	if err != nil {
-		return a, nil, err
-	}
-	if r.Lane != 0 {
+	if err == nil && r.Lane != 0 {
 		lane = &remoteLane{link: l, id: r.Lane}
 	}
-	return r.Answer, lane, nil
+	return r, lane, err
 }
 
 func faultError(r daisycodec.Reply) error {
--- a/internal/entry/daisycarrier/serve.go
+++ b/internal/entry/daisycarrier/serve.go
@@ -9,12 +9,21 @@
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
+// Samples tells the positions of primaries that a host knows.
+type Samples interface {
+	// Sample returns the latest position of the service's primary, with its round
+	// and its age; round 0 if there is none.
+	Sample(service string) (round uint64, p daisystatement.Position, age time.Duration)
+}
+
 // guest is another host's link to this host's gateway.
 type guest struct {
 	gateway *daisygateway.Gateway
+	samples Samples
 	conn    Conn
 	wait    sync.WaitGroup
 
@@ -24,9 +33,10 @@
 }
 
 // Serve runs the errands of another host until its link ends. Its lanes end
-// with it.
-func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, logger log.Interface) {
-	s := &guest{gateway: g, conn: conn, lanes: make(map[uint64]daisygateway.Lane)}
+// with it. Each answer carries the latest position of the service's primary that
+// this host knows, so that hosts far from the primary seldom have to ask it.
+func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
+	s := &guest{gateway: g, samples: samples, conn: conn, lanes: make(map[uint64]daisygateway.Lane)}
 	defer s.close()
 	for {
 		message, err := conn.Receive(ctx)
@@ -96,6 +106,7 @@
 		r.Lane = s.keep(call.Lane, lane)
 	}
 	r.Fault, r.Text = fault(err)
+	r.Sample.Round, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Errand.Service)
 	return r
 }
 
--- a/internal/host/daisycore/command.go
+++ b/internal/host/daisycore/command.go
@@ -37,6 +37,7 @@
 	*daisypromote.Leader
 	core     *Core
 	revision uint64 // Of the document that the decisions follow.
+	hosts    int    // That share its limits.
 }
 
 // Due implements daisycouncil.Decider.
@@ -45,20 +46,23 @@
 	return d.Leader.Due(now, s)
 }
 
-// follow tells the decisions a desired state that is new to them.
+// follow tells the decisions a desired state, or a number of hosts, that is new
+// to them.
 func (d *decider) follow(now time.Time, s *daisyfleet.State) {
 	o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindDocument, Name: daisyfleet.DocumentName})
-	if !ok || o.Revision == d.revision {
+	hosts := 0
+	s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
+	if !ok || o.Revision == d.revision && hosts == d.hosts {
 		return
 	}
-	d.revision = o.Revision
+	d.revision, d.hosts = o.Revision, hosts
 	held, _ := o.Value.(daisyfleet.Document)
 	document, err := d.core.parse(held)
 	if err != nil {
 		d.core.options.Log.WithError(err).Error("core: accepted desired state cannot be read")
 		return
 	}
-	d.SetDesired(now, desired(document))
+	d.SetDesired(now, s, desired(document))
 }
 
 func desired(d *daisydesire.Document) daisypromote.Desired {
--- a/internal/host/daisycore/core.go
+++ b/internal/host/daisycore/core.go
@@ -100,6 +100,7 @@
 		Self:  daisylog.Seat{Replica: saved.Replica, Name: s.Link.String(), Address: s.Link},
 		Peers: others(s.Seeds, s.Link), Saved: saved, Storage: c.disk, Transport: c.peers,
 		View: c.view, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Voters: s.Voters(), Log: c.options.Log,
+		Reopen: c.reopenDisk,
 	})
 	if err != nil {
 		return err
@@ -127,6 +128,22 @@
 	return saved, err
 }
 
+// reopenDisk reads the log again after a write failed.
+func (c *Core) reopenDisk() (daisyquorum.Storage, daisylog.Saved, error) {
+	if c.disk != nil {
+		if err := c.disk.Close(); err != nil {
+			c.options.Log.WithError(err).Warn("core: control log not closed")
+		}
+		c.disk = nil
+	}
+	disk, saved, err := daisydisk.Open(c.options.Settings.DataFolder)
+	if err != nil {
+		return nil, saved, err
+	}
+	c.disk = disk
+	return disk, saved, nil
+}
+
 // beginning returns what a host without a log starts from. All founders are
 // given the same seeds, so they derive the same seats.
 func beginning(s *daisynode.Settings) daisylog.Saved {
--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -30,6 +30,7 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
@@ -109,9 +110,13 @@
 			return c, nil
 		},
 	})
+	f.carrier.Learn = func(service string, round uint64, asked time.Time, p daisystatement.Position) {
+		f.router.Learn(service, round, asked, p)
+	}
 	f.gate = daisygate.New(f.keeper.Wake)
 	f.router = daisyrouter.New(daisyrouter.Options{
-		View: f.view, Right: f.keeper, Carrier: f.carrier, Reach: f.pool.Reach, Doubt: f.keeper.Wake, Regions: s.Regions,
+		View: f.view, Right: f.keeper, Carrier: f.carrier, Reach: f.pool.Reach,
+		Gateway: func(server string) bool { return f.carrier.Rank(server) == 0 }, Doubt: f.keeper.Wake, Regions: s.Regions,
 		Place: daisyrouter.Place{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
 	desk := &daisysession.Desk{Index: f.index.Load, Router: f.router, Carrier: f.carrier, Gate: f.gate, Count: o.Count, Log: o.Log}
@@ -126,7 +131,7 @@
 	}
 	f.keeper.Start()
 	f.wait.Go(f.follow)
-	f.wait.Go(func() { f.router.Sample(f.ctx) })
+	f.wait.Go(func() { f.router.Run(f.ctx) })
 	return f, nil
 }
 
@@ -134,7 +139,7 @@
 func (f *Front) openLinks() error {
 	f.mux.Plain = true
 	f.mux.Handle(daisylink.PathErrand, func(ctx context.Context, c *daisylink.Conn) {
-		daisycarrier.Serve(ctx, c, f.gateway, f.options.Log)
+		daisycarrier.Serve(ctx, c, f.gateway, f.router, f.options.Log)
 	})
 	listener, err := f.options.Network.Listen(f.ctx, f.options.Settings.Link)
 	if err != nil {
--- a/internal/limit/daisyallowance/purse.go
+++ b/internal/limit/daisyallowance/purse.go
@@ -17,7 +17,7 @@
 // use.
 type Purse struct {
 	limit   Limit
-	hosts   float64 // How many hosts share the limit.
+	hosts   int // How many share the limit.
 	level   float64
 	updated time.Time
 	demand  float64 // Requests per second, averaged over memory.
@@ -25,25 +25,28 @@
 
 // NewPurse returns an empty purse of one among so many hosts.
 func NewPurse(now time.Time, l Limit, hosts int) *Purse {
-	return &Purse{limit: l, hosts: math.Max(1, float64(hosts)), updated: now}
+	return &Purse{limit: l, hosts: max(1, hosts), updated: now}
 }
 
 // SetLimit changes the limit and the number of hosts from now on.
 func (p *Purse) SetLimit(now time.Time, l Limit, hosts int) {
 	p.refill(now)
-	p.limit, p.hosts = l, math.Max(1, float64(hosts))
+	p.limit, p.hosts = l, max(1, hosts)
 	p.refill(now)
 }
 
 // stock is the most that the purse keeps; one request at least, or a workspace
 // with a small burst would get none through.
-func (p *Purse) stock() float64 { return math.Max(1, p.limit.Burst*hostStock/p.hosts) }
+func (p *Purse) stock() float64 { return math.Max(1, p.limit.Burst*hostStock/float64(p.hosts)) }
+
+// own is the host's own part of the rate.
+func (p *Purse) own() float64 { return p.limit.Rate * ownShare(p.hosts) / float64(p.hosts) }
 
 func (p *Purse) refill(now time.Time) {
 	elapsed := now.Sub(p.updated)
 	p.updated = now
 	p.demand *= math.Exp(-elapsed.Seconds() / memory.Seconds())
-	level := p.level + elapsed.Seconds()*p.limit.Rate*hostShare/p.hosts
+	level := p.level + elapsed.Seconds()*p.own()
 	p.level = math.Min(level, p.stock())
 }
 
@@ -66,7 +69,7 @@
 		p.level--
 		return true, 0
 	}
-	rate := p.limit.Rate * hostShare / p.hosts
+	rate := p.own()
 	if rate <= 0 {
 		return false, time.Second
 	}
@@ -78,7 +81,7 @@
 	Rate   float64 // Of the workspace, in requests per second.
 	Tokens float64
 	Demand float64 // Of this host, in requests per second.
-	Hosts  float64
+	Hosts  int
 }
 
 // State returns what the purse decides by.
@@ -95,7 +98,7 @@
 // Wanted returns how many tokens the demand lacks for the time ahead.
 func (p *Purse) Wanted(now time.Time) float64 {
 	p.refill(now)
-	own := p.limit.Rate * hostShare / p.hosts
+	own := p.own()
 	ahead := (p.demand - own) * horizon.Seconds()
 	if p.demand <= own && p.level >= 1 {
 		return 0
--- a/internal/session/daisyfresh/tracker.go
+++ b/internal/session/daisyfresh/tracker.go
@@ -71,6 +71,16 @@
 	return daisystatement.Position{}, false
 }
 
+// Latest returns the latest sample of the round and when it was asked.
+func (t *Tracker) Latest() (round uint64, asked time.Time, p daisystatement.Position, ok bool) {
+	n := len(t.samples)
+	if n == 0 {
+		return 0, time.Time{}, p, false
+	}
+	s := t.samples[n-1]
+	return t.round, s.asked, s.position, true
+}
+
 // Age returns how long ago the latest sample of the round was asked.
 func (t *Tracker) Age(round uint64, now time.Time) (time.Duration, bool) {
 	if n := len(t.samples); n > 0 && round == t.round {
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -46,6 +46,7 @@
 	Right   Right
 	Carrier Carrier                                        // Runs samples.
 	Reach   func(ctx context.Context, server string) error // Returns an error if the server cannot be reached.
+	Gateway func(server string) bool                       // Whether this host is the server's gateway.
 	Place   Place
 	Regions map[string]string // The region of each failure domain.
 	Doubt   func()            // Called when a primary stops answering.
@@ -303,6 +304,25 @@
 	r.service(name).tracker.Note(l.Round, asked, p)
 }
 
+// Sample returns the latest position of the service's primary that this host
+// knows, with its round and its age; round 0 if it knows none.
+func (r *Router) Sample(name string) (round uint64, p daisystatement.Position, age time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.services[name]
+	if s == nil {
+		return 0, p, 0
+	}
+	round, asked, p, _ := s.tracker.Latest()
+	return round, p, daisyclock.Now().Sub(asked)
+}
+
+// Learn notes a position of the primary of the round that another host knows.
+// The primary was asked at the time or later.
+func (r *Router) Learn(name string, round uint64, asked time.Time, p daisystatement.Position) {
+	r.Note(name, Leader{Round: round}, asked, p)
+}
+
 // Sights returns the primaries that this host cannot reach.
 func (r *Router) Sights() []daisybeat.Sight {
 	r.mu.Lock()
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -18,6 +18,10 @@
 	// asked. It leaves bounded reads most of their age, 1.5 s at the least, when
 	// the primary is lost.
 	sampleAge = 400 * time.Millisecond
+	// guestAge is the same on a host that is the gateway of none of the service's
+	// servers: it learns positions with answers, and asks before reads of the
+	// least age, 1.5 s, would need the primary.
+	guestAge = 1100 * time.Millisecond
 	// silentAge is the same for a primary that has not answered last.
 	silentAge = 150 * time.Millisecond
 	// sampleTimeout is how long the primary may take to answer; a full queue of
@@ -27,9 +31,9 @@
 	usedLife = 10 * time.Second
 )
 
-// Sample asks primaries for their positions until ctx ends, so that samples
+// Run asks primaries for their positions until ctx ends, so that samples
 // stay fresh and a lost primary is noticed also between requests.
-func (r *Router) Sample(ctx context.Context) {
+func (r *Router) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	ticker := time.NewTicker(sampleInterval)
@@ -60,7 +64,10 @@
 		if !ok || s.sampling || now.Sub(s.used) > usedLife {
 			continue
 		}
-		limit := sampleAge
+		limit := guestAge
+		if r.gateway(name) {
+			limit = sampleAge
+		}
 		if s.silent && s.round == l.Round {
 			limit = silentAge
 		}
@@ -72,6 +79,16 @@
 	return names
 }
 
+// gateway reports whether this host is the gateway of a server of the service.
+func (r *Router) gateway(name string) bool {
+	for _, s := range r.Group(name).Servers {
+		if r.options.Gateway(s.Name) {
+			return true
+		}
+	}
+	return false
+}
+
 // sample asks the primary of a service for its position.
 func (r *Router) sample(name string) {
 	defer func() {
--- a/internal/session/daisysession/group_test.go
+++ b/internal/session/daisysession/group_test.go
@@ -241,7 +241,8 @@
 	}
 	f.gateway = daisygateway.New(f.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	f.router = daisyrouter.New(daisyrouter.Options{
-		View: f.view, Right: f.right, Carrier: f.gateway, Reach: f.pool.Reach, Doubt: func() { f.doubts.Add(1) },
+		View: f.view, Right: f.right, Carrier: f.gateway, Reach: f.pool.Reach,
+		Gateway: func(string) bool { return true }, Doubt: func() { f.doubts.Add(1) },
 	})
 	f.router.Refresh()
 	gate := daisygate.New(func() {})
--- a/internal/session/daisysession/session_test.go
+++ b/internal/session/daisysession/session_test.go
@@ -233,7 +233,7 @@
 				defer f.close()
 				ctx, cancel := context.WithCancel(t.Context())
 				done := make(chan struct{})
-				go func() { defer close(done); f.router.Sample(ctx) }()
+				go func() { defer close(done); f.router.Run(ctx) }()
 				s := f.session("loose")
 				do(s, statement(daisystatement.KindRead, "warm"))
 				test.strike(f.servers["m1"])
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -317,6 +317,18 @@
 	// The rows of a success.
 	Rows []string `json:"Rows,omitempty,omitzero"`
 
+	// How long ago the primary was asked, in nanoseconds.
+	SampleAge int64 `json:"SampleAge,omitempty,omitzero"`
+
+	// The number of that position.
+	SampleNumber uint64 `json:"SampleNumber,omitempty,omitzero"`
+
+	// The round of the primary's position that the gateway knows; 0 if it knows none.
+	SampleRound uint64 `json:"SampleRound,omitempty,omitzero"`
+
+	// The term of that position.
+	SampleTerm uint64 `json:"SampleTerm,omitempty,omitzero"`
+
 	// The server's signature.
 	Signature string `json:"Signature,omitempty,omitzero"`
 
