--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -121,6 +121,14 @@
 	return errors.Join(append(errs, p.journal.Close())...)
 }
 
+// flag returns 1 for true and 0 for false, as metrics show them.
+func flag(holds bool) float64 {
+	if holds {
+		return 1
+	}
+	return 0
+}
+
 func newEntry() *cobra.Command {
 	return &cobra.Command{
 		Use:   "entry",
@@ -141,6 +149,8 @@
 				return err
 			}
 			metrics.Gauge("daisyglade_sessions", func() float64 { return float64(f.Sessions()) })
+			metrics.Gauge("daisyglade_desired_version", func() float64 { version, _ := f.Held(); return float64(version) })
+			metrics.Gauge("daisyglade_lease_valid", func() float64 { _, valid := f.Held(); return flag(valid) })
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Ready, platform.NewReadyHandler(f.Ready)),
 				p.serveMetrics(c.Context(), metrics),
@@ -174,12 +184,7 @@
 				return err
 			}
 			metrics := daisymetrics.New()
-			metrics.Gauge("daisyglade_leads", func() float64 {
-				if core.Leads() {
-					return 1
-				}
-				return 0
-			})
+			metrics.Gauge("daisyglade_leads", func() float64 { return flag(core.Leads()) })
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Control, platform.NewControlHandler(core, p.settings.Control, p.log)),
 				p.serveMetrics(c.Context(), metrics),
--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -299,6 +299,15 @@
 // SetSeeds replaces the seeds.
 func (f *Front) SetSeeds(seeds []netip.AddrPort) { f.keeper.SetHosts(seeds) }
 
+// Held tells what the host acts on: the version of the desired state in force and
+// whether its lease is valid.
+func (f *Front) Held() (version uint64, valid bool) {
+	if index := f.index.Load(); index != nil {
+		version = index.Version
+	}
+	return version, f.keeper.Valid()
+}
+
 // Sessions returns how many callers are connected.
 func (f *Front) Sessions() int { return f.server.Sessions() }
 
--- /dev/null
+++ b/internal/session/daisychoice/choice_test.go
@@ -0,0 +1,89 @@
+package daisychoice_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisychoice"
+)
+
+const near, far = 0, 25 * time.Millisecond
+
+// observed returns a server that has answered within the time.
+func observed(now time.Time, base, took time.Duration) *daisychoice.Server {
+	s := &daisychoice.Server{Base: base}
+	s.Start(now)
+	s.Answered(now, base+took)
+	return s
+}
+
+func TestBest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tests := []struct {
+		name   string
+		strike func(local, remote, primary *daisychoice.Server)
+		want   string
+	}{
+		{"Nothing", func(_, _, _ *daisychoice.Server) {}, "local"},
+		{"LocalBusy", func(local, _, _ *daisychoice.Server) {
+			for range 6 {
+				local.Start(now)
+			}
+		}, "primary"},
+		{"LocalLags", func(local, _, _ *daisychoice.Server) { local.Lagged(now) }, "primary"},
+		{"AllReplicasLag", func(local, remote, _ *daisychoice.Server) {
+			local.Lagged(now)
+			remote.Lagged(now)
+		}, "primary"},
+		{"LocalFailed", func(local, _, primary *daisychoice.Server) {
+			local.Start(now)
+			local.Failed(now)
+			primary.Start(now)
+			primary.Failed(now)
+		}, "remote"},
+		{"AllFailed", func(local, remote, primary *daisychoice.Server) {
+			for _, s := range []*daisychoice.Server{local, remote, primary} {
+				s.Start(now)
+				s.Failed(now)
+			}
+		}, "local"},
+		{"LocalRefused", func(local, _, _ *daisychoice.Server) {
+			local.Start(now)
+			local.Refused(now)
+		}, "primary"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			local, remote := observed(now, near, 20*time.Millisecond), observed(now, far, 20*time.Millisecond)
+			primary := observed(now, near, 20*time.Millisecond)
+			test.strike(local, remote, primary)
+			candidates := []daisychoice.Candidate{
+				{Name: "remote", Server: remote}, {Name: "primary", Server: primary, Primary: true}, {Name: "local", Server: local},
+			}
+			assert.Equal(t, candidates[daisychoice.Best(now, candidates)].Name, test.want)
+		})
+	}
+	assert.Equal(t, daisychoice.Best(now, nil), -1)
+}
+
+// A server that was slow is tried again after a while.
+func TestSlownessIsForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := observed(now, near, time.Second)
+	assert.Assert(t, s.Expected(now, false) >= time.Second)
+	assert.Assert(t, s.Expected(now.Add(20*time.Second), false) < 50*time.Millisecond)
+}
+
+// A server counts as silent from the last sign of life on, not from its first
+// statement.
+func TestUnanswered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &daisychoice.Server{}
+	assert.Equal(t, s.Unanswered(now), time.Duration(0))
+	s.Start(now)
+	s.Start(now)
+	s.Answered(now.Add(time.Second), time.Second)
+	assert.Equal(t, s.Unanswered(now.Add(1100*time.Millisecond)), 100*time.Millisecond)
+}
--- /dev/null
+++ b/internal/session/daisyfresh/tracker_test.go
@@ -0,0 +1,76 @@
+package daisyfresh_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisyfresh"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func at(n uint64) daisystatement.Position { return daisystatement.Position{Term: 1, Number: n} }
+
+// The floor covers every write acknowledged longer ago than the age, whatever
+// the times of writes, samples and reads: the definition of bounded staleness.
+func TestFloorCoversOldWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tracker daisyfresh.Tracker
+		now := time.Unix(1000, 0)
+		var acknowledged []time.Time // Of write i+1.
+		age := time.Duration(rapid.IntRange(100, 3000).Draw(t, "age")) * time.Millisecond
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "pause")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "write") {
+				acknowledged = append(acknowledged, now)
+				continue
+			}
+			if rapid.Bool().Draw(t, "sample") && len(acknowledged) > 0 {
+				tracker.Note(1, now, at(uint64(len(acknowledged))))
+				continue
+			}
+			floor, ok := tracker.Floor(1, now, age)
+			if !ok {
+				continue
+			}
+			for i, when := range acknowledged {
+				if now.Sub(when) > age && floor.Number < uint64(i+1) {
+					t.Fatalf("floor %v lacks write %d, acknowledged %v ago", floor, i+1, now.Sub(when))
+				}
+			}
+		}
+	})
+}
+
+func TestRounds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var tracker daisyfresh.Tracker
+	tracker.Note(2, now, at(5))
+	tracker.Note(1, now.Add(time.Second), at(9))
+	_, ok := tracker.Floor(1, now, time.Second)
+	assert.Assert(t, !ok)
+	floor, ok := tracker.Floor(2, now, time.Second)
+	assert.Assert(t, ok)
+	assert.Equal(t, floor, at(5))
+	_, ok = tracker.Floor(3, now, time.Second)
+	assert.Assert(t, !ok)
+}
+
+func TestMark(t *testing.T) {
+	m := daisyfresh.Mark{Round: 2, Position: at(9)}
+	assert.Equal(t, m.Floor(2, at(5)), at(9))
+	assert.Equal(t, m.Floor(2, at(11)), at(11))
+	assert.Equal(t, m.Floor(3, at(5)), at(5)) // Covered by every sample of the round, if it survived.
+}
