--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -28,6 +28,9 @@
 	dialTimeout = 500 * time.Millisecond
 	// huntInterval is the pause before the next control host is tried.
 	huntInterval = 50 * time.Millisecond
+	// eagerInterval is the time between heartbeats while the host has no lease: the
+	// log decides on a host that reports in within some tens of milliseconds.
+	eagerInterval = 60 * time.Millisecond
 	// proposeRetry is the pause before a change is proposed again.
 	proposeRetry = 100 * time.Millisecond
 )
@@ -188,7 +191,7 @@
 		if err := k.sendBeat(ctx, link); err != nil {
 			return err
 		}
-		timer := time.NewTimer(daisycontrol.BeatInterval)
+		timer := time.NewTimer(k.interval())
 		select {
 		case <-timer.C:
 		case <-k.wake:
@@ -206,6 +209,14 @@
 	}
 }
 
+// interval returns the time until the next heartbeat.
+func (k *Keeper) interval() time.Duration {
+	if k.Valid() {
+		return daisycontrol.BeatInterval
+	}
+	return eagerInterval
+}
+
 func (k *Keeper) sendBeat(ctx context.Context, link Link) error {
 	b := k.options.Report()
 	b.Revision = k.options.View.Revision()
--- a/internal/session/daisychoice/choice.go
+++ b/internal/session/daisychoice/choice.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
 const (
@@ -39,9 +41,10 @@
 	underway int
 	since    time.Time // When the first statement under way began to wait for the next answer.
 	failures int
-	avoid    time.Time // Until when it is avoided after failures.
-	lagging  time.Time // Until when it is avoided for fresh reads.
-	full     time.Time // Until when it is avoided because it refused.
+	avoid    time.Time               // Until when it is avoided after failures.
+	lacked   daisystatement.Position // The least position that its log lacked.
+	lagging  time.Time               // Until when it counts as lacking that.
+	full     time.Time               // Until when it is avoided because it refused.
 }
 
 // Start notes that a statement was sent.
@@ -90,8 +93,19 @@
 	s.avoid = now.Add(min(pause, backoffMax))
 }
 
-// Lagged notes that the server's log had not reached the floor of a read.
-func (s *Server) Lagged(now time.Time) { s.lagging = now.Add(lagPause) }
+// Lagged notes that the server's log had not reached the floor of a read. Reads
+// that need less may still be served.
+func (s *Server) Lagged(now time.Time, floor daisystatement.Position) {
+	if !now.Before(s.lagging) || floor.Compare(s.lacked) < 0 {
+		s.lacked = floor
+	}
+	s.lagging = now.Add(lagPause)
+}
+
+// lacks reports whether the server lately lacked the position.
+func (s *Server) lacks(now time.Time, floor daisystatement.Position) bool {
+	return now.Before(s.lagging) && floor.Compare(s.lacked) >= 0
+}
 
 // Avoided reports whether the server failed lately.
 func (s *Server) Avoided(now time.Time) bool { return now.Before(s.avoid) }
@@ -118,16 +132,17 @@
 	Primary bool
 }
 
-// Best returns the index of the best candidate, or -1 if there is none. Servers
-// that failed lately come last, then those that lagged or refused.
-func Best(now time.Time, candidates []Candidate) int {
+// Best returns the index of the best candidate for a read that needs the floor, or
+// -1 if there is none. Servers that failed lately come last, then those that
+// lacked the floor, then those that refused.
+func Best(now time.Time, floor daisystatement.Position, candidates []Candidate) int {
 	best, bestRank, bestExpected := -1, 0, time.Duration(0)
 	for i, c := range candidates {
 		rank := 0
 		if now.Before(c.Server.full) {
 			rank++
 		}
-		if !c.Primary && now.Before(c.Server.lagging) {
+		if !c.Primary && c.Server.lacks(now, floor) {
 			rank += 2
 		}
 		if c.Server.Avoided(now) {
--- a/internal/session/daisychoice/choice_test.go
+++ b/internal/session/daisychoice/choice_test.go
@@ -7,10 +7,16 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/session/daisychoice"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
 const near, far = 0, 25 * time.Millisecond
 
+var (
+	floor = daisystatement.Position{Term: 1, Number: 10}
+	later = daisystatement.Position{Term: 1, Number: 11}
+)
+
 // observed returns a server that has answered within the time.
 func observed(now time.Time, base, took time.Duration) *daisychoice.Server {
 	s := &daisychoice.Server{Base: base}
@@ -32,11 +38,12 @@
 				local.Start(now)
 			}
 		}, "primary"},
-		{"LocalLags", func(local, _, _ *daisychoice.Server) { local.Lagged(now) }, "primary"},
+		{"LocalLags", func(local, _, _ *daisychoice.Server) { local.Lagged(now, floor) }, "primary"},
 		{"AllReplicasLag", func(local, remote, _ *daisychoice.Server) {
-			local.Lagged(now)
-			remote.Lagged(now)
+			local.Lagged(now, floor)
+			remote.Lagged(now, floor)
 		}, "primary"},
+		{"LocalLacksLaterPosition", func(local, _, _ *daisychoice.Server) { local.Lagged(now, later) }, "local"},
 		{"LocalFailed", func(local, _, primary *daisychoice.Server) {
 			local.Start(now)
 			local.Failed(now)
@@ -62,10 +69,10 @@
 			candidates := []daisychoice.Candidate{
 				{Name: "remote", Server: remote}, {Name: "primary", Server: primary, Primary: true}, {Name: "local", Server: local},
 			}
-			assert.Equal(t, candidates[daisychoice.Best(now, candidates)].Name, test.want)
+			assert.Equal(t, candidates[daisychoice.Best(now, floor, candidates)].Name, test.want)
 		})
 	}
-	assert.Equal(t, daisychoice.Best(now, nil), -1)
+	assert.Equal(t, daisychoice.Best(now, floor, nil), -1)
 }
 
 // A server that was slow is tried again after a while.
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -193,9 +193,9 @@
 	return s.tracker.Floor(round, arrived, age)
 }
 
-// Choose returns the server that is expected to answer a read first, among
-// those that are not leaving and not in the list.
-func (r *Router) Choose(name string, not []string) (string, bool) {
+// Choose returns the server that is expected to answer a read that needs the
+// floor first, among those that are not leaving and not in the list.
+func (r *Router) Choose(name string, floor daisystatement.Position, not []string) (string, bool) {
 	leader := r.primary(name)
 	now := daisyclock.Now()
 	r.mu.Lock()
@@ -209,7 +209,7 @@
 		c.Base = s.Base
 		candidates = append(candidates, daisychoice.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
 	}
-	best := daisychoice.Best(now, candidates)
+	best := daisychoice.Best(now, floor, candidates)
 	if best < 0 {
 		return "", false
 	}
@@ -272,10 +272,10 @@
 }
 
 // Lagged notes that the server's log had not reached the floor of a read.
-func (r *Router) Lagged(server string) {
+func (r *Router) Lagged(server string, floor daisystatement.Position) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.server(server).Lagged(daisyclock.Now())
+	r.server(server).Lagged(daisyclock.Now(), floor)
 }
 
 // reached notes that a server can be reached, if it is the primary.
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -75,7 +75,7 @@
 	var tried []string
 	underway := 0
 	launch := func() time.Duration {
-		server, ok := s.desk.Router.Choose(p.Service, tried)
+		server, ok := s.desk.Router.Choose(p.Service, st.After, tried)
 		if !ok || len(tried) == readAttempts {
 			return 0
 		}
@@ -130,7 +130,7 @@
 	e.Server = server
 	a, _, err := s.carry(e)
 	if err == nil && a.Failure != nil && a.Failure.Code == daisystatement.CodeLagging {
-		s.desk.Router.Lagged(server)
+		s.desk.Router.Lagged(server, st.After)
 	}
 	return outcome{server: server, answer: a, err: err}
 }
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -142,7 +142,7 @@
 	if t.readOnly && t.profile.Freshness != daisydesire.FreshPrimary {
 		if floor, fresh := s.floor(t.profile, t.began); fresh {
 			begin.After = floor
-			server, ok = s.desk.Router.Choose(t.profile.Service, tried)
+			server, ok = s.desk.Router.Choose(t.profile.Service, floor, tried)
 			return server, begin, ok
 		}
 	}
@@ -168,7 +168,7 @@
 		return a, err
 	case a.Failure != nil:
 		if a.Failure.Code == daisystatement.CodeLagging {
-			s.desk.Router.Lagged(server)
+			s.desk.Router.Lagged(server, begin.After)
 		}
 		return a, nil
 	case lane == nil:
