Open an entry host in steps

Cause: one function of fifty lines made all parts of an entry host. Change: one step for what comes from control, one for the ways to backend servers, one for callers.

--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -30,7 +30,6 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisygate"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
-	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
 )
@@ -69,6 +68,7 @@
 	leaving     atomic.Bool
 
 	view    *daisyfleet.View
+	dialer  *daisylink.Dialer
 	index   atomic.Pointer[daisydesire.Index]
 	keeper  *daisykeeper.Keeper
 	pool    *daisypool.Pool
@@ -84,55 +84,77 @@
 // Open starts an entry host.
 func Open(o Options) (f *Front, err error) {
 	defer daisyerror.Annotate(&err, "open entry host")
-	f = &Front{options: o, incarnation: rand.Uint64(), view: daisyfleet.NewView()}
+	f = &Front{
+		options: o, incarnation: rand.Uint64(), view: daisyfleet.NewView(),
+		dialer: daisylink.NewPlainDialer(o.Settings.Host, o.Network),
+	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	s := &o.Settings
-	dialer := daisylink.NewPlainDialer(s.Host, o.Network)
+	f.openControl()
+	f.openBackends()
+	if err := errors.Join(f.openLinks(), f.openEntry()); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	f.keeper.Start()
+	f.wait.Go(f.follow)
+	f.wait.Go(func() { f.router.Run(f.ctx) })
+	return f, nil
+}
+
+// openControl makes what the host has from the control leader: the state under
+// its lease and tokens.
+func (f *Front) openControl() {
 	f.keeper = daisykeeper.New(daisykeeper.Options{
-		Hosts: s.Seeds, Report: f.report, Probe: func([]daisybeat.Probe) {}, Grant: f.grant, View: f.view, Log: o.Log,
+		Hosts: f.options.Settings.Seeds, Report: f.report, Probe: func([]daisybeat.Probe) {}, Grant: f.grant,
+		View: f.view, Log: f.options.Log,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisykeeper.Link, error) {
-			c, err := dialer.Dial(ctx, addr, daisylink.PathBeat)
+			c, err := f.dial(ctx, addr, daisylink.PathBeat)
 			if err != nil {
 				return nil, err
 			}
 			return c, nil
 		},
 	})
-	f.pool = daisypool.New(o.Dialer)
-	f.gateway = daisygateway.New(f.pool, o.Log)
+	f.gate = daisygate.New(f.keeper.Wake)
+}
+
+// openBackends makes the ways to backend servers.
+func (f *Front) openBackends() {
+	s := &f.options.Settings
+	f.pool = daisypool.New(f.options.Dialer)
+	f.gateway = daisygateway.New(f.pool, f.options.Log)
 	f.carrier = daisycarrier.New(daisycarrier.Options{
-		Host: s.Host, Local: f.gateway, Place: daisycarrier.Place{Regions: s.Regions}, Log: o.Log,
+		Host: s.Host, Local: f.gateway, Place: daisycarrier.Place{Regions: s.Regions}, Log: f.options.Log,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisycarrier.Conn, error) {
-			c, err := dialer.Dial(ctx, addr, daisylink.PathErrand)
+			c, err := f.dial(ctx, addr, daisylink.PathErrand)
 			if err != nil {
 				return nil, err
 			}
 			return c, nil
 		},
 	})
-	f.carrier.Learn = func(service string, round uint64, asked time.Time, p daisystatement.Position) {
-		f.router.Learn(service, round, asked, p)
-	}
-	f.gate = daisygate.New(f.keeper.Wake)
 	f.router = daisyrouter.New(daisyrouter.Options{
 		View: f.view, Right: f.keeper, Carrier: f.carrier, Reach: f.pool.Reach,
 		Gateway: func(server string) bool { return f.carrier.Rank(server) == 0 }, Doubt: f.keeper.Wake, Regions: s.Regions,
 		Place: daisyrouter.Place{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
-	desk := &daisysession.Desk{Index: f.index.Load, Router: f.router, Carrier: f.carrier, Gate: f.gate, Count: o.Count, Log: o.Log}
-	if err := f.openLinks(); err != nil {
-		return nil, errors.Join(err, f.Close())
-	}
+	f.carrier.Learn = f.router.Learn
+}
+
+// dial opens a link to another host.
+func (f *Front) dial(ctx context.Context, addr netip.AddrPort, path daisylink.Path) (*daisylink.Conn, error) {
+	return f.dialer.Dial(ctx, addr, path)
+}
+
+// openEntry serves callers.
+func (f *Front) openEntry() (err error) {
+	o := &f.options
 	f.server, err = daisyserver.Open(f.ctx, daisyserver.Options{
-		Network: o.Network, Listen: s.Callers, Codec: o.Codec, Desk: desk, Log: o.Log,
+		Network: o.Network, Listen: o.Settings.Callers, Codec: o.Codec, Log: o.Log,
+		Desk: &daisysession.Desk{
+			Index: f.index.Load, Router: f.router, Carrier: f.carrier, Gate: f.gate, Count: o.Count, Log: o.Log,
+		},
 	})
-	if err != nil {
-		return nil, errors.Join(err, f.Close())
-	}
-	f.keeper.Start()
-	f.wait.Go(f.follow)
-	f.wait.Go(func() { f.router.Run(f.ctx) })
-	return f, nil
+	return err
 }
 
 // openLinks serves the errands of other hosts.
