Do not ask the replica while holding the state

The stacks show a control leader that answered a heartbeat: it held the state for reading and asked the replica for its seats, while the replica, with its own lock held, waited to apply a change to the state. In a fleet the control leader would have stopped for good. Change: the seats are read before the state. TestBeatsBesideChanges hung before and passes in 1.1 s after.

--- a/internal/control/daisycouncil/council.go
+++ b/internal/control/daisycouncil/council.go
@@ -202,6 +202,7 @@
 		return a
 	}
 	a.reply = daisybeat.Reply{ID: b.ID, Leader: c.self}
+	controls := c.controls() // The replica is never asked while the state is held.
 	c.view.Read(func(s *daisyfleet.State) {
 		a.reply.Lease = leader.Beat(now, s, b)
 		a.reply.Probes = leader.Probes(now, s, b.Host)
@@ -216,7 +217,7 @@
 		if from != s.Revision() {
 			delta := s.Delta(from)
 			a.reply.Delta = &delta
-			a.reply.Controls = c.controls()
+			a.reply.Controls = controls
 		}
 		a.held = s.Revision()
 	})
--- /dev/null
+++ b/internal/control/daisycouncil/council_test.go
@@ -0,0 +1,94 @@
+package daisycouncil
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
+)
+
+// noDisk saves nothing.
+type noDisk struct{}
+
+func (noDisk) Append(*daisylog.Ballot, []daisylog.Entry) error                 { return nil }
+func (noDisk) Replace(daisylog.Ballot, daisylog.Image, []daisylog.Entry) error { return nil }
+
+// nobody takes no messages.
+type nobody struct{}
+
+func (nobody) Send(netip.AddrPort, daisylog.Message) {}
+
+// Heartbeats are answered while the log applies changes: neither waits for a
+// lock that the other holds.
+func TestBeatsBesideChanges(t *testing.T) {
+	const (
+		beaters = 4
+		changes = 3000
+		limit   = time.Minute // Only a deadlock reaches it.
+	)
+	addr := netip.MustParseAddrPort("127.0.0.1:7000")
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	seat := daisylog.Seat{Replica: 1, Name: "c1", Address: addr}
+	view := daisyfleet.NewView()
+	node, err := daisyquorum.Open(daisyquorum.Options{
+		Self: seat, Saved: daisylog.Found(seat), Storage: noDisk{}, Transport: nobody{}, View: view,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: logger,
+	})
+	assert.NilError(t, err)
+	c := New(Options{
+		Node: node, View: view, Self: addr, Log: logger,
+		New: func(began time.Time, _ uint64) Decider { return daisycontrol.NewLeader(began) },
+	})
+	for {
+		if _, leads := node.Leads(); leads {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	var work sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range beaters {
+		work.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.beat(daisybeat.Beat{Host: fmt.Sprint("h", i), Incarnation: 1, Address: addr})
+				}
+			}
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range changes {
+			id := daisyfleet.ID{Kind: daisyfleet.KindDatabase, Name: fmt.Sprint("d", i)}
+			change := daisyfleet.Change{Operations: []daisyfleet.Operation{{ID: id, Value: daisyfleet.Database{Connections: 20, Members: 3}}}}
+			if _, err := node.Propose(t.Context(), change); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(limit):
+		t.Fatal("heartbeats and changes wait for each other")
+	}
+	close(stop)
+	work.Wait()
+	assert.NilError(t, c.Close())
+	assert.NilError(t, node.Close())
+}
