Ask eagerly for a lease on the platform only

So the eager heartbeats of a host without a lease are the cause; how a planned stop meets them is open (docs/PROOFS.md). Change: they are an option that entry hosts on the platform set, where a process need not wait out the lease of the one before.

--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -52,6 +52,9 @@
 	Report func() daisybeat.Beat    // The host's present reports; ID and Revision are filled in.
 	Probe  func([]daisybeat.Probe)  // Told of the primaries to probe.
 	Grant  func([]daisybeat.Demand) // Told of granted tokens; may be nil.
+	// Eager asks for a lease every 60 ms while there is none. It is for fleets in
+	// which a process need not wait out the lease of the one before it.
+	Eager bool
 	View   *daisyfleet.View
 	Log    log.Interface
 }
@@ -211,10 +214,10 @@
 
 // interval returns the time until the next heartbeat.
 func (k *Keeper) interval() time.Duration {
-	if k.Valid() {
-		return daisycontrol.BeatInterval
+	if k.options.Eager && !k.Valid() {
+		return eagerInterval
 	}
-	return eagerInterval
+	return daisycontrol.BeatInterval
 }
 
 func (k *Keeper) sendBeat(ctx context.Context, link Link) error {
--- a/internal/host/daisyfront/front.go
+++ b/internal/host/daisyfront/front.go
@@ -105,7 +105,7 @@
 func (f *Front) openControl() {
 	f.keeper = daisykeeper.New(daisykeeper.Options{
 		Hosts: f.options.Settings.Seeds, Report: f.report, Probe: func([]daisybeat.Probe) {}, Grant: f.grant,
-		View: f.view, Log: f.options.Log,
+		View: f.view, Log: f.options.Log, Eager: true,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisykeeper.Link, error) {
 			c, err := f.dial(ctx, addr, daisylink.PathBeat)
 			if err != nil {
