--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -55,8 +55,8 @@
 	// Eager asks for a lease every 60 ms while there is none. It is for fleets in
 	// which a process need not wait out the lease of the one before it.
 	Eager bool
-	View   *daisyfleet.View
-	Log    log.Interface
+	View  *daisyfleet.View
+	Log   log.Interface
 }
 
 // ErrNoLeader is returned if no control leader took a change in time.
