Elect once after a restart of all, and find the leader by one link

Ruled out: latency of the disks (2 ms) and the leader's own work. Change: a replica that asks for pre-votes refuses its own to one of a higher identity for 150 ms; a candidate that lost stands again after 20 to 170 ms; links are opened at the start and again once they end; a host stays 300 ms with a control host that knows no leader, and follows the first referral at once; a control host without a seat ends the link of a host that looks for the leader.

--- a/internal/control/daisycouncil/council.go
+++ b/internal/control/daisycouncil/council.go
@@ -272,6 +272,9 @@
 		if link.Send(ctx, daisycodec.EncodeReply(a.reply)) != nil {
 			return
 		}
+		if !a.reply.Leader.IsValid() && (!c.node.Seated() || c.node.Failed() != nil) {
+			return // Another control host hears sooner who leads.
+		}
 		noteHeld(held, a.held)
 	}
 }
--- a/internal/control/daisycouncil/council_test.go
+++ b/internal/control/daisycouncil/council_test.go
@@ -28,6 +28,8 @@
 // nobody takes no messages.
 type nobody struct{}
 
+func (nobody) Open(netip.AddrPort) {}
+
 func (nobody) Send(netip.AddrPort, daisylog.Message) {}
 
 // Heartbeats are answered while the log applies changes: neither waits for a
--- a/internal/control/daisycouncil/peers.go
+++ b/internal/control/daisycouncil/peers.go
@@ -15,7 +15,8 @@
 	// peerQueue bounds the messages that wait for one replica. Those beyond
 	// are dropped; the log sends again what matters.
 	peerQueue = 64
-	// peerRetry is the pause before a replica is dialled again.
+	// peerRetry is the pause before a replica is dialled again that could not be
+	// reached or has ended the link at once.
 	peerRetry = 100 * time.Millisecond
 )
 
@@ -37,31 +38,45 @@
 	return p
 }
 
+// Open implements daisyquorum.Transport. A link takes two round trips to open,
+// which an election would otherwise wait for.
+func (p *Peers) Open(to netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.queue(to)
+}
+
 // Send implements daisyquorum.Transport.
 func (p *Peers) Send(to netip.AddrPort, m daisylog.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.ctx.Err() != nil {
-		return
+	select {
+	case p.queue(to) <- m:
+	default:
 	}
+}
+
+// queue returns what waits for the replica and keeps a link to it open from now
+// on; p.mu is held.
+func (p *Peers) queue(to netip.AddrPort) chan daisylog.Message {
 	queue := p.queues[to]
-	if queue == nil {
+	if queue == nil && p.ctx.Err() == nil {
 		queue = make(chan daisylog.Message, peerQueue)
 		p.queues[to] = queue
 		p.wait.Go(func() { p.run(to, queue) })
 	}
-	select {
-	case queue <- m:
-	default:
-	}
+	return queue
 }
 
 func (p *Peers) run(to netip.AddrPort, queue chan daisylog.Message) {
 	for p.ctx.Err() == nil {
-		link, err := p.dialer.Dial(p.ctx, to, daisylink.PathLog)
-		if err == nil {
+		began := time.Now()
+		if link, err := p.dialer.Dial(p.ctx, to, daisylink.PathLog); err == nil {
 			p.drain(link, queue)
 			link.Close()
+			if time.Since(began) > peerRetry {
+				continue
+			}
 		}
 		select {
 		case <-time.After(peerRetry):
@@ -70,17 +85,19 @@
 	}
 }
 
+// drain sends what is queued until the link ends.
 func (p *Peers) drain(link *daisylink.Conn, queue chan daisylog.Message) {
+	open := link.Watch(p.ctx)
 	for {
 		select {
 		case m := <-queue:
-			ctx, cancel := context.WithTimeout(p.ctx, daisylog.ElectionMin)
+			ctx, cancel := context.WithTimeout(open, daisylog.ElectionMin)
 			err := link.Send(ctx, daisycodec.EncodeMessage(m))
 			cancel()
 			if err != nil {
 				return
 			}
-		case <-p.ctx.Done():
+		case <-open.Done():
 			return
 		}
 	}
--- /dev/null
+++ b/internal/control/daisycouncil/peers_test.go
@@ -0,0 +1,97 @@
+package daisycouncil
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisybeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisycontrol"
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+	"github.com/daisyglade/daisyglade/internal/control/daisyquorum"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
+	"github.com/daisyglade/daisyglade/internal/wire/daisynet"
+)
+
+// listen serves links of one use until the test ends.
+func listen(t *testing.T, path daisylink.Path, h daisylink.Handler) netip.AddrPort {
+	mux := &daisylink.Mux{Plain: true}
+	mux.Handle(path, h)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := &http.Server{Handler: mux} //nolint:gosec // Only this test reaches it.
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { assert.NilError(t, server.Close()) })
+	addr, err := netip.ParseAddrPort(listener.Addr().String())
+	assert.NilError(t, err)
+	return addr
+}
+
+// Links between control hosts are open before the first message, and again as
+// soon as the other side has ended one: an election does not wait for them.
+func TestLinksOpenBeforeTheyAreUsed(t *testing.T) {
+	accepted := make(chan *daisylink.Conn)
+	addr := listen(t, daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
+		accepted <- c
+		<-ctx.Done()
+	})
+	peers := NewPeers(daisylink.NewPlainDialer("c1", daisynet.TCP{}))
+	peers.Open(addr)
+	(<-accepted).Close()
+	second := <-accepted
+	sent := daisylog.Message{Kind: daisylog.KindPreVote, From: 1, To: 2, Term: 3}
+	peers.Send(addr, sent)
+	b, err := second.Receive(t.Context())
+	assert.NilError(t, err)
+	got, err := daisycodec.DecodeMessage(b)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Kind, sent.Kind)
+	assert.Equal(t, got.Term, sent.Term)
+	second.Close()
+	assert.NilError(t, peers.Close())
+}
+
+// A control host whose disk was lost has no seat and hears late who leads. It
+// ends the links of hosts that look for the leader, so that they ask another.
+func TestNewcomerSendsHostsOn(t *testing.T) {
+	self := netip.MustParseAddrPort("127.0.0.1:7000")
+	logger := &log.Logger{Handler: discard.New(), Level: log.FatalLevel}
+	view := daisyfleet.NewView()
+	node, err := daisyquorum.Open(daisyquorum.Options{
+		Self:  daisylog.Seat{Replica: 1, Name: "c1", Address: self},
+		Saved: daisylog.Saved{Replica: 1}, Storage: noDisk{}, Transport: nobody{}, View: view,
+		Random: rand.New(rand.NewPCG(1, 1)), Log: logger,
+	})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, node.Close()) }()
+	council := New(Options{
+		Node: node, View: view, Self: self, Log: logger,
+		New: func(began time.Time, _ uint64) Decider { return daisycontrol.NewLeader(began) },
+	})
+	defer func() { assert.NilError(t, council.Close()) }()
+	addr := listen(t, daisylink.PathBeat, council.Serve)
+
+	link, err := daisylink.NewPlainDialer("h1", daisynet.TCP{}).Dial(t.Context(), addr, daisylink.PathBeat)
+	assert.NilError(t, err)
+	defer link.Close()
+	assert.NilError(t, link.Send(t.Context(), daisycodec.EncodeBeat(daisybeat.Beat{Host: "h1", Incarnation: 1, Address: self, ID: 7})))
+	message, err := link.Receive(t.Context())
+	assert.NilError(t, err)
+	answer, err := daisycodec.DecodeDownward(message)
+	assert.NilError(t, err)
+	assert.Assert(t, !answer.Reply.Leader.IsValid())
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute) // Only a link left open reaches it.
+	defer cancel()
+	_, err = link.Receive(ctx)
+	assert.Assert(t, err != nil && ctx.Err() == nil, "%v", err)
+}
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -24,6 +24,9 @@
 const (
 	// replyTimeout is how long a control host may take to answer a heartbeat.
 	replyTimeout = 750 * time.Millisecond
+	// orphanTime is how long a control host may know no leader before another is
+	// asked: several times what a new link takes, but less than an election.
+	orphanTime = 300 * time.Millisecond
 	// dialTimeout bounds the opening of a link to a control host.
 	dialTimeout = 500 * time.Millisecond
 	// huntInterval is the pause before the next control host is tried.
@@ -52,8 +55,8 @@
 	Report func() daisybeat.Beat    // The host's present reports; ID and Revision are filled in.
 	Probe  func([]daisybeat.Probe)  // Told of the primaries to probe.
 	Grant  func([]daisybeat.Demand) // Told of granted tokens; may be nil.
-	// Eager asks for a lease every 60 ms while there is none. It is for fleets in
-	// which a process need not wait out the lease of the one before it.
+	// Eager asks every 60 ms while there is no lease or no leader. It is for fleets
+	// in which a process need not wait out the lease of the one before it.
 	Eager bool
 	View  *daisyfleet.View
 	Log   log.Interface
@@ -78,7 +81,8 @@
 	sent     map[uint64]time.Time
 	verdicts map[uint64]chan daisycodec.Decision
 	answered time.Time
-	leader   netip.AddrPort
+	orphaned time.Time        // Since when the control host knows no leader; zero if it does.
+	leader   netip.AddrPort   // As the last control host named it; invalid if it did not.
 	controls []netip.AddrPort // As the control hosts said last; empty if they did not.
 }
 
@@ -108,7 +112,8 @@
 	next := 0
 	for k.ctx.Err() == nil {
 		addr := k.hint()
-		if !addr.IsValid() {
+		hinted := addr.IsValid()
+		if !hinted {
 			hosts := k.hosts()
 			addr = hosts[next%len(hosts)]
 			next++
@@ -116,6 +121,9 @@
 		if err := k.attend(addr); err != nil {
 			k.options.Log.WithError(err).WithField("control", addr).Info("keeper: left control host")
 		}
+		if !hinted && k.referred(addr) {
+			continue // Hosts that refer to each other are asked with pauses.
+		}
 		select {
 		case <-time.After(huntInterval):
 		case <-k.ctx.Done():
@@ -132,6 +140,14 @@
 	return addr
 }
 
+// referred reports whether a control host other than the one just left was named
+// as the leader.
+func (k *Keeper) referred(left netip.AddrPort) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leader.IsValid() && k.leader != left
+}
+
 // hosts returns the control hosts as learned, followed by those configured, so
 // that a host finds the fleet also after all of either kind were replaced.
 func (k *Keeper) hosts() []netip.AddrPort {
@@ -180,7 +196,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.link = link
-	k.answered = daisyclock.Now()
+	k.answered, k.orphaned = daisyclock.Now(), time.Time{}
 	clear(k.sent)
 	for id, verdict := range k.verdicts {
 		close(verdict)
@@ -214,7 +230,9 @@
 
 // interval returns the time until the next heartbeat.
 func (k *Keeper) interval() time.Duration {
-	if k.options.Eager && !k.Valid() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.options.Eager && (!k.orphaned.IsZero() || !k.Valid()) {
 		return eagerInterval
 	}
 	return daisycontrol.BeatInterval
@@ -281,6 +299,10 @@
 	}
 	sent, ok := k.sent[r.ID]
 	delete(k.sent, r.ID)
+	if !r.Leader.IsValid() && k.options.Eager {
+		return k.awaitsLeader(daisyclock.Now())
+	}
+	k.orphaned = time.Time{}
 	if r.Leader != addr {
 		k.leader = r.Leader
 		return false
@@ -292,6 +314,16 @@
 	return true
 }
 
+// awaitsLeader reports whether to stay with a control host that knows no leader:
+// it may know one sooner than another link opens. k.mu is held.
+func (k *Keeper) awaitsLeader(now time.Time) bool {
+	if k.orphaned.IsZero() {
+		k.orphaned = now
+	}
+	k.answered = now
+	return now.Sub(k.orphaned) < orphanTime
+}
+
 // recalls reports whether somebody waits for this host to hold the delta: between
 // two primaries, until no host acts on the state before.
 func recalls(d daisyfleet.Delta) bool {
--- /dev/null
+++ b/internal/control/daisylog/election_test.go
@@ -0,0 +1,99 @@
+package daisylog_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+)
+
+// delayed is a message on its way over a network with latency.
+type delayed struct {
+	at      time.Time
+	message daisylog.Message
+}
+
+// elect lets time pass in steps of 1 ms on a network with the latency, one way,
+// until a replica leads for certain. It returns how long that took.
+func (c *cluster) elect(latency, patience time.Duration) time.Duration {
+	var way []delayed
+	began := c.now
+	for c.leader() == nil && c.now.Sub(began) < patience {
+		c.now = c.now.Add(time.Millisecond)
+		for _, m := range c.members {
+			if m.replica != nil {
+				m.replica.Tick(c.now)
+				c.settle(m)
+			}
+		}
+		for len(way) > 0 && !way[0].at.After(c.now) {
+			c.inFlight = append(c.inFlight, way[0].message)
+			way = way[1:]
+			c.deliver(len(c.inFlight)-1, false)
+		}
+		for _, m := range c.inFlight {
+			way = append(way, delayed{at: c.now.Add(latency), message: m})
+		}
+		c.inFlight = nil
+	}
+	return c.now.Sub(began)
+}
+
+// A whole fleet loses power and two of five replicas lose their disks as well:
+// the other three must all vote for the same one of them. Two that stand at
+// nearly the same time must not use up the vote, or callers wait for another
+// election.
+func TestUnanimousElection(t *testing.T) {
+	const (
+		latency = 12 * time.Millisecond
+		trips   = 8 // Pre-vote, vote and first round of the leader, with room for one retry.
+	)
+	for seed := range uint64(200) {
+		c := newCluster(seed, 5, breaks{})
+		for round := 0; c.voters() != 5; round++ {
+			assert.Assert(t, round < 100, "seed %d: not every member got a vote", seed)
+			c.advance(time.Second, 0)
+		}
+		c.advance(time.Second, 0)
+		for _, m := range c.members {
+			c.crash(m)
+		}
+		c.inFlight = nil
+		c.now = c.now.Add(time.Second)
+		for i, m := range c.members {
+			if i < 2 {
+				c.loseDisk(m)
+				continue
+			}
+			c.start(m)
+		}
+		took := c.elect(latency, 5*time.Second)
+		assert.Assert(t, took <= daisylog.ElectionMax+trips*latency, "seed %d: took %v", seed, took)
+	}
+}
+
+// Two candidates that split the vote stand again soon, at different times.
+func TestSplitVoteIsRepeatedSoon(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	c := newCluster(7, 3, breaks{})
+	c.now = now
+	for c.voters() != 3 {
+		c.advance(time.Second, 0)
+	}
+	r := c.members[0].replica
+	for r.Role() != daisylog.Candidate {
+		c.now = c.now.Add(5 * time.Millisecond)
+		r.Tick(c.now)
+		if r.Role() == daisylog.PreCandidate {
+			r.Step(c.now, daisylog.Message{Kind: daisylog.KindPreVoteReply, From: c.members[1].replica.ID(), Term: r.Term()})
+		}
+		_ = r.Ready()
+		r.Saved(c.now)
+	}
+	for _, m := range c.members[1:] {
+		r.Step(c.now, daisylog.Message{Kind: daisylog.KindVoteReply, From: m.replica.ID(), Term: r.Term(), Reject: true})
+	}
+	assert.Assert(t, r.Next().Sub(c.now) < daisylog.ElectionMin/2, "stands again after %v", r.Next().Sub(c.now))
+}
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -44,9 +44,10 @@
 	saved    Ballot // As last handed out for saving.
 	role     Role
 	leader   ReplicaID
-	heard    time.Time // From a current leader, or when the replica started.
-	deadline time.Time // Of the next election.
-	votes    map[ReplicaID]bool
+	heard    time.Time          // From a current leader, or when the replica started.
+	deadline time.Time          // Of the next election.
+	stood    time.Time          // When pre-votes were asked for last.
+	votes    map[ReplicaID]bool // Granted or refused; those that did not answer are missing.
 
 	image     Image
 	entries   []Entry // Those after the image.
@@ -236,6 +237,7 @@
 // preVote asks whether an election would succeed, without a new term.
 func (r *Replica) preVote(now time.Time) {
 	r.role, r.leader = PreCandidate, 0
+	r.stood = now
 	r.votes = map[ReplicaID]bool{r.id: true}
 	r.postpone(now)
 	r.askVotes(KindPreVote)
@@ -260,34 +262,53 @@
 	}
 }
 
-// count ends an election that a majority decided.
+// count ends an election that is decided.
 func (r *Replica) count(now time.Time) {
-	granted := 0
-	for _, s := range r.seats {
-		if s.Voting && r.votes[s.Replica] {
-			granted++
+	granted, refused := r.tally()
+	switch {
+	case granted < r.majority():
+		if r.role == Candidate && r.lost(refused) {
+			r.deadline = now.Add(RestandMin + time.Duration(r.random.Int64N(int64(RestandMax-RestandMin))))
 		}
-	}
-	if granted < r.majority() {
-		return
-	}
-	if r.role == PreCandidate {
+	case r.role == PreCandidate:
 		r.stand(now)
-		return
+	default:
+		r.lead(now)
 	}
-	r.lead(now)
 }
 
-func (r *Replica) majority() int {
-	voting := 0
+// tally returns how many voting replicas granted and refused their votes.
+func (r *Replica) tally() (granted, refused int) {
 	for _, s := range r.seats {
-		if s.Voting {
-			voting++
+		answer, ok := r.votes[s.Replica]
+		switch {
+		case !s.Voting || !ok:
+		case answer:
+			granted++
+		default:
+			refused++
 		}
 	}
-	return voting/2 + 1
+	return granted, refused
+}
+
+// lost reports whether so many refusals leave no majority.
+func (r *Replica) lost(refused int) bool { return refused > r.countVoters()-r.majority() }
+
+// precedes reports whether the replica's own attempt to be elected, which began a
+// moment ago and may still succeed, goes before that of the sender, whose log
+// ends where this one does. Of replicas that stand at once, one gets every vote.
+func (r *Replica) precedes(now time.Time, m Message) bool {
+	if r.role != PreCandidate || now.Sub(r.stood) > YieldTime || r.id > m.From {
+		return false
+	}
+	lastTerm, _ := r.termAt(r.last())
+	_, refused := r.tally()
+	return m.Index == r.last() && m.LogTerm == lastTerm && !r.lost(refused)
 }
 
+func (r *Replica) majority() int { return r.countVoters()/2 + 1 }
+
 func (r *Replica) lead(now time.Time) {
 	r.role, r.leader = Leading, r.id
 	r.ledSince = now
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -85,7 +85,7 @@
 }
 
 func (r *Replica) stepPreVote(now time.Time, m Message) {
-	grant := !r.bound(now) && r.current(m.Index, m.LogTerm)
+	grant := !r.bound(now) && r.current(m.Index, m.LogTerm) && !r.precedes(now, m)
 	r.send(Message{Kind: KindPreVoteReply, To: m.From, Reject: !grant})
 }
 
@@ -101,10 +101,10 @@
 
 func (r *Replica) stepVoteReply(now time.Time, m Message) {
 	expected := m.Kind == KindPreVoteReply && r.role == PreCandidate || m.Kind == KindVoteReply && r.role == Candidate
-	if !expected || m.Reject {
+	if !expected {
 		return
 	}
-	r.votes[m.From] = true
+	r.votes[m.From] = !m.Reject
 	r.count(now)
 }
 
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -16,6 +16,14 @@
 	ElectionMin = 450 * time.Millisecond
 	// ElectionMax is the greatest time without a leader before an election.
 	ElectionMax = 750 * time.Millisecond
+	// YieldTime is how long a replica that asks for pre-votes refuses its own to
+	// one of a higher identity. It covers a round trip between distant hosts.
+	YieldTime = 150 * time.Millisecond
+	// RestandMin and RestandMax bound the wait before a candidate that has lost
+	// its election asks again. No replica has a leader then, so none is disturbed.
+	RestandMin = 20 * time.Millisecond
+	// RestandMax spreads the candidates over several one-way trips.
+	RestandMax = 170 * time.Millisecond
 	// RetireAfter is how long a voting replica must be silent before a newcomer
 	// that has caught up may take its seat. It outlasts an election, so that a
 	// replica is not given up because a leader has just begun.
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -46,6 +46,8 @@
 
 // Transport sends messages. It does not block and may lose them.
 type Transport interface {
+	// Open prepares for messages to the address.
+	Open(to netip.AddrPort)
 	Send(to netip.AddrPort, m daisylog.Message)
 }
 
@@ -96,6 +98,11 @@
 	n.replica = daisylog.New(daisyclock.Now(), o.Saved, o.Random)
 	n.replica.SetVoters(o.Voters)
 	n.restore(o.Saved.Image)
+	for _, s := range n.replica.Seats() {
+		if s.Replica != o.Self.Replica {
+			o.Transport.Open(s.Address)
+		}
+	}
 	n.wait.Go(n.run)
 	n.wait.Go(n.join)
 	return n, nil
@@ -166,7 +173,7 @@
 // join asks for a seat until the replica has one.
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
-		if !n.seated() {
+		if !n.Seated() {
 			for _, peer := range n.peers() {
 				n.options.Transport.Send(peer, daisylog.Join(n.options.Self))
 			}
@@ -188,7 +195,7 @@
 	news := n.referred != m.Seat.Address
 	n.referred = m.Seat.Address
 	n.mu.Unlock()
-	if news && !n.seated() {
+	if news && !n.Seated() {
 		n.options.Transport.Send(m.Seat.Address, daisylog.Join(n.options.Self))
 	}
 }
@@ -210,7 +217,9 @@
 	n.options.Peers = peers
 }
 
-func (n *Node) seated() bool {
+// Seated reports whether the replica has a seat. One without has no part in
+// elections and does not hear who leads.
+func (n *Node) Seated() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, s := range n.replica.Seats() {
--- a/internal/control/daisyquorum/node_test.go
+++ b/internal/control/daisyquorum/node_test.go
@@ -27,6 +27,8 @@
 	nodes map[netip.AddrPort]*daisyquorum.Node
 }
 
+func (w *wires) Open(netip.AddrPort) {}
+
 func (w *wires) Send(to netip.AddrPort, m daisylog.Message) {
 	time.AfterFunc(time.Millisecond, func() {
 		w.mu.Lock()
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -71,6 +71,10 @@
 	return message, nil
 }
 
+// Watch returns a context that ends with ctx or once the other side has ended
+// the link. Nothing may be received on the link then.
+func (c *Conn) Watch(ctx context.Context) context.Context { return c.ws.CloseRead(ctx) }
+
 // Close ends the link without waiting for the other side.
 func (c *Conn) Close() { _ = c.ws.CloseNow() }
 
