Say that a term is over when its leader restarts or stops

Ruled out: keeping the time of the last support on the disk: without a sync it may be lost with the power, and be too old; waiting for all seats to have restarted: a leader outside the seats that are known may still hold a lease. Change: the ballot says durably whether the replica won its term. One that finds so at its start, or stops, tells the others (Resign): that leader was the only one of the term and its election had ended every earlier lease, so nobody is bound. The links flush what is queued when a process ends. Tests: TestRestartOfAllWaitsForNoLease, TestResignedLeaderIsReplacedAtOnce, TestClosedLeaderIsReplacedAtOnce; a replica that claims a win wrongly is caught by the checks (FalseWinner).

--- a/internal/control/daisycouncil/peers.go
+++ b/internal/control/daisycouncil/peers.go
@@ -18,6 +18,8 @@
 	// peerRetry is the pause before a replica is dialled again that could not be
 	// reached or has ended the link at once.
 	peerRetry = 100 * time.Millisecond
+	// flushTime bounds the sending of what is queued while the process ends.
+	flushTime = 200 * time.Millisecond
 )
 
 // Peers sends the log's messages to other control hosts.
@@ -25,6 +27,8 @@
 	dialer *daisylink.Dialer
 	ctx    context.Context
 	cancel context.CancelFunc
+	ending chan struct{}
+	end    sync.Once
 	wait   sync.WaitGroup
 
 	mu     sync.Mutex
@@ -33,7 +37,7 @@
 
 // NewPeers returns a transport that dials with the dialer.
 func NewPeers(d *daisylink.Dialer) *Peers {
-	p := &Peers{dialer: d, queues: make(map[netip.AddrPort]chan daisylog.Message)}
+	p := &Peers{dialer: d, ending: make(chan struct{}), queues: make(map[netip.AddrPort]chan daisylog.Message)}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	return p
 }
@@ -60,7 +64,7 @@
 // on; p.mu is held.
 func (p *Peers) queue(to netip.AddrPort) chan daisylog.Message {
 	queue := p.queues[to]
-	if queue == nil && p.ctx.Err() == nil {
+	if queue == nil && !p.ended() {
 		queue = make(chan daisylog.Message, peerQueue)
 		p.queues[to] = queue
 		p.wait.Go(func() { p.run(to, queue) })
@@ -69,7 +73,7 @@
 }
 
 func (p *Peers) run(to netip.AddrPort, queue chan daisylog.Message) {
-	for p.ctx.Err() == nil {
+	for !p.ended() {
 		began := time.Now()
 		if link, err := p.dialer.Dial(p.ctx, to, daisylink.PathLog); err == nil {
 			p.drain(link, queue)
@@ -80,32 +84,67 @@
 		}
 		select {
 		case <-time.After(peerRetry):
-		case <-p.ctx.Done():
+		case <-p.ending:
 		}
 	}
 }
 
+func (p *Peers) ended() bool {
+	select {
+	case <-p.ending:
+		return true
+	default:
+		return false
+	}
+}
+
 // drain sends what is queued until the link ends.
 func (p *Peers) drain(link *daisylink.Conn, queue chan daisylog.Message) {
 	open := link.Watch(p.ctx)
 	for {
 		select {
 		case m := <-queue:
-			ctx, cancel := context.WithTimeout(open, daisylog.ElectionMin)
-			err := link.Send(ctx, daisycodec.EncodeMessage(m))
-			cancel()
-			if err != nil {
+			if send(open, link, m) != nil {
 				return
 			}
+		case <-p.ending:
+			flush(open, link, queue)
+			return
 		case <-open.Done():
 			return
 		}
 	}
 }
 
-// Close drops what is queued and waits until nothing is sent.
+func send(ctx context.Context, link *daisylink.Conn, m daisylog.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, daisylog.ElectionMin)
+	defer cancel()
+	return link.Send(ctx, daisycodec.EncodeMessage(m))
+}
+
+// flush sends what is queued: a leader's resignation among it.
+func flush(ctx context.Context, link *daisylink.Conn, queue chan daisylog.Message) {
+	ctx, cancel := context.WithTimeout(ctx, flushTime)
+	defer cancel()
+	for {
+		select {
+		case m := <-queue:
+			if send(ctx, link, m) != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
+// Close sends what is queued where a link is open, drops the rest and waits
+// until nothing is sent.
 func (p *Peers) Close() error {
-	p.cancel()
+	p.end.Do(func() { close(p.ending) })
+	stop := time.AfterFunc(flushTime, p.cancel)
+	defer stop.Stop()
+	defer p.cancel()
 	p.wait.Wait()
 	return nil
 }
--- a/internal/control/daisydisk/disk_test.go
+++ b/internal/control/daisydisk/disk_test.go
@@ -33,7 +33,7 @@
 	l, _, err := daisydisk.Open(folder)
 	assert.NilError(t, err)
 	for i := range uint64(3) {
-		assert.NilError(t, l.Append(&daisylog.Ballot{Term: i + 2, Vote: 7}, []daisylog.Entry{entry(i + 2)}))
+		assert.NilError(t, l.Append(&daisylog.Ballot{Term: i + 2, Vote: 7, Won: i == 2}, []daisylog.Entry{entry(i + 2)}))
 	}
 	assert.NilError(t, l.Close())
 	return folder
@@ -43,7 +43,7 @@
 	l, s, err := daisydisk.Open(written(t))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Replica, daisylog.ReplicaID(7))
-	assert.Equal(t, s.Ballot, daisylog.Ballot{Term: 4, Vote: 7})
+	assert.Equal(t, s.Ballot, daisylog.Ballot{Term: 4, Vote: 7, Won: true})
 	assert.DeepEqual(t, s.Entries, []daisylog.Entry{entry(2), entry(3), entry(4)})
 	assert.NilError(t, l.Close())
 }
--- a/internal/control/daisylog/cluster_test.go
+++ b/internal/control/daisylog/cluster_test.go
@@ -44,6 +44,7 @@
 	forgetBallot bool // The disk loses the ballot.
 	keepIdentity bool // A host that lost its disk keeps its identity and vote.
 	earlyVote    bool // A replica votes at once after a start.
+	falseWinner  bool // A replica that restarts says that it had led.
 	ackUnsaved   bool // Entries count before they are saved, and a crash loses them.
 }
 
@@ -98,6 +99,7 @@
 	}
 	saved := m.disk.saved
 	saved.Entries = slices.Clone(saved.Entries)
+	saved.Ballot.Won = saved.Ballot.Won || c.breaks.falseWinner && saved.Ballot.Term > 0
 	m.replica = daisylog.New(began, saved, rand.New(rand.NewPCG(c.random.Uint64(), 2)))
 	m.state = daisyfleet.State{}
 	restored := saved.Image.State
--- a/internal/control/daisylog/election_test.go
+++ b/internal/control/daisylog/election_test.go
@@ -51,17 +51,8 @@
 		trips   = 8 // Pre-vote, vote and first round of the leader, with room for one retry.
 	)
 	for seed := range uint64(200) {
-		c := newCluster(seed, 5, breaks{})
-		for round := 0; c.voters() != 5; round++ {
-			assert.Assert(t, round < 100, "seed %d: not every member got a vote", seed)
-			c.advance(time.Second, 0)
-		}
-		c.advance(time.Second, 0)
-		for _, m := range c.members {
-			c.crash(m)
-		}
-		c.inFlight = nil
-		c.now = c.now.Add(time.Second)
+		c := settled(t, seed)
+		stopAll(c)
 		for i, m := range c.members {
 			if i < 2 {
 				c.loseDisk(m)
@@ -74,6 +65,58 @@
 	}
 }
 
+// settled returns a cluster of five of which all vote.
+func settled(t *testing.T, seed uint64) *cluster {
+	c := newCluster(seed, 5, breaks{})
+	for round := 0; c.voters() != 5; round++ {
+		assert.Assert(t, round < 100, "seed %d: not every member got a vote", seed)
+		c.advance(time.Second, 0)
+	}
+	c.advance(time.Second, 0)
+	return c
+}
+
+// stopAll crashes every member and lets a second pass.
+func stopAll(c *cluster) {
+	for _, m := range c.members {
+		c.crash(m)
+	}
+	c.inFlight = nil
+	c.now = c.now.Add(time.Second)
+}
+
+// Every control host loses power and keeps its disk: the one that led says that
+// it does not lead any more, and nobody waits for its lease to run out.
+func TestRestartOfAllWaitsForNoLease(t *testing.T) {
+	const latency = 12 * time.Millisecond
+	for seed := range uint64(200) {
+		c := settled(t, seed)
+		stopAll(c)
+		for _, i := range c.random.Perm(len(c.members)) {
+			c.start(c.members[i])
+			c.elect(latency, time.Duration(c.random.IntN(10))*time.Millisecond)
+		}
+		took := c.elect(latency, 5*time.Second)
+		assert.Assert(t, took < daisylog.ElectionMin, "seed %d: took %v", seed, took)
+		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
+	}
+}
+
+// A leader that stops in order resigns first.
+func TestResignedLeaderIsReplacedAtOnce(t *testing.T) {
+	const latency = 12 * time.Millisecond
+	for seed := range uint64(200) {
+		c := settled(t, seed)
+		lead := c.leader()
+		lead.replica.Resign(c.now)
+		c.settle(lead)
+		assert.Assert(t, c.leader() == nil)
+		took := c.elect(latency, 5*time.Second)
+		assert.Assert(t, took < daisylog.ElectionMin, "seed %d: took %v", seed, took)
+		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
+	}
+}
+
 // Two candidates that split the vote stand again soon, at different times.
 func TestSplitVoteIsRepeatedSoon(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/internal/control/daisylog/log_test.go
+++ b/internal/control/daisylog/log_test.go
@@ -192,6 +192,7 @@
 		{"ForgottenBallot", breaks{forgetBallot: true, earlyVote: true}, randomRun},
 		{"LostDiskKeepsIdentity", breaks{keepIdentity: true}, randomRun},
 		{"EarlyVote", breaks{earlyVote: true}, restartBesideLonelyReplica},
+		{"FalseWinner", breaks{falseWinner: true}, restartBesideLonelyReplica},
 		{"UnsavedEntriesCount", breaks{ackUnsaved: true}, randomRun},
 	}
 	for _, test := range tests {
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -44,6 +44,7 @@
 	saved    Ballot // As last handed out for saving.
 	role     Role
 	leader   ReplicaID
+	started  time.Time
 	heard    time.Time          // From a current leader, or when the replica started.
 	deadline time.Time          // Of the next election.
 	stood    time.Time          // When pre-votes were asked for last.
@@ -78,12 +79,16 @@
 func New(now time.Time, s Saved, random *rand.Rand) *Replica {
 	r := &Replica{
 		id: s.Replica, random: random, ballot: s.Ballot, saved: s.Ballot,
-		image: s.Image, entries: slices.Clone(s.Entries), heard: now,
+		image: s.Image, entries: slices.Clone(s.Entries), started: now, heard: now,
 	}
 	r.commit, r.handed = s.Image.Index, s.Image.Index
 	r.durable, r.unsaved = r.last(), r.last()+1
 	r.findSeats()
 	r.postpone(now)
+	if s.Ballot.Won {
+		// The process that led is gone, and a leader supports only itself.
+		r.heard, r.deadline = now.Add(-ElectionMax), now
+	}
 	return r
 }
 
@@ -234,12 +239,42 @@
 	}
 }
 
+// Resign ends a leadership at once, before the process ends, so that the others
+// need not wait for the lease to run out. It does nothing on a follower.
+func (r *Replica) Resign(now time.Time) {
+	if r.role != Leading {
+		return
+	}
+	r.follow(now, r.ballot.Term, 0)
+	r.resign()
+}
+
+// resign tells the other replicas that nobody leads in the term any more.
+func (r *Replica) resign() {
+	for _, s := range r.seats {
+		if s.Replica != r.id {
+			r.send(Message{Kind: KindResign, To: s.Replica})
+		}
+	}
+}
+
+// restand sets the time of the next election a moment ahead.
+func (r *Replica) restand(now time.Time) {
+	r.deadline = now.Add(RestandMin + time.Duration(r.random.Int64N(int64(RestandMax-RestandMin))))
+}
+
 // preVote asks whether an election would succeed, without a new term.
 func (r *Replica) preVote(now time.Time) {
 	r.role, r.leader = PreCandidate, 0
 	r.stood = now
 	r.votes = map[ReplicaID]bool{r.id: true}
 	r.postpone(now)
+	if r.ballot.Won {
+		r.resign()
+		if now.Sub(r.started) < ElectionMax {
+			r.restand(now) // Others may have started later and heard nothing.
+		}
+	}
 	r.askVotes(KindPreVote)
 	r.count(now)
 }
@@ -268,7 +303,7 @@
 	switch {
 	case granted < r.majority():
 		if r.role == Candidate && r.lost(refused) {
-			r.deadline = now.Add(RestandMin + time.Duration(r.random.Int64N(int64(RestandMax-RestandMin))))
+			r.restand(now)
 		}
 	case r.role == PreCandidate:
 		r.stand(now)
@@ -311,6 +346,7 @@
 
 func (r *Replica) lead(now time.Time) {
 	r.role, r.leader = Leading, r.id
+	r.ballot.Won = true
 	r.ledSince = now
 	r.progress = make(map[ReplicaID]*progress)
 	r.rounds = make(map[uint64]time.Time)
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -34,6 +34,8 @@
 		r.stepImage(now, m)
 	case KindAppendReply:
 		r.stepAppendReply(now, m)
+	case KindResign:
+		r.stepResign(now, m)
 	}
 }
 
@@ -89,6 +91,16 @@
 	r.send(Message{Kind: KindPreVoteReply, To: m.From, Reject: !grant})
 }
 
+// stepResign notes that the leader of this term is gone. Its election had ended
+// every lease of an earlier term, so the replica is bound by none.
+func (r *Replica) stepResign(now time.Time, m Message) {
+	if r.role == Follower && (r.leader == 0 || r.leader == m.From) {
+		r.leader = 0
+		r.heard = now.Add(-ElectionMax)
+		r.restand(now)
+	}
+}
+
 func (r *Replica) stepVote(now time.Time, m Message) {
 	free := r.ballot.Vote == 0 || r.ballot.Vote == m.From
 	grant := free && !r.bound(now) && r.role == Follower && r.current(m.Index, m.LogTerm)
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -19,11 +19,12 @@
 	// YieldTime is how long a replica that asks for pre-votes refuses its own to
 	// one of a higher identity. It covers a round trip between distant hosts.
 	YieldTime = 150 * time.Millisecond
-	// RestandMin and RestandMax bound the wait before a candidate that has lost
-	// its election asks again. No replica has a leader then, so none is disturbed.
-	RestandMin = 20 * time.Millisecond
+	// RestandMin is the least wait before an election when none has a leader: after
+	// a lost one, or a resignation. Two round trips between distant hosts, so that
+	// one who stands at once is elected undisturbed.
+	RestandMin = 50 * time.Millisecond
 	// RestandMax spreads the candidates over several one-way trips.
-	RestandMax = 170 * time.Millisecond
+	RestandMax = 200 * time.Millisecond
 	// RetireAfter is how long a voting replica must be silent before a newcomer
 	// that has caught up may take its seat. It outlasts an election, so that a
 	// replica is not given up because a leader has just begun.
@@ -58,6 +59,7 @@
 type Ballot struct {
 	Term uint64
 	Vote ReplicaID
+	Won  bool // The replica led, or leads, in the term.
 }
 
 // Image is a snapshot: the state after the entry at Index.
@@ -82,6 +84,9 @@
 	KindImage        MessageKind = "Image"
 	KindJoin         MessageKind = "Join"
 	KindRefer        MessageKind = "Refer"
+	// KindResign says that the sender led in the term and never will again. The
+	// lease that the receiver supported is over.
+	KindResign MessageKind = "Resign"
 )
 
 // Message passes between replicas.
--- a/internal/control/daisyquorum/node.go
+++ b/internal/control/daisyquorum/node.go
@@ -479,8 +479,10 @@
 	return n.replica.Seats()
 }
 
-// Close stops the node and waits for it.
+// Close stops the node and waits for it. A leader resigns, so that the others
+// elect the next one at once.
 func (n *Node) Close() error {
+	n.with(func(now time.Time) { n.replica.Resign(now) })
 	n.cancel()
 	n.wait.Wait()
 	return nil
--- a/internal/control/daisyquorum/node_test.go
+++ b/internal/control/daisyquorum/node_test.go
@@ -241,3 +241,17 @@
 		q.views[lead].Read(func(s *daisyfleet.State) { assert.Check(t, s.Revision() >= out.Revision) })
 	})
 }
+
+// A leader that is closed resigns: another leads before the lease would have run
+// out.
+func TestClosedLeaderIsReplacedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := newQuorum(t)
+		lead := q.leader()
+		assert.NilError(t, q.nodes[lead].Close())
+		time.Sleep(daisylog.ElectionMin)
+		next := q.leader()
+		assert.Check(t, next >= 0 && next != lead)
+		q.close(t)
+	})
+}
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -107,7 +107,7 @@
 
 func TestRecordRoundTrip(t *testing.T) {
 	c, img := change(), image()
-	want := daisycodec.Record{Replica: 3, Ballot: &daisylog.Ballot{Term: 2, Vote: 1}, Image: &img, Entries: []daisylog.Entry{{Index: 1, Term: 2, Change: &c}}}
+	want := daisycodec.Record{Replica: 3, Ballot: &daisylog.Ballot{Term: 2, Vote: 1, Won: true}, Image: &img, Entries: []daisylog.Entry{{Index: 1, Term: 2, Change: &c}}}
 	got, err := daisycodec.DecodeRecord(daisycodec.EncodeRecord(want))
 	assert.NilError(t, err)
 	assert.DeepEqual(t, got, want, cmpAddr)
--- a/internal/wire/daisycodec/log.go
+++ b/internal/wire/daisycodec/log.go
@@ -19,7 +19,7 @@
 func EncodeRecord(r Record) []byte {
 	w := &daisywire.Record{Replica: uint64(r.Replica), Image: fromImage(r.Image), Entries: fromEntries(r.Entries)}
 	if r.Ballot != nil {
-		w.Ballot = &daisywire.Ballot{Term: r.Ballot.Term, Vote: uint64(r.Ballot.Vote)}
+		w.Ballot = &daisywire.Ballot{Term: r.Ballot.Term, Vote: uint64(r.Ballot.Vote), Won: r.Ballot.Won}
 	}
 	return encode(daisywire.Frame{Record: w})
 }
@@ -37,7 +37,7 @@
 	}
 	r.Replica = daisylog.ReplicaID(w.Replica)
 	if w.Ballot != nil {
-		r.Ballot = &daisylog.Ballot{Term: w.Ballot.Term, Vote: daisylog.ReplicaID(w.Ballot.Vote)}
+		r.Ballot = &daisylog.Ballot{Term: w.Ballot.Term, Vote: daisylog.ReplicaID(w.Ballot.Vote), Won: w.Ballot.Won}
 	}
 	if r.Image, err = toImage(w.Image); err != nil {
 		return r, err
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -54,6 +54,9 @@
 
 	// The replica voted for in that term.
 	Vote uint64 `json:"Vote,omitempty,omitzero"`
+
+	// Whether the replica led in the term.
+	Won bool `json:"Won,omitempty,omitzero"`
 }
 
 // A host's heartbeat to the control leader.
