Ask for tokens less often while a pool is empty

Cause: hosts of a workspace over its limit ask the control leader for tokens every 60 ms, 7 to 15 requests a second each, although the pool has none to give. Change: a host whose last request was not met in full asks at 120, then 240 ms.

--- a/internal/limit/daisygate/gate.go
+++ b/internal/limit/daisygate/gate.go
@@ -14,6 +14,9 @@
 const (
 	// askSpacing is the least time between two requests for tokens out of turn.
 	askSpacing = 60 * time.Millisecond
+	// drySpacing is that time for a workspace whose pool keeps running out: asking
+	// more often brings no more. Within it the pool does not fill up either.
+	drySpacing = 240 * time.Millisecond
 	// retryStep is how often a waiting operation looks for granted tokens.
 	retryStep = 10 * time.Millisecond
 )
@@ -28,13 +31,20 @@
 	purses map[string]*daisyallowance.Purse
 	asked  time.Time
 	lines  map[string]map[int]int // Operations that wait, by workspace and priority.
+	wants  map[string]want
+}
+
+// want is how a workspace's requests for tokens fare.
+type want struct {
+	lacking float64       // Tokens asked for and not granted yet.
+	spacing time.Duration // Between two requests out of turn.
 }
 
 // New returns a gate without limits that calls ask when it is short of tokens.
 func New(ask func()) *Gate {
 	return &Gate{
 		ask: ask, hosts: 1, limits: make(map[string]daisyallowance.Limit), purses: make(map[string]*daisyallowance.Purse),
-		lines: make(map[string]map[int]int),
+		lines: make(map[string]map[int]int), wants: make(map[string]want),
 	}
 }
 
@@ -72,6 +82,7 @@
 	for name := range g.purses {
 		if _, ok := g.limits[name]; !ok {
 			delete(g.purses, name)
+			delete(g.wants, name)
 		}
 	}
 }
@@ -133,7 +144,7 @@
 		return false, askSpacing
 	}
 	ok, wait := take(p, now)
-	if !ok && now.Sub(g.asked) > askSpacing {
+	if !ok && now.Sub(g.asked) > max(askSpacing, g.wants[workspace].spacing) {
 		g.asked = now
 		g.ask()
 	}
@@ -157,13 +168,25 @@
 	now := daisyclock.Now()
 	var demands []daisybeat.Demand
 	for name, p := range g.purses {
-		if tokens := p.Wanted(now); tokens > 0 {
+		tokens := p.Wanted(now)
+		if tokens > 0 {
 			demands = append(demands, daisybeat.Demand{Workspace: name, Tokens: tokens})
 		}
+		g.wants[name] = g.wants[name].next(tokens)
 	}
 	return demands
 }
 
+// next returns the want after another request for so many tokens. While those
+// asked for before are lacking, requests come at growing distances.
+func (w want) next(tokens float64) want {
+	spacing := askSpacing
+	if w.lacking > 0 && tokens > 0 {
+		spacing = min(2*max(w.spacing, askSpacing), drySpacing)
+	}
+	return want{lacking: tokens, spacing: spacing}
+}
+
 // Put adds granted tokens.
 func (g *Gate) Put(grants []daisybeat.Demand) {
 	g.mu.Lock()
@@ -172,6 +195,9 @@
 	for _, d := range grants {
 		if p := g.purses[d.Workspace]; p != nil {
 			p.Put(now, d.Tokens)
+			w := g.wants[d.Workspace]
+			w.lacking -= d.Tokens
+			g.wants[d.Workspace] = w
 		}
 	}
 }
--- a/internal/limit/daisygate/gate_test.go
+++ b/internal/limit/daisygate/gate_test.go
@@ -58,6 +58,42 @@
 	})
 }
 
+// A workspace floods every host while its pool is empty: the hosts ask for
+// tokens less often, and at full speed again once they are granted.
+func TestFloodAsksLessOften(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		granted     bool
+		least, most int // In 10 s.
+	}{
+		{"PoolEmpty", false, 38, 45}, // Every 240 ms, and the first ones.
+		{"PoolFull", true, 130, 170}, // Every 60 to 70 ms.
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				asked := 0
+				var g *daisygate.Gate
+				g = daisygate.New(func() {
+					asked++
+					time.AfterFunc(8*time.Millisecond, func() {
+						demands := g.Demands()
+						if test.granted {
+							g.Put(demands)
+						}
+					})
+				})
+				g.SetLimits([]daisyallowance.Limit{{Workspace: "w", Rate: 20, Burst: 10}})
+				g.SetHosts(5)
+				for range 1000 {
+					_, _ = g.Admit("w", 1, 0)
+					time.Sleep(10 * time.Millisecond)
+				}
+				assert.Assert(t, test.least <= asked && asked <= test.most, "asked %d times", asked)
+			})
+		})
+	}
+}
+
 func TestGrantsAdmit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		asked := 0
