Dial again after 0.25 s where a machine may have no power

The HTTP transport also went on with attempts that were given up and kept what they opened. Change: one attempt takes 0.25 s at most between control hosts and from hosts to them; each link dials itself and ends all of an attempt that failed.

--- a/internal/control/daisycouncil/peers.go
+++ b/internal/control/daisycouncil/peers.go
@@ -18,6 +18,10 @@
 	// peerRetry is the pause before a replica is dialled again that could not be
 	// reached or has ended the link at once.
 	peerRetry = 100 * time.Millisecond
+	// peerDialTimeout bounds one attempt. While a machine has no power the request
+	// for a connection is lost, and TCP repeats it only after 1 s; another attempt
+	// after this time reaches it sooner. Opening takes two round trips.
+	peerDialTimeout = 250 * time.Millisecond
 	// flushTime bounds the sending of what is queued while the process ends.
 	flushTime = 200 * time.Millisecond
 )
@@ -75,7 +79,7 @@
 func (p *Peers) run(to netip.AddrPort, queue chan daisylog.Message) {
 	for !p.ended() {
 		began := time.Now()
-		if link, err := p.dialer.Dial(p.ctx, to, daisylink.PathLog); err == nil {
+		if link, err := p.dial(to); err == nil {
 			p.drain(link, queue)
 			link.Close()
 			if time.Since(began) > peerRetry {
@@ -89,6 +93,12 @@
 	}
 }
 
+func (p *Peers) dial(to netip.AddrPort) (*daisylink.Conn, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, peerDialTimeout)
+	defer cancel()
+	return p.dialer.Dial(ctx, to, daisylink.PathLog)
+}
+
 func (p *Peers) ended() bool {
 	select {
 	case <-p.ending:
--- a/internal/control/daisycouncil/peers_test.go
+++ b/internal/control/daisycouncil/peers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -61,6 +62,66 @@
 	assert.NilError(t, peers.Close())
 }
 
+// pipes is a network in memory on which the first connections are lost, as to a
+// machine without power.
+type pipes struct {
+	lost     int
+	accepted chan net.Conn
+}
+
+func (p *pipes) Listen(context.Context, netip.AddrPort) (net.Listener, error) { return p, nil }
+
+func (p *pipes) Dial(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
+	if p.lost > 0 {
+		p.lost--
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	near, far := net.Pipe()
+	p.accepted <- far
+	return near, nil
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	c, ok := <-p.accepted
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+func (p *pipes) Close() error {
+	close(p.accepted)
+	return nil
+}
+
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A whole fleet gets its power back, one machine after the other: a link to one
+// that was still off opens before TCP would repeat its request.
+func TestLinkToMachineWithoutPower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const repeated = time.Second // RFC 6298, section 2: the first timeout.
+		network := &pipes{lost: 2, accepted: make(chan net.Conn)}
+		opened := make(chan struct{})
+		mux := &daisylink.Mux{Plain: true}
+		mux.Handle(daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
+			close(opened)
+			_, _ = c.Receive(ctx) // Until the link ends.
+		})
+		server := &http.Server{Handler: mux} //nolint:gosec // Only this test reaches it.
+		go func() { _ = server.Serve(network) }()
+		began := time.Now()
+		peers := NewPeers(daisylink.NewPlainDialer("c1", network))
+		peers.Open(netip.MustParseAddrPort("10.0.0.1:7000"))
+		<-opened
+		assert.Assert(t, time.Since(began) < repeated, "opened after %v", time.Since(began))
+		assert.NilError(t, peers.Close())
+		assert.NilError(t, server.Close())
+		time.Sleep(time.Minute) // Attempts that were given up end.
+	})
+}
+
 // A control host whose disk was lost has no seat and hears late who leads. It
 // ends the links of hosts that look for the leader, so that they ask another.
 func TestNewcomerSendsHostsOn(t *testing.T) {
--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -27,8 +27,9 @@
 	// orphanTime is how long a control host may know no leader before another is
 	// asked: several times what a new link takes, but less than an election.
 	orphanTime = 300 * time.Millisecond
-	// dialTimeout bounds the opening of a link to a control host.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout bounds the opening of a link to a control host. While a machine has
+	// no power the request for a connection is lost, and TCP repeats it after 1 s.
+	dialTimeout = 250 * time.Millisecond
 	// huntInterval is the pause before the next control host is tried.
 	huntInterval = 50 * time.Millisecond
 	// eagerInterval is the time between heartbeats while the host has no lease: the
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -83,40 +83,42 @@
 
 // Dialer opens links.
 type Dialer struct {
-	client *http.Client
-	scheme string
-	header http.Header
+	network daisynet.Network
+	tls     *tls.Config
+	scheme  string
+	header  http.Header
 }
 
 // NewDialer returns a dialer that shows the certificate in the configuration.
 func NewDialer(c *tls.Config, n daisynet.Network) *Dialer {
-	dial := func(ctx context.Context, _, address string) (net.Conn, error) {
-		addr, err := netip.ParseAddrPort(address)
-		if err != nil {
-			return nil, err
-		}
-		return n.Dial(ctx, addr)
-	}
-	return &Dialer{scheme: "https://", client: &http.Client{Transport: &http.Transport{TLSClientConfig: c, DialContext: dial}}}
+	return &Dialer{network: n, tls: c, scheme: "https://"}
 }
 
 // NewPlainDialer returns a dialer for links without TLS that says the name.
 func NewPlainDialer(name string, n daisynet.Network) *Dialer {
-	d := NewDialer(nil, n)
-	d.scheme, d.header = "http://", http.Header{nameHeader: []string{name}}
-	return d
+	return &Dialer{network: n, scheme: "http://", header: http.Header{nameHeader: []string{name}}}
 }
 
-// Dial opens a link to the address.
+// Dial opens a link to the address. Nothing of an attempt outlasts ctx.
 func (d *Dialer) Dial(ctx context.Context, addr netip.AddrPort, path Path) (c *Conn, err error) {
 	defer daisyerror.Annotate(&err, "dial %s%s", addr, path)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	url := d.scheme + addr.String() + string(path)
-	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: d.client, HTTPHeader: d.header}) //nolint:bodyclose // The library closes it.
+	conn, err := d.network.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	// A transport of its own, as a shared one goes on dialling after an attempt was
+	// given up and keeps what it opens.
+	client := &http.Client{Transport: &http.Transport{
+		TLSClientConfig: d.tls,
+		DialContext:     func(context.Context, string, string) (net.Conn, error) { return conn, nil },
+	}}
+	url := d.scheme + addr.String() + string(path)
+	ws, response, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPClient: client, HTTPHeader: d.header}) //nolint:bodyclose // The library closes it.
+	if err != nil {
+		return nil, errors.Join(err, conn.Close())
+	}
 	ws.SetReadLimit(path.limit())
 	peer := addr.String()
 	if response.TLS != nil {
