--- a/internal/control/daisylog/election_test.go
+++ b/internal/control/daisylog/election_test.go
@@ -1,6 +1,7 @@
 package daisylog_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,26 @@
 // elect lets time pass in steps of 1 ms on a network with the latency, one way,
 // until a replica leads for certain. It returns how long that took.
 func (c *cluster) elect(latency, patience time.Duration) time.Duration {
+	return c.electApart(func(_, _ daisylog.ReplicaID) time.Duration { return latency }, patience)
+}
+
+// regions returns the latency between members that are in pairs in regions of
+// their own.
+func (c *cluster) regions(between time.Duration) func(from, to daisylog.ReplicaID) time.Duration {
+	region := make(map[daisylog.ReplicaID]int)
+	for i, m := range c.members {
+		region[m.disk.saved.Replica] = i / 2
+	}
+	return func(from, to daisylog.ReplicaID) time.Duration {
+		if region[from] == region[to] {
+			return 0
+		}
+		return between
+	}
+}
+
+// electApart is elect with a latency for each pair of replicas.
+func (c *cluster) electApart(latency func(from, to daisylog.ReplicaID) time.Duration, patience time.Duration) time.Duration {
 	var way []delayed
 	began := c.now
 	for c.leader() == nil && c.now.Sub(began) < patience {
@@ -28,15 +49,19 @@
 				c.settle(m)
 			}
 		}
-		for len(way) > 0 && !way[0].at.After(c.now) {
-			c.inFlight = append(c.inFlight, way[0].message)
-			way = way[1:]
-			c.deliver(len(c.inFlight)-1, false)
-		}
-		for _, m := range c.inFlight {
-			way = append(way, delayed{at: c.now.Add(latency), message: m})
+		for {
+			for _, m := range c.inFlight {
+				way = append(way, delayed{at: c.now.Add(latency(m.From, m.To)), message: m})
+			}
+			c.inFlight = nil
+			next := slices.IndexFunc(way, func(d delayed) bool { return !d.at.After(c.now) })
+			if next < 0 {
+				break
+			}
+			c.inFlight = append(c.inFlight, way[next].message)
+			way = slices.Delete(way, next, next+1)
+			c.deliver(0, false)
 		}
-		c.inFlight = nil
 	}
 	return c.now.Sub(began)
 }
@@ -117,6 +142,23 @@
 	}
 }
 
+// The leader of five is frozen: of two followers that stand at nearly the same
+// time each may have half of the votes, and none a majority.
+func TestElectionBesideFrozenLeader(t *testing.T) {
+	const (
+		latency = 8 * time.Millisecond
+		trips   = 8 // As above.
+	)
+	for seed := range uint64(400) {
+		c := settled(t, seed)
+		lead := c.leader()
+		c.crash(lead)
+		took := c.electApart(c.regions(latency), 5*time.Second)
+		assert.Assert(t, took <= daisylog.ElectionMax+trips*latency, "seed %d: took %v", seed, took)
+		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
+	}
+}
+
 // Two candidates that split the vote stand again soon, at different times.
 func TestSplitVoteIsRepeatedSoon(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -40,15 +40,17 @@
 	id     ReplicaID
 	random *rand.Rand
 
-	ballot   Ballot
-	saved    Ballot // As last handed out for saving.
-	role     Role
-	leader   ReplicaID
-	started  time.Time
-	heard    time.Time          // From a current leader, or when the replica started.
-	deadline time.Time          // Of the next election.
-	stood    time.Time          // When pre-votes were asked for last.
-	votes    map[ReplicaID]bool // Granted or refused; those that did not answer are missing.
+	ballot     Ballot
+	saved      Ballot // As last handed out for saving.
+	role       Role
+	leader     ReplicaID
+	started    time.Time
+	heard      time.Time // From a current leader, or when the replica started.
+	deadline   time.Time // Of the next election.
+	stood      time.Time // When pre-votes were asked for last.
+	favoured   ReplicaID // Who was granted a pre-vote last.
+	favouredAt time.Time
+	votes      map[ReplicaID]bool // Granted or refused; those that did not answer are missing.
 
 	image     Image
 	entries   []Entry // Those after the image.
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -87,7 +87,11 @@
 }
 
 func (r *Replica) stepPreVote(now time.Time, m Message) {
-	grant := !r.bound(now) && r.current(m.Index, m.LogTerm) && !r.precedes(now, m)
+	taken := r.favoured < m.From && now.Sub(r.favouredAt) < YieldTime
+	grant := !r.bound(now) && r.current(m.Index, m.LogTerm) && !taken && !r.precedes(now, m)
+	if grant {
+		r.favoured, r.favouredAt = m.From, now
+	}
 	r.send(Message{Kind: KindPreVoteReply, To: m.From, Reject: !grant})
 }
 
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -16,8 +16,9 @@
 	ElectionMin = 450 * time.Millisecond
 	// ElectionMax is the greatest time without a leader before an election.
 	ElectionMax = 750 * time.Millisecond
-	// YieldTime is how long a replica that asks for pre-votes refuses its own to
-	// one of a higher identity. It covers a round trip between distant hosts.
+	// YieldTime is how long a replica that has asked for pre-votes, or granted one,
+	// grants none to those of a higher identity than the one that it stands for.
+	// It covers the round trips of an election between distant hosts.
 	YieldTime = 150 * time.Millisecond
 	// RestandMin is the least wait before an election when none has a leader: after
 	// a lost one, or a resignation. Two round trips between distant hosts, so that
