--- a/internal/control/daisycouncil/peers_test.go
+++ b/internal/control/daisycouncil/peers_test.go
@@ -28,7 +28,7 @@
 func listen(t *testing.T, path daisylink.Path, h daisylink.Handler) netip.AddrPort {
 	mux := &daisylink.Mux{Plain: true}
 	mux.Handle(path, h)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := daisynet.TCP{}.Listen(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NilError(t, err)
 	server := &http.Server{Handler: mux} //nolint:gosec // Only this test reaches it.
 	go func() { _ = server.Serve(listener) }()
--- a/internal/control/daisylog/doc.go
+++ b/internal/control/daisylog/doc.go
@@ -10,5 +10,6 @@
 // A replica's identity is bound to its disk. A host that lost its disk comes
 // back under a new identity, as a newcomer without a vote, so it cannot vote
 // twice in a term that it forgot. A replica that has just started votes for
-// nobody until the leases that it may have supported have run out.
+// nobody until the leases that it may have supported have run out, or their leader
+// says that it has stopped.
 package daisylog
--- a/internal/control/daisylog/election_test.go
+++ b/internal/control/daisylog/election_test.go
@@ -16,15 +16,17 @@
 	message daisylog.Message
 }
 
-// elect lets time pass in steps of 1 ms on a network with the latency, one way,
-// until a replica leads for certain. It returns how long that took.
-func (c *cluster) elect(latency, patience time.Duration) time.Duration {
+// latency is that of the tests' network between regions, one way.
+const latency = 12 * time.Millisecond
+
+// elect lets time pass in steps of 1 ms on a network on which all replicas are in
+// regions of their own, until one leads for certain. It returns how long it took.
+func (c *cluster) elect(patience time.Duration) time.Duration {
 	return c.electApart(func(_, _ daisylog.ReplicaID) time.Duration { return latency }, patience)
 }
 
-// regions returns the latency between members that are in pairs in regions of
-// their own.
-func (c *cluster) regions(between time.Duration) func(from, to daisylog.ReplicaID) time.Duration {
+// regions returns the latency between members that are in regions by twos.
+func (c *cluster) regions() func(from, to daisylog.ReplicaID) time.Duration {
 	region := make(map[daisylog.ReplicaID]int)
 	for i, m := range c.members {
 		region[m.disk.saved.Replica] = i / 2
@@ -33,7 +35,7 @@
 		if region[from] == region[to] {
 			return 0
 		}
-		return between
+		return latency
 	}
 }
 
@@ -71,10 +73,7 @@
 // nearly the same time must not use up the vote, or callers wait for another
 // election.
 func TestUnanimousElection(t *testing.T) {
-	const (
-		latency = 12 * time.Millisecond
-		trips   = 8 // Pre-vote, vote and first round of the leader, with room for one retry.
-	)
+	const trips = 8 // Pre-vote, vote and first round of the leader, with room for one retry.
 	for seed := range uint64(200) {
 		c := settled(t, seed)
 		stopAll(c)
@@ -85,7 +84,7 @@
 			}
 			c.start(m)
 		}
-		took := c.elect(latency, 5*time.Second)
+		took := c.elect(5 * time.Second)
 		assert.Assert(t, took <= daisylog.ElectionMax+trips*latency, "seed %d: took %v", seed, took)
 	}
 }
@@ -113,15 +112,14 @@
 // Every control host loses power and keeps its disk: the one that led says that
 // it does not lead any more, and nobody waits for its lease to run out.
 func TestRestartOfAllWaitsForNoLease(t *testing.T) {
-	const latency = 12 * time.Millisecond
 	for seed := range uint64(200) {
 		c := settled(t, seed)
 		stopAll(c)
 		for _, i := range c.random.Perm(len(c.members)) {
 			c.start(c.members[i])
-			c.elect(latency, time.Duration(c.random.IntN(10))*time.Millisecond)
+			c.elect(time.Duration(c.random.IntN(10)) * time.Millisecond)
 		}
-		took := c.elect(latency, 5*time.Second)
+		took := c.elect(5 * time.Second)
 		assert.Assert(t, took < daisylog.ElectionMin, "seed %d: took %v", seed, took)
 		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
 	}
@@ -129,14 +127,13 @@
 
 // A leader that stops in order resigns first.
 func TestResignedLeaderIsReplacedAtOnce(t *testing.T) {
-	const latency = 12 * time.Millisecond
 	for seed := range uint64(200) {
 		c := settled(t, seed)
 		lead := c.leader()
 		lead.replica.Resign(c.now)
 		c.settle(lead)
 		assert.Assert(t, c.leader() == nil)
-		took := c.elect(latency, 5*time.Second)
+		took := c.elect(5 * time.Second)
 		assert.Assert(t, took < daisylog.ElectionMin, "seed %d: took %v", seed, took)
 		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
 	}
@@ -145,15 +142,12 @@
 // The leader of five is frozen: of two followers that stand at nearly the same
 // time each may have half of the votes, and none a majority.
 func TestElectionBesideFrozenLeader(t *testing.T) {
-	const (
-		latency = 8 * time.Millisecond
-		trips   = 8 // As above.
-	)
+	const trips = 8 // As above.
 	for seed := range uint64(400) {
 		c := settled(t, seed)
 		lead := c.leader()
 		c.crash(lead)
-		took := c.electApart(c.regions(latency), 5*time.Second)
+		took := c.electApart(c.regions(), 5*time.Second)
 		assert.Assert(t, took <= daisylog.ElectionMax+trips*latency, "seed %d: took %v", seed, took)
 		assert.Equal(t, len(c.faults), 0, "seed %d: %v", seed, c.faults)
 	}
