Log callers that are refused before their session has begun

Change: one line with the database, the code and the reason, and one for a caller whose first message could not be read. The key does not appear.

--- a/internal/entry/daisyserver/server.go
+++ b/internal/entry/daisyserver/server.go
@@ -134,10 +134,14 @@
 	_ = c.conn.SetDeadline(time.Now().Add(startupTimeout))
 	database, key, err := codec.ReadStartup()
 	if err != nil {
+		s.options.Log.WithError(err).WithField("Caller", c.conn.RemoteAddr().String()).Info("entry: session not begun")
 		return
 	}
 	session, refused := s.options.Desk.Open(database, key)
 	if refused != nil {
+		s.options.Log.WithFields(log.Fields{
+			"Caller": c.conn.RemoteAddr().String(), "Database": database, "Code": refused.Code.String(), "Reason": refused.Text,
+		}).Info("entry: session refused")
 		_ = codec.WriteRefusal(refused)
 		return
 	}
