--- a/internal/control/daisykeeper/keeper.go
+++ b/internal/control/daisykeeper/keeper.go
@@ -301,7 +301,7 @@
 	sent, ok := k.sent[r.ID]
 	delete(k.sent, r.ID)
 	if !r.Leader.IsValid() && k.options.Eager {
-		return k.awaitsLeader(daisyclock.Now())
+		return k.orphan(daisyclock.Now())
 	}
 	k.orphaned = time.Time{}
 	if r.Leader != addr {
@@ -315,9 +315,9 @@
 	return true
 }
 
-// awaitsLeader reports whether to stay with a control host that knows no leader:
-// it may know one sooner than another link opens. k.mu is held.
-func (k *Keeper) awaitsLeader(now time.Time) bool {
+// orphan notes that the control host answered without a leader. It reports whether
+// to stay with it: it may know one sooner than another link opens. k.mu is held.
+func (k *Keeper) orphan(now time.Time) bool {
 	if k.orphaned.IsZero() {
 		k.orphaned = now
 	}
--- a/internal/control/daisylog/election.go
+++ b/internal/control/daisylog/election.go
@@ -2,6 +2,8 @@
 
 import "time"
 
+// postpone sets the time of the next election after hearing from a leader or
+// beginning an attempt.
 func (r *Replica) postpone(now time.Time) {
 	spread := time.Duration(r.random.Int64N(int64(ElectionMax - ElectionMin)))
 	r.deadline = now.Add(ElectionMin + spread)
@@ -23,6 +25,7 @@
 	r.count(now)
 }
 
+// stand begins an election in a new term.
 func (r *Replica) stand(now time.Time) {
 	r.role, r.leader = Candidate, 0
 	r.ballot = Ballot{Term: r.ballot.Term + 1, Vote: r.id}
@@ -88,6 +91,7 @@
 
 func (r *Replica) majority() int { return r.countVoters()/2 + 1 }
 
+// lead begins the leadership of the present term.
 func (r *Replica) lead(now time.Time) {
 	r.role, r.leader = Leading, r.id
 	r.ballot.Won = true
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -17,12 +17,12 @@
 	// ElectionMax is the greatest time without a leader before an election.
 	ElectionMax = 750 * time.Millisecond
 	// YieldTime is how long a replica that has asked for pre-votes, or granted one,
-	// grants none to those of a higher identity than the one that it stands for.
-	// It covers the round trips of an election between distant hosts.
+	// grants none to replicas of a higher identity than that candidate's. It covers
+	// the round trips of an election between distant hosts.
 	YieldTime = 150 * time.Millisecond
-	// RestandMin is the least wait before an election when none has a leader: after
-	// a lost one, or a resignation. Two round trips between distant hosts, so that
-	// one who stands at once is elected undisturbed.
+	// RestandMin is the least wait before an election after a lost one or after a
+	// resignation, when no replica has a leader. It covers two round trips between
+	// distant hosts, in which a replica that stands at once is elected.
 	RestandMin = 50 * time.Millisecond
 	// RestandMax spreads the candidates over several one-way trips.
 	RestandMax = 200 * time.Millisecond
--- a/internal/control/daisyquorum/node_test.go
+++ b/internal/control/daisyquorum/node_test.go
@@ -242,14 +242,19 @@
 	})
 }
 
-// A leader that is closed resigns: another leads before the lease would have run
-// out.
+// A leader that is closed resigns: another leads before any follower would have
+// stood without that, which is ElectionMin after the last heartbeat.
 func TestClosedLeaderIsReplacedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		q := newQuorum(t)
+		const (
+			election = 50 * time.Millisecond // Six messages of 1 ms, with room.
+			within   = daisylog.RestandMax + election
+		)
+		assert.Assert(t, within < daisylog.ElectionMin-daisylog.HeartbeatInterval)
 		lead := q.leader()
 		assert.NilError(t, q.nodes[lead].Close())
-		time.Sleep(daisylog.ElectionMin)
+		time.Sleep(within)
 		next := q.leader()
 		assert.Check(t, next >= 0 && next != lead)
 		q.close(t)
--- a/internal/entry/daisyserver/server_test.go
+++ b/internal/entry/daisyserver/server_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/apex/log"
@@ -103,7 +104,10 @@
 			if test.code != "" {
 				assert.Equal(t, held.Entries[0].Fields["Code"], test.code)
 			}
-			assert.Assert(t, held.Entries[0].Fields["Key"] == nil)
+			for name, value := range held.Entries[0].Fields {
+				text := fmt.Sprint(value)
+				assert.Assert(t, !strings.Contains(text, "k1") && !strings.Contains(text, "k2"), "%s holds a key", name)
+			}
 		})
 	}
 }
--- a/internal/limit/daisygate/gate.go
+++ b/internal/limit/daisygate/gate.go
@@ -14,8 +14,9 @@
 const (
 	// askSpacing is the least time between two requests for tokens out of turn.
 	askSpacing = 60 * time.Millisecond
-	// drySpacing is that time for a workspace whose pool keeps running out: asking
-	// more often brings no more. Within it the pool does not fill up either.
+	// drySpacing is that time for a workspace whose pool keeps running out, where
+	// asking more often brings no more tokens. It is below half of the time between
+	// heartbeats, so that the pool is drawn on before it fills up.
 	drySpacing = 240 * time.Millisecond
 	// retryStep is how often a waiting operation looks for granted tokens.
 	retryStep = 10 * time.Millisecond
@@ -34,7 +35,7 @@
 	wants  map[string]want
 }
 
-// want is how a workspace's requests for tokens fare.
+// want is what a workspace still lacks of the tokens that the host asked for.
 type want struct {
 	lacking float64       // Tokens asked for and not granted yet.
 	spacing time.Duration // Between two requests out of turn.
