Count calls, refusals, dials and checks of an entry host

Entry hosts now count these, serve them as metrics, and log the increase once a second in one line (front: load).

--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -43,6 +44,7 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
+	dials  atomic.Uint64
 
 	mu      sync.Mutex
 	servers map[string]*serverPool
@@ -110,6 +112,9 @@
 	return s.acquire(ctx, workspace)
 }
 
+// Dials returns the number of connections that the pool has tried to open.
+func (p *Pool) Dials() uint64 { return p.dials.Load() }
+
 // Usable reports whether the host has a share of the server's connections.
 func (p *Pool) Usable(server string) bool {
 	s := p.server(server)
@@ -304,6 +309,7 @@
 	defer cancel()
 	t := s.target
 	t.Workspace = workspace
+	s.pool.dials.Add(1)
 	link, err := s.pool.dialer.Dial(ctx, t)
 	if err == nil {
 		return &Conn{pool: s, link: link, workspace: workspace}, nil
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -152,6 +152,7 @@
 			metrics.AddGauge("daisyglade_sessions", func() float64 { return float64(host.Sessions()) })
 			metrics.AddGauge("daisyglade_desired_version", func() float64 { version, _ := host.Status(); return float64(version) })
 			metrics.AddGauge("daisyglade_lease_valid", func() float64 { _, valid := host.Status(); return boolGauge(valid) })
+			addLoad(metrics, host)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Ready, platform.NewReadyHandler(host.Ready)),
 				p.serveMetrics(c.Context(), metrics),
@@ -164,6 +165,28 @@
 	}
 }
 
+// addLoad adds the totals of an entry host's load to the metrics.
+func addLoad(m *daisymetrics.Registry, h *daisyentryhost.EntryHost) {
+	totals := []struct {
+		name  string
+		value func(l daisyentryhost.Load) uint64
+	}{
+		{"daisyglade_calls_total", func(l daisyentryhost.Load) uint64 { return l.Forwarder.Calls }},
+		{"daisyglade_calls_timed_out_total", func(l daisyentryhost.Load) uint64 { return l.Forwarder.TimedOut }},
+		{"daisyglade_late_replies_total", func(l daisyentryhost.Load) uint64 { return l.Forwarder.LateReplies }},
+		{"daisyglade_links_failed_total", func(l daisyentryhost.Load) uint64 { return l.Forwarder.LinksFailed }},
+		{"daisyglade_links_lost_total", func(l daisyentryhost.Load) uint64 { return l.Forwarder.LinksLost }},
+		{"daisyglade_gateway_requests_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Requests }},
+		{"daisyglade_gateway_overloaded_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Overloaded }},
+		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
+		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
+		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
+	}
+	for _, t := range totals {
+		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
+	}
+}
+
 func newControl() *cobra.Command {
 	return &cobra.Command{
 		Use:   "control",
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -48,6 +48,7 @@
 	OnPosition func(service string, epoch uint64, asked time.Time, p daisystatement.Position)
 
 	options  Options
+	counters counters
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
@@ -128,7 +129,7 @@
 	f.mu.Lock()
 	l := f.links[addr]
 	if l == nil || l.hasFailed() && !l.failedRecently() {
-		l = newLink(addr)
+		l = newLink(addr, &f.counters)
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
 	}
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -42,8 +42,9 @@
 // link sends calls to one host. It is not reopened: after a failure it is
 // replaced by a new link.
 type link struct {
-	addr  netip.AddrPort
-	ready chan struct{} // Closed once the link is open or has failed.
+	addr     netip.AddrPort
+	counters *counters
+	ready    chan struct{} // Closed once the link is open or has failed.
 
 	mu          sync.Mutex
 	conn        Conn // Nil before the link is open and after it has failed.
@@ -55,8 +56,8 @@
 	pingSent    bool
 }
 
-func newLink(addr netip.AddrPort) *link {
-	return &link{addr: addr, ready: make(chan struct{}), pending: make(map[uint64]chan daisycodec.CallReply)}
+func newLink(addr netip.AddrPort, c *counters) *link {
+	return &link{addr: addr, counters: c, ready: make(chan struct{}), pending: make(map[uint64]chan daisycodec.CallReply)}
 }
 
 // hasFailed reports whether the link was lost or could not be opened.
@@ -93,6 +94,7 @@
 	conn, err := dial(dialCtx, l.addr)
 	cancel()
 	if err != nil {
+		l.counters.linksFailed.Add(1)
 		l.fail(err)
 		close(l.ready)
 		logger.WithError(err).WithField("Gateway", l.addr).Info("carrier: gateway host unreachable; requests go to the next gateway")
@@ -109,6 +111,7 @@
 	checking.Go(func() { l.checkSilence(ctx, conn) })
 	err = l.receive(ctx, conn)
 	conn.Close()
+	l.counters.linksLost.Add(1)
 	l.fail(err)
 	cancel()
 	logger.WithError(err).WithField("Gateway", l.addr).Info("carrier: link to gateway host lost; its outstanding calls failed")
@@ -132,8 +135,11 @@
 			l.silentSince = time.Now()
 		}
 		l.mu.Unlock()
-		if replies != nil {
+		switch {
+		case replies != nil:
 			replies <- r
+		case r.ID != 0: // Pings have no ID.
+			l.counters.lateReplies.Add(1)
 		}
 	}
 }
@@ -202,6 +208,7 @@
 		l.silentSince = time.Now()
 	}
 	l.mu.Unlock()
+	l.counters.calls.Add(1)
 	l.send(context.Background(), conn, call)
 	timer := time.NewTimer(time.Until(deadline) + replyMargin)
 	defer timer.Stop()
@@ -215,6 +222,7 @@
 		l.mu.Lock()
 		delete(l.pending, call.ID)
 		l.mu.Unlock()
+		l.counters.timedOut.Add(1)
 		return r, context.DeadlineExceeded
 	}
 }
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -40,6 +40,8 @@
 	log  log.Interface
 	wait sync.WaitGroup
 
+	counters counters
+
 	mu      sync.Mutex
 	servers map[string]*serverState
 }
@@ -151,6 +153,7 @@
 // the pinned connection. After an error that is not ErrNotSent, it is unknown
 // whether the statement ran.
 func (g *Gateway) Run(req StatementRequest) (a daisystatement.Answer, conn PinnedConn, err error) {
+	g.counters.requests.Add(1)
 	defer func() { g.logFailure(req, err) }()
 	if !g.pool.Usable(req.Server) {
 		return a, nil, fmt.Errorf("%w: %w: this host is not a gateway of the server", ErrNotSent, ErrUnreachable)
@@ -158,12 +161,14 @@
 	s := g.server(req.Server)
 	rank := s.rank(req)
 	if wait := s.expectedWait(rank); wait > time.Until(req.SendDeadline) {
+		g.counters.overloaded.Add(1)
 		return a, nil, fmt.Errorf("%w: the expected wait of %v for a slot of the server ends after the send deadline", ErrNotSent, wait.Round(time.Millisecond))
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
 	defer cancel()
 	c, slot, err := g.obtain(ctx, s, req, rank)
 	if err != nil {
+		g.counters.notSent.Add(1)
 		return a, nil, err
 	}
 	defer slot.Release()
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -98,6 +98,7 @@
 	}
 	h.lease.Start()
 	h.wait.Go(h.applyState)
+	h.wait.Go(h.logLoad)
 	h.wait.Go(func() { h.router.Run(h.ctx) })
 	return h, nil
 }
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -50,6 +50,7 @@
 func (r *Router) check(ctx context.Context, c primaryCheck) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
+	r.checks.Add(1)
 	err := r.options.Reach(ctx, c.leader.Server)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,3 +62,7 @@
 	}
 	r.markReachable(c.service, c.leader.Server)
 }
+
+// Checks returns the number of checks made so far. Each opens a connection to a
+// primary.
+func (r *Router) Checks() uint64 { return r.checks.Load() }
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -89,6 +89,7 @@
 type Router struct {
 	options Options
 	groups  atomic.Pointer[map[string]Group]
+	checks  atomic.Uint64
 
 	mu             sync.Mutex
 	services       map[string]*service
