Make a refusal for load final within the hosts

Requests and refusals filled a gateway host, which made its replies late and its queues longer.

Now the gateway's refusal for load carries when to return, at once when the expected wait is too long and when a statement has not got a connection or slot by its send deadline. A host passes it on as the answer instead of trying again. A read still tries each other server once. The reply has one optional field more; hosts without it treat the refusal as before.

--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -245,6 +245,9 @@
 	case daisycodec.FaultNone:
 		return nil
 	case daisycodec.FaultNotSent:
+		if r.RetryAfter > 0 {
+			return daisygateway.NewOverloadError(r.RetryAfter)
+		}
 		return fmt.Errorf("%w: %s", daisygateway.ErrNotSent, r.Text)
 	case daisycodec.FaultUnreachable:
 		return fmt.Errorf("%w: %w: %s", daisygateway.ErrNotSent, daisygateway.ErrUnreachable, r.Text)
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -109,6 +109,9 @@
 		r.PinnedConn = s.keepPinned(call.PinnedConn, pinned)
 	}
 	r.Fault, r.Text = fault(err)
+	if overload := (*daisygateway.OverloadError)(nil); errors.As(err, &overload) {
+		r.RetryAfter = overload.RetryAfter
+	}
 	r.Sample.Epoch, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Request.Service)
 	return r
 }
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -162,11 +162,15 @@
 	rank := s.rank(req)
 	if wait := s.expectedWait(rank); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
-		return a, nil, fmt.Errorf("%w: the expected wait of %v for a slot of the server ends after the send deadline", ErrNotSent, wait.Round(time.Millisecond))
+		return a, nil, NewOverloadError(wait)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
 	defer cancel()
 	c, slot, err := g.obtain(ctx, s, req, rank)
+	if errors.Is(err, errQueueTimeout) {
+		g.counters.overloaded.Add(1)
+		return a, nil, NewOverloadError(s.expectedWait(rank))
+	}
 	if err != nil {
 		g.counters.notSent.Add(1)
 		return a, nil, err
@@ -180,6 +184,10 @@
 	return a, nil, err
 }
 
+// errQueueTimeout is returned if a statement did not get a connection and a slot by
+// its send deadline.
+var errQueueTimeout = errors.New("no connection and slot of the server were free in time")
+
 // obtain returns a connection and a slot. If no connection is free, it gives the
 // slot back while it waits for one, so that open transactions, which hold the
 // connections, can go on.
@@ -187,7 +195,7 @@
 	urgent := req.Statement.Kind == daisystatement.KindStatus
 	slot, err := s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Rank: rank, Urgent: urgent})
 	if err != nil {
-		return nil, nil, fmt.Errorf("%w: no slot of the server was free: %w", ErrNotSent, err)
+		return nil, nil, notQueued(err)
 	}
 	if g.pool.Free(req.Server) {
 		c, err := g.pool.Acquire(ctx, req.Server, req.Workspace)
@@ -205,15 +213,26 @@
 	slot, err = s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Urgent: true})
 	if err != nil {
 		c.Release()
-		return nil, nil, fmt.Errorf("%w: no slot of the server was free: %w", ErrNotSent, err)
+		return nil, nil, notQueued(err)
 	}
 	return c, slot, nil
 }
 
+// notQueued classifies a failure to get a slot.
+func notQueued(err error) error {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, daisyqueue.ErrFull) {
+		return fmt.Errorf("%w: %w: %w", ErrNotSent, errQueueTimeout, err)
+	}
+	return fmt.Errorf("%w: %w", ErrNotSent, err)
+}
+
 // notSent classifies a failure to get a connection.
 func notSent(err error) error {
 	var refused *daisystatement.Failure
-	if errors.As(err, &refused) || errors.Is(err, daisypool.ErrFull) || errors.Is(err, daisypool.ErrUnknownServer) || errors.Is(err, context.DeadlineExceeded) {
+	if errors.Is(err, daisypool.ErrFull) {
+		return fmt.Errorf("%w: %w: %w", ErrNotSent, errQueueTimeout, err)
+	}
+	if errors.As(err, &refused) || errors.Is(err, daisypool.ErrUnknownServer) || errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	return fmt.Errorf("%w: %w: %w", ErrNotSent, ErrUnreachable, err)
--- a/internal/holder/daisygateway/pinned.go
+++ b/internal/holder/daisygateway/pinned.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
@@ -32,7 +31,7 @@
 	defer cancel()
 	slot, err := p.server.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Urgent: true})
 	if err != nil {
-		return a, fmt.Errorf("%w: no slot of the server was free: %w", ErrNotSent, err)
+		return a, notQueued(err)
 	}
 	defer slot.Release()
 	req.Pin = true
--- a/internal/holder/daisygateway/request.go
+++ b/internal/holder/daisygateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -19,6 +20,27 @@
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
 )
 
+// OverloadError is returned, with ErrNotSent, for a statement that the server's
+// queue cannot take by its send deadline. To send it again before RetryAfter has
+// passed would only add to the load.
+type OverloadError struct {
+	RetryAfter time.Duration // When the requests that go first are expected to have run.
+}
+
+// minRetryAfter is the shortest RetryAfter: the time in which a server runs a few
+// statements.
+const minRetryAfter = 100 * time.Millisecond
+
+// NewOverloadError returns an ErrNotSent with an OverloadError.
+func NewOverloadError(expectedWait time.Duration) error {
+	return fmt.Errorf("%w: %w", ErrNotSent, &OverloadError{RetryAfter: max(expectedWait, minRetryAfter).Round(time.Millisecond)})
+}
+
+// Error implements error.
+func (e *OverloadError) Error() string {
+	return "the backend server's queue is too long; retry in " + e.RetryAfter.String()
+}
+
 // StatementRequest is a statement to be run on a backend server.
 type StatementRequest struct {
 	Service      string
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -71,13 +71,27 @@
 	}
 }
 
+// refusal returns the answer to a statement that was not sent since the server's
+// queue is too long, if err is that. It is final: the client is told when to
+// return, and the hosts add no attempts of their own to an overload.
+func refusal(state daisystatement.State, err error) (a daisystatement.Answer, ok bool) {
+	var overload *daisygateway.OverloadError
+	if !errors.As(err, &overload) {
+		return a, false
+	}
+	return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
+}
+
 // direct runs a statement on the primary. It retries a statement that was
-// certainly not run until its send deadline.
+// certainly not run until its send deadline, unless the primary is overloaded.
 func (s *Session) direct(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	sendBy := sendDeadline(p, arrived)
 	st.MinPosition = daisystatement.Position{}
 	for {
 		a, err, sent := s.tryDirect(p, st, arrived)
+		if refused, ok := refusal(daisystatement.StateIdle, err); ok {
+			return refused
+		}
 		switch {
 		case err == nil && (a.Failure == nil || !a.Failure.Code.NotRun()):
 			return a
--- /dev/null
+++ b/internal/session/daisysession/overload_test.go
@@ -0,0 +1,75 @@
+package daisysession_test
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+// Guards against an overload that retries within the hosts keep up: a statement
+// that a server's queue cannot take in time is refused at once, and is not sent to
+// that server again.
+func TestRefusedForLoadIsNotSentAgain(t *testing.T) {
+	const clients = 200
+	tests := []struct {
+		name     string
+		database string
+		kinds    []daisystatement.Statement
+		servers  int // That may serve the statement.
+	}{
+		{"Write", "strict", []daisystatement.Statement{{Kind: daisystatement.KindWrite}}, 1},
+		{"StrictRead", "strict", []daisystatement.Statement{{Kind: daisystatement.KindRead}}, 1},
+		{"StaleRead", "loose", []daisystatement.Statement{{Kind: daisystatement.KindRead}}, 2},
+		{"Transaction", "strict", []daisystatement.Statement{{Kind: daisystatement.KindBegin}, {Kind: daisystatement.KindWrite}, {Kind: daisystatement.KindCommit}}, 1},
+		{"ReadOnlyTransaction", "loose", []daisystatement.Statement{{Kind: daisystatement.KindBegin, ReadOnly: true}, {Kind: daisystatement.KindRead}, {Kind: daisystatement.KindCommit}}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				warm := f.session(test.database)
+				do(warm, statement(daisystatement.KindRead, "warm1"))
+				do(warm, statement(daisystatement.KindRead, "warm2"))
+				for _, s := range f.servers {
+					s.work = 100 * time.Millisecond
+				}
+				before := f.gateway.Counts().Requests
+				var mu sync.Mutex
+				refused := 0
+				var wait sync.WaitGroup
+				for range clients {
+					wait.Go(func() {
+						s := f.session(test.database)
+						defer s.Close()
+						for _, st := range test.kinds {
+							st.ID = "x"
+							a := do(s, st)
+							if a.Failure == nil {
+								continue
+							}
+							assert.Check(t, a.Failure.Code.NotRun(), "%v", a.Failure)
+							mu.Lock()
+							defer mu.Unlock()
+							if strings.Contains(a.Failure.Text, "retry in ") {
+								refused++
+							}
+							return
+						}
+					})
+					time.Sleep(time.Millisecond)
+				}
+				wait.Wait()
+				sent := int(f.gateway.Counts().Requests - before)
+				assert.Assert(t, sent <= clients*test.servers, "%d requests to %d servers for %d operations", sent, test.servers, clients)
+				assert.Assert(t, refused > 0, "the load exceeds what the servers can do, so some must be told when to return")
+			})
+		})
+	}
+}
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -66,7 +66,7 @@
 
 // race sends the read to the best server and, when the answer is late, also to
 // the next best (hedging). It returns retry if no server ran the read and it may
-// be tried again.
+// be tried again; if one of them is overloaded, it may not.
 func (s *Session) race(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, retry bool) {
 	sendBy, deadline := queueDeadline(p, arrived), arrived.Add(p.Timeout)
 	timeout := time.NewTimer(time.Until(deadline))
@@ -74,7 +74,7 @@
 	outcomes := make(chan outcome, readAttempts)
 	sessionCopy := *s // The session may change while a slower attempt is still running.
 	var tried []string
-	inFlight := 0
+	inFlight, overloaded := 0, false
 	launch := func() time.Duration {
 		server, ok := s.env.Router.Choose(p.Service, st.MinPosition, tried)
 		if !ok || len(tried) == readAttempts {
@@ -98,7 +98,11 @@
 			if o.err == nil && (o.answer.Failure == nil || !o.answer.Failure.Code.NotRun()) {
 				return o.answer, false
 			}
-			a = o.failed(a)
+			if refused, ok := refusal(daisystatement.StateIdle, o.err); ok {
+				a, overloaded = refused, true
+			} else if !overloaded {
+				a = o.failed(a)
+			}
 			if inFlight == 0 {
 				launch()
 			}
@@ -108,7 +112,7 @@
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeTimeout, "no backend server answered in time"), false
 		}
 	}
-	return a, true
+	return a, !overloaded
 }
 
 // failed returns the answer to the read after a failed attempt: the server's
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -1,6 +1,7 @@
 package daisysession
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
@@ -105,18 +106,30 @@
 	return refused, true
 }
 
-// open begins the transaction on a server. It retries until sendBy.
+// open begins the transaction on a server. It retries until sendBy, unless a server
+// is overloaded and no other may begin the transaction.
 func (t *transaction) open(sendBy time.Time) (refused daisystatement.Answer, ok bool) {
 	code, why := daisystatement.CodeBusy, "no backend server could begin the transaction in time"
 	var tried []string
+	overloaded := false
 	for {
 		server, begin, found := t.target(sendBy, tried)
+		if overloaded && (!found || slices.Contains(tried, server)) {
+			break
+		}
 		if found {
 			a, err := t.tryOpen(server, begin, sendBy)
 			if err == nil && a.Failure == nil {
 				return refused, true
 			}
 			tried = append(tried, server)
+			if refused, ok := refusal(daisystatement.StateFailed, err); ok {
+				code, why, overloaded = daisystatement.CodeBusy, refused.Failure.Text, true
+				continue
+			}
+			if overloaded {
+				continue
+			}
 			if a.Failure != nil {
 				code, why = a.Failure.Code, a.Failure.Text
 			} else {
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -48,6 +48,7 @@
 	PinnedConn uint64 // The connection that stays pinned; 0 if none.
 	Answer     daisystatement.Answer
 	Fault      Fault
+	RetryAfter time.Duration // With FaultNotSent, set if the server's queue is too long.
 	Text       string
 	Sample     Sample
 }
@@ -127,7 +128,7 @@
 func EncodeCallReply(r CallReply) []byte {
 	w := &daisywire.ErrandAnswer{
 		ID: r.ID, Lane: r.PinnedConn, Rows: r.Answer.Rows, Signature: r.Answer.Signature, State: int64(r.Answer.State),
-		Term: r.Answer.Position.Term, Number: r.Answer.Position.Number, Fault: int64(r.Fault), Text: r.Text,
+		Term: r.Answer.Position.Term, Number: r.Answer.Position.Number, Fault: int64(r.Fault), RetryAfter: int64(r.RetryAfter), Text: r.Text,
 	}
 	if s := r.Sample; s.Epoch > 0 {
 		w.SampleRound, w.SampleTerm, w.SampleNumber, w.SampleAge = s.Epoch, s.Position.Term, s.Position.Number, int64(s.Age)
@@ -149,7 +150,7 @@
 	if w == nil {
 		return r, ErrKind
 	}
-	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), Text: w.Text}
+	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), Text: w.Text}
 	r.Answer = daisystatement.Answer{
 		Rows: w.Rows, Signature: w.Signature, State: daisystatement.State(w.State),
 		Position: daisystatement.Position{Term: w.Term, Number: w.Number},
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -320,6 +320,10 @@
 	// The number of the server's log position.
 	Number uint64 `json:"Number,omitempty,omitzero"`
 
+	// When to try again a statement that was not sent since the server's queue is too
+	// long, in nanoseconds from now; 0 if it was not sent for another reason.
+	RetryAfter int64 `json:"RetryAfter,omitempty,omitzero"`
+
 	// The rows that the server returned.
 	Rows []string `json:"Rows,omitempty,omitzero"`
 
