Let the pauses between attempts at one statement grow

The same cause as of the refusals for load, looked for elsewhere: a statement that a failing server or an unreachable gateway could not run was tried again every 20 or 25 ms until its send deadline, 20 to 36 times, by each of its clients' attempts.

The pauses now double from 25 ms up to 0.2 s, and end early when the host's view of the fleet changes, as when a service gets another primary. The PostgreSQL product is free of it: it repeats only requests that came while a database moved.

TestAttemptsAtFailingServersAreFew failed before: 20 to 36 requests where 8 a server were allowed.

--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -12,14 +12,9 @@
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
-const (
-	// leaderRetry is the delay before a statement that was not run is retried on
-	// the primary.
-	leaderRetry = 25 * time.Millisecond
-	// leaseRetry is the interval at which a waiting statement checks the host's
-	// lease, whose renewal does not wake it.
-	leaseRetry = 50 * time.Millisecond
-)
+// leaseRetry is the interval at which a waiting statement checks the host's
+// lease, whose renewal does not wake it.
+const leaseRetry = 50 * time.Millisecond
 
 // executionDivisor is the divisor of a statement's timeout that yields the time
 // reserved for its execution. A statement that would be sent later is refused as
@@ -87,7 +82,9 @@
 func (s *Session) direct(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	sendBy := sendDeadline(p, arrived)
 	st.MinPosition = daisystatement.Position{}
+	var retry retrier
 	for {
+		retry.begin(s)
 		a, err, sent := s.tryDirect(p, st, arrived)
 		if refused, ok := refusal(daisystatement.StateIdle, err); ok {
 			return refused
@@ -97,13 +94,13 @@
 			return a
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
-		case time.Until(sendBy) < leaderRetry && err == nil:
+		case retry.wait(sendBy):
+		case err != nil:
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err)
+		default:
 			a.State = daisystatement.StateIdle
 			return a
-		case time.Until(sendBy) < leaderRetry:
-			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err)
 		}
-		time.Sleep(leaderRetry)
 	}
 }
 
--- a/internal/session/daisysession/overload_test.go
+++ b/internal/session/daisysession/overload_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisysession"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
@@ -128,3 +129,60 @@
 		})
 	}
 }
+
+// countingForwarder counts the requests that it passes on.
+type countingForwarder struct {
+	next     daisysession.Forwarder
+	requests int
+}
+
+func (f *countingForwarder) Run(req daisygateway.StatementRequest) (daisystatement.Answer, daisygateway.PinnedConn, error) {
+	f.requests++
+	return f.next.Run(req)
+}
+
+// Guards against attempts that a failing server or its gateway has to refuse by the
+// dozen: the pauses between the attempts at one statement grow.
+func TestAttemptsAtFailingServersAreFew(t *testing.T) {
+	const attempts = 8 // In a timeout of 1 s, with pauses that double up to 0.2 s.
+	tests := []struct {
+		name     string
+		database string
+		kind     daisystatement.Kind
+		readOnly bool
+		inject   func(f *fleet)
+		servers  int
+	}{
+		{"WriteUnreachable", "strict", daisystatement.KindWrite, false, func(f *fleet) { f.servers["m1"].unreachable = true }, 1},
+		{"WriteRefusedByServer", "strict", daisystatement.KindWrite, false, func(f *fleet) { f.servers["m1"].refuse = busy }, 1},
+		{"ReadRefusedByServers", "loose", daisystatement.KindRead, false, func(f *fleet) { f.servers["m1"].refuse, f.servers["m2"].refuse = busy, busy }, 2},
+		{"TransactionRefusedByServer", "strict", daisystatement.KindBegin, false, func(f *fleet) { f.servers["m1"].refuse = busy }, 1},
+		{"ReadOnlyTransactionRefusedByServers", "loose", daisystatement.KindBegin, true, func(f *fleet) { f.servers["m1"].refuse, f.servers["m2"].refuse = busy, busy }, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				s := f.session(test.database)
+				defer s.Close()
+				if test.database == "loose" {
+					do(s, statement(daisystatement.KindRead, "warm")) // Samples the primary's position.
+				}
+				test.inject(f)
+				forwarder := &countingForwarder{next: f.gateway}
+				f.env.Forwarder = forwarder
+				st := statement(test.kind, "x")
+				st.ReadOnly = test.readOnly
+				a := do(s, st)
+				if test.kind == daisystatement.KindBegin {
+					a = do(s, statement(daisystatement.KindRead, "r"))
+				}
+				assert.Equal(t, code(a), daisystatement.CodeBusy)
+				assert.Assert(t, forwarder.requests <= attempts*test.servers, "%d requests", forwarder.requests)
+			})
+		})
+	}
+}
+
+func busy(daisystatement.Statement) daisystatement.Code { return daisystatement.CodeBusy }
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -17,9 +17,6 @@
 	hedgeMin = 250 * time.Millisecond
 	// hedgeFactor is the hedge delay as a multiple of the expected latency.
 	hedgeFactor = 4
-	// freshRetry is the delay before a read looks again for a server that is
-	// fresh enough.
-	freshRetry = 20 * time.Millisecond
 )
 
 // outcome is the outcome of a read on one server.
@@ -33,7 +30,9 @@
 func (s *Session) read(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	sendBy := queueDeadline(p, arrived)
 	last := daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "no backend server is fresh enough and reachable")
+	var retrying retrier
 	for {
+		retrying.begin(s)
 		minPosition, ok := s.minPosition(p, arrived)
 		if !ok {
 			return s.direct(p, st, arrived)
@@ -46,10 +45,9 @@
 		if a.Failure != nil {
 			last = a
 		}
-		if time.Until(sendBy) < freshRetry {
+		if !retrying.wait(sendBy) {
 			return last
 		}
-		time.Sleep(freshRetry)
 	}
 }
 
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -112,7 +112,9 @@
 	code, why := daisystatement.CodeBusy, "no backend server could begin the transaction in time"
 	var tried []string
 	overloaded := false
+	var retry retrier
 	for {
+		retry.begin(t.session)
 		server, begin, found := t.target(sendBy, tried)
 		if overloaded && (!found || slices.Contains(tried, server)) {
 			break
@@ -136,12 +138,12 @@
 				why = err.Error()
 			}
 		}
-		if time.Until(sendBy) < leaderRetry {
-			break
+		if t.readOnly && found {
+			continue
 		}
-		if !t.readOnly || !found {
-			tried = nil
-			time.Sleep(leaderRetry)
+		tried = nil
+		if !retry.wait(sendBy) {
+			break
 		}
 	}
 	if !code.NotRun() {
