Pause between attempts to begin a read-only transaction on the primary

Callers of hosts that gateways shared saw answers late or never.

Cause: while a host has no recent sample of a primary's log position, a read-only transaction begins on the primary. If that failed, the loop tried the primary again without any pause until the send deadline: it took it for another server that had not been tried. On the gateway's own host each round costs microseconds, so a few such transactions used up the processor that all other statements of the server need.

A round now offers the transaction once to each server that may serve it, then pauses.

TestAttemptsAtFailingServersAreFew/ReadOnlyTransactionRefusedByPrimary failed before: 45 requests where 8 were allowed.

--- a/internal/session/daisysession/overload_test.go
+++ b/internal/session/daisysession/overload_test.go
@@ -157,6 +157,7 @@
 		{"WriteRefusedByServer", "strict", daisystatement.KindWrite, false, func(f *fleet) { f.servers["m1"].refuse = busy }, 1},
 		{"ReadRefusedByServers", "loose", daisystatement.KindRead, false, func(f *fleet) { f.servers["m1"].refuse, f.servers["m2"].refuse = busy, busy }, 2},
 		{"TransactionRefusedByServer", "strict", daisystatement.KindBegin, false, func(f *fleet) { f.servers["m1"].refuse = busy }, 1},
+		{"ReadOnlyTransactionRefusedByPrimary", "strict", daisystatement.KindBegin, true, func(f *fleet) { f.servers["m1"].refuse = busy }, 1},
 		{"ReadOnlyTransactionRefusedByServers", "loose", daisystatement.KindBegin, true, func(f *fleet) { f.servers["m1"].refuse, f.servers["m2"].refuse = busy, busy }, 2},
 	}
 	for _, test := range tests {
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -106,45 +106,39 @@
 	return refused, true
 }
 
-// open begins the transaction on a server. It retries until sendBy, unless a server
-// is overloaded and no other may begin the transaction.
+// open begins the transaction on a server. It tries each that may serve it once and,
+// after a pause, again until sendBy, unless one of them was overloaded.
 func (t *transaction) open(sendBy time.Time) (refused daisystatement.Answer, ok bool) {
 	code, why := daisystatement.CodeBusy, "no backend server could begin the transaction in time"
 	var tried []string
 	overloaded := false
 	var retry retrier
+	retry.begin(t.session)
 	for {
-		retry.begin(t.session)
 		server, begin, found := t.target(sendBy, tried)
-		if overloaded && (!found || slices.Contains(tried, server)) {
-			break
-		}
-		if found {
+		if found && !slices.Contains(tried, server) {
 			a, err := t.tryOpen(server, begin, sendBy)
 			if err == nil && a.Failure == nil {
 				return refused, true
 			}
 			tried = append(tried, server)
-			if refused, ok := refusal(daisystatement.StateFailed, err); ok {
-				code, why, overloaded = daisystatement.CodeBusy, refused.Failure.Text, true
-				continue
-			}
-			if overloaded {
-				continue
-			}
-			if a.Failure != nil {
+			overload, isOverload := refusal(daisystatement.StateFailed, err)
+			switch {
+			case isOverload:
+				code, why, overloaded = daisystatement.CodeBusy, overload.Failure.Text, true
+			case overloaded: // The client is told when the overload is expected to end.
+			case a.Failure != nil:
 				code, why = a.Failure.Code, a.Failure.Text
-			} else {
+			default:
 				why = err.Error()
 			}
-		}
-		if t.readOnly && found {
 			continue
 		}
-		tried = nil
-		if !retry.wait(sendBy) {
+		if overloaded || !retry.wait(sendBy) {
 			break
 		}
+		tried = nil
+		retry.begin(t.session)
 	}
 	if !code.NotRun() {
 		code = daisystatement.CodeAborted
