Learn a primary's position at its gateway, and let refusals bring it

Callers whose reads replicas could serve were refused for the load of the primary after each restart and succession.

Cause: without a recent sample of the primary's position all reads go to the primary. A host got one from its own statements on the primary, by asking for it, or from the host that is the primary's gateway; but that host had none either, unless its own sessions used the service. So a start of all hosts, or a new epoch, sent all reads of a service to its primary, which could not serve them, and the hosts that it refused stayed without a sample.

The gateway of a primary now learns the position from the primary's answers to the reads of all hosts. Every reply carries it, refusals too, and a read that the primary refused for load goes to a replica if the refusal brought a sample. Entry hosts count the reads that want of a sample sent to the primary.

TestGatewayLearnsPositionFromAnswers and TestRefusalBringsReadsToReplicas/Read failed before (nothing recorded; Busy instead of Served).

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -181,6 +181,7 @@
 		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
+		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
 	}
 	for _, t := range totals {
 		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -86,7 +86,7 @@
 		c.state = daisystatement.StateIdle
 	}
 	c.server.executed = append(c.server.executed, s.Text)
-	return daisystatement.Answer{Signature: "s", Rows: []string{"row of " + s.Text}, State: c.state}, nil
+	return daisystatement.Answer{Signature: "s", Rows: []string{"row of " + s.Text}, State: c.state, Position: daisystatement.Position{Term: 3, Number: 41}}, nil
 }
 
 func (c *connection) Alive() bool { return true }
@@ -134,6 +134,24 @@
 	forwarder *daisyforwarder.Forwarder
 	down      atomic.Bool // Refuses connections.
 	silent    atomic.Bool // Messages to and from it are dropped.
+	leading   uint64      // The epoch in which the server leads; 0 if it does not.
+	recorded  []sample    // Recorded with answers of the primary.
+}
+
+// sample is a position that a gateway recorded.
+type sample struct {
+	Service  string
+	Epoch    uint64
+	SentAt   time.Time
+	Position daisystatement.Position
+}
+
+// LeadingEpoch implements daisyforwarder.Samples.
+func (h *host) LeadingEpoch(string, string) uint64 { return h.leading }
+
+// RecordPeerPosition implements daisyforwarder.Samples.
+func (h *host) RecordPeerPosition(service string, epoch uint64, sentAt time.Time, p daisystatement.Position) {
+	h.recorded = append(h.recorded, sample{service, epoch, sentAt, p})
 }
 
 // Sample implements daisyforwarder.Samples.
@@ -311,6 +329,46 @@
 	})
 }
 
+// Guards against hosts that must ask an overloaded primary for its position before
+// replicas may serve their reads: its gateway learns the position from the answers
+// of the primary to reads, as of the time at which they arrived at the gateway.
+func TestGatewayLearnsPositionFromAnswers(t *testing.T) {
+	tests := []struct {
+		name    string
+		kind    daisystatement.Kind
+		leading uint64
+		learns  bool
+	}{
+		{"ReadOnPrimary", daisystatement.KindRead, 7, true},
+		{"BeginOnPrimary", daisystatement.KindBegin, 7, true},
+		{"WriteOnPrimary", daisystatement.KindWrite, 7, false},
+		{"ReadOnReplica", daisystatement.KindRead, 0, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				gateway, other := f.first()
+				gateway.leading = test.leading
+				began := time.Now()
+				req := request(test.kind, "r")
+				req.Service = "s"
+				_, pinned, err := other.forwarder.Run(req)
+				assert.NilError(t, err)
+				if pinned != nil {
+					pinned.Close()
+				}
+				if !test.learns {
+					assert.Equal(t, len(gateway.recorded), 0)
+					return
+				}
+				assert.DeepEqual(t, gateway.recorded, []sample{{"s", 7, began, daisystatement.Position{Term: 3, Number: 41}}})
+			})
+		})
+	}
+}
+
 // The connection pinned for a transaction is closed with the link over which it
 // is used.
 func TestPinnedConnClosesWithLink(t *testing.T) {
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -8,16 +8,23 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
-// Samples returns the positions of primaries that a host knows.
+// Samples keeps the positions of primaries that a host knows.
 type Samples interface {
 	// Sample returns the latest position of the service's primary, with the epoch
 	// of its leadership and its age. Epoch 0 means that no position is known.
 	Sample(service string) (epoch uint64, p daisystatement.Position, age time.Duration)
+	// LeadingEpoch returns the epoch in which the server leads the service, if it
+	// certainly does now, else 0.
+	LeadingEpoch(service, server string) uint64
+	// RecordPeerPosition records the position in an answer of the epoch's primary to
+	// a request that was sent at sentAt or later.
+	RecordPeerPosition(service string, epoch uint64, sentAt time.Time, p daisystatement.Position)
 }
 
 // peer serves the link of another host that uses this host's gateway.
@@ -33,9 +40,10 @@
 }
 
 // Serve runs the statement requests of another host until its link ends, and
-// then closes the connections pinned for it. Each answer carries the latest
-// position of the service's primary that this host knows, so that hosts far from
-// the primary seldom have to ask it.
+// then closes the connections pinned for it. Each answer, also a refusal, carries the
+// latest position of the service's primary that this host knows, so that hosts far
+// from the primary seldom have to ask it. The gateway of a primary learns that
+// position from the answers of the primary.
 func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
 	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisygateway.PinnedConn)}
 	defer s.close()
@@ -98,7 +106,11 @@
 	var pinned daisygateway.PinnedConn
 	var err error
 	if call.PinnedConn == 0 {
+		epoch, arrived := s.samples.LeadingEpoch(call.Request.Service, call.Request.Server), daisyclock.Now()
 		r.Answer, pinned, err = s.gateway.Run(call.Request)
+		if err == nil && r.Answer.Failure == nil && epoch > 0 && call.Request.Statement.Samples() {
+			s.samples.RecordPeerPosition(call.Request.Service, epoch, arrived, r.Answer.Position)
+		}
 	} else if pinned = s.takePinned(call.PinnedConn); pinned == nil {
 		err = daisygateway.ErrPinnedConnClosed
 	} else if r.Answer, err = pinned.Do(call.Request); err != nil {
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -19,11 +19,12 @@
 	Gateway   daisygateway.Counts
 	Dials     uint64 // Connections to backend servers that the host tried to open.
 	Checks    uint64 // Checks whether a primary can be reached.
+	Unsampled uint64 // Reads that only the primary could serve, for want of a recent sample.
 }
 
 // Load returns the totals so far.
 func (h *EntryHost) Load() Load {
-	return Load{Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Checks: h.router.Checks()}
+	return Load{Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Checks: h.router.Checks(), Unsampled: h.router.Unsampled()}
 }
 
 // logLoad logs the load of each interval in which the host called a gateway or was
@@ -59,5 +60,6 @@
 		"NotSent":     l.Gateway.NotSent - before.Gateway.NotSent,
 		"Dials":       l.Dials - before.Dials,
 		"Checks":      l.Checks - before.Checks,
+		"Unsampled":   l.Unsampled - before.Unsampled,
 	}
 }
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -88,9 +88,10 @@
 // Router selects backend servers for the statements of one host. It is safe for
 // concurrent use.
 type Router struct {
-	options Options
-	groups  atomic.Pointer[map[string]Group]
-	checks  atomic.Uint64
+	options   Options
+	groups    atomic.Pointer[map[string]Group]
+	checks    atomic.Uint64
+	unsampled atomic.Uint64
 
 	mu             sync.Mutex
 	services       map[string]*service
@@ -166,6 +167,15 @@
 	return ok && current == l
 }
 
+// LeadingEpoch returns the epoch in which the server leads the service, or 0 if it
+// does not or the host's lease is not valid.
+func (r *Router) LeadingEpoch(name, server string) uint64 {
+	if l, ok := r.Leader(name); ok && l.Server == server {
+		return l.Epoch
+	}
+	return 0
+}
+
 // Epoch returns the epoch of the service's leadership, even while it has no leader.
 func (r *Router) Epoch(name string) uint64 {
 	leadership, _ := r.options.View.Leadership(name)
@@ -202,9 +212,17 @@
 	defer r.mu.Unlock()
 	s := r.service(name)
 	s.used = daisyclock.Now()
-	return s.tracker.MinPosition(epoch, arrived, age)
+	p, ok := s.tracker.MinPosition(epoch, arrived, age)
+	if !ok {
+		r.unsampled.Add(1)
+	}
+	return p, ok
 }
 
+// Unsampled returns the number of reads so far that only the primary could serve,
+// since no sample of its position was recent enough.
+func (r *Router) Unsampled() uint64 { return r.unsampled.Load() }
+
 // Choose returns the server that is expected to be the first to answer a read that
 // needs minPosition. It skips servers that are leaving or in exclude.
 func (r *Router) Choose(name string, minPosition daisystatement.Position, exclude []string) (string, bool) {
@@ -332,8 +350,8 @@
 	return epoch, p, daisyclock.Now().Sub(sentAt)
 }
 
-// RecordPeerPosition records a position of the epoch's primary that another host
-// sampled. The host sent its request at sentAt or later.
+// RecordPeerPosition records a position of the epoch's primary that came with the
+// answer to a request of another host. The request was sent at sentAt or later.
 func (r *Router) RecordPeerPosition(name string, epoch uint64, sentAt time.Time, p daisystatement.Position) {
 	r.RecordPosition(name, Leader{Epoch: epoch}, sentAt, p)
 }
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -79,7 +79,8 @@
 
 // direct runs a statement on the primary. It retries a statement that was
 // certainly not run until its send deadline, unless the primary is overloaded.
-func (s *Session) direct(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
+// It reports whether it was refused for that.
+func (s *Session) direct(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, overloaded bool) {
 	sendBy := sendDeadline(p, arrived)
 	st.MinPosition = daisystatement.Position{}
 	var retry retrier
@@ -87,19 +88,19 @@
 		retry.begin(s)
 		a, err, sent := s.tryDirect(p, st, arrived)
 		if refused, ok := refusal(daisystatement.StateIdle, err); ok {
-			return refused
+			return refused, true
 		}
 		switch {
 		case err == nil && (a.Failure == nil || !a.Failure.Code.NotRun()):
-			return a
+			return a, false
 		case err != nil && sent && !s.reads(st):
-			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err), false
 		case retry.wait(sendBy):
 		case err != nil:
-			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err)
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err), false
 		default:
 			a.State = daisystatement.StateIdle
-			return a
+			return a, false
 		}
 	}
 }
--- a/internal/session/daisysession/overload_test.go
+++ b/internal/session/daisysession/overload_test.go
@@ -130,6 +130,59 @@
 	}
 }
 
+// refusingPrimary refuses requests on the primary for load. If it brings a sample of
+// the primary's position, it does so with each refusal, as a gateway does.
+type refusingPrimary struct {
+	next   daisysession.Forwarder
+	brings func()
+}
+
+func (f *refusingPrimary) Run(req daisygateway.StatementRequest) (daisystatement.Answer, daisygateway.PinnedConn, error) {
+	if req.Server != "m1" {
+		return f.next.Run(req)
+	}
+	f.brings()
+	return daisystatement.Answer{}, nil, daisygateway.NewOverloadError(time.Second)
+}
+
+// Guards against reads that are refused by an overloaded primary though replicas may
+// serve them: after a restart or a succession a host has no sample of the position,
+// and the refusal brings one.
+func TestRefusalBringsReadsToReplicas(t *testing.T) {
+	tests := []struct {
+		name     string
+		brings   bool
+		readOnly bool // In a transaction.
+		want     daisystatement.Code
+	}{
+		{"Read", true, false, daisystatement.CodeNone},
+		{"ReadOnlyTransaction", true, true, daisystatement.CodeNone},
+		{"NoSample", false, false, daisystatement.CodeBusy},
+		{"NoSampleInTransaction", false, true, daisystatement.CodeBusy},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				f.env.Forwarder = &refusingPrimary{next: f.gateway, brings: func() {
+					if test.brings {
+						f.router.RecordPeerPosition(serviceName, 1, time.Now(), daisystatement.Position{Term: 1, Number: 10})
+					}
+				}}
+				s := f.session("loose")
+				defer s.Close()
+				if test.readOnly {
+					begin := statement(daisystatement.KindBegin, "b")
+					begin.ReadOnly = true
+					assert.Equal(t, code(do(s, begin)), daisystatement.CodeNone)
+				}
+				assert.Equal(t, code(do(s, statement(daisystatement.KindRead, "r"))), test.want)
+			})
+		})
+	}
+}
+
 // countingForwarder counts the requests that it passes on.
 type countingForwarder struct {
 	next     daisysession.Forwarder
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -35,7 +35,14 @@
 		retrying.begin(s)
 		minPosition, ok := s.minPosition(p, arrived)
 		if !ok {
-			return s.direct(p, st, arrived)
+			a, overloaded := s.direct(p, st, arrived)
+			if !overloaded {
+				return a
+			}
+			// The refusal may have brought a sample, so that replicas may serve.
+			if minPosition, ok = s.minPosition(p, arrived); !ok {
+				return a
+			}
 		}
 		st.MinPosition = minPosition
 		a, retry := s.race(p, st, arrived)
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -223,7 +223,8 @@
 	if s.reads(st) && p.Freshness != daisyspec.FreshPrimary {
 		return s.read(p, st, arrived)
 	}
-	return s.direct(p, st, arrived)
+	a, _ := s.direct(p, st, arrived)
+	return a
 }
 
 // reads reports whether the statement only reads.
--- a/internal/session/daisystatement/statement.go
+++ b/internal/session/daisystatement/statement.go
@@ -45,6 +45,18 @@
 	MinPosition Position // The server refuses with CodeLagging if its log has not reached it.
 }
 
+// Samples reports whether the position in a primary's answer to the statement covers
+// every write that was acknowledged before the statement was sent.
+func (s *Statement) Samples() bool {
+	switch s.Kind {
+	case KindRead, KindBegin, KindStatus:
+		return true
+	case KindExecute:
+		return s.ReadOnly
+	}
+	return false
+}
+
 // Position is a position in the log of a service: the term and the number of the
 // entry. The zero value means no position.
 type Position struct {
