Tell clients over their rate to return when the next tokens may come

Cause: the time to retry was that in which the host's own part of the rate yields a token. In a large fleet that part is small, and nearly all tokens come from the pool with heartbeats.

TestRetryAfterCountsOnTheNextHeartbeats failed before: 2m21.8s and 10h36m44s where 2 s were allowed.

--- a/internal/limit/daisyadmission/controller_test.go
+++ b/internal/limit/daisyadmission/controller_test.go
@@ -58,6 +58,34 @@
 	})
 }
 
+// Guards against clients told to stay away for minutes: in a large fleet a host's own
+// part of the rate is small, but the tokens that it lacks come with heartbeats.
+func TestRetryAfterCountsOnTheNextHeartbeats(t *testing.T) {
+	const most = 2 * time.Second // Some heartbeats, at 0.5 s.
+	tests := []struct {
+		name  string
+		hosts int
+		rate  float64
+	}{
+		{"SmallFleet", 6, 10},
+		{"LargeFleet", 79, 10},
+		{"TargetFleet", 410, 1},
+		{"NoRate", 79, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := daisyadmission.New(func() {})
+				c.SetHosts(test.hosts)
+				c.SetLimits([]daisyquota.WorkspaceLimit{{Workspace: "w", Rate: test.rate, Burst: 10}})
+				ok, retryAfter := c.Admit("w", 1, 0)
+				assert.Assert(t, !ok)
+				assert.Assert(t, 0 < retryAfter && retryAfter <= most, "%v", retryAfter)
+			})
+		})
+	}
+}
+
 // While a workspace is overloaded and its pool is empty, a host requests tokens less
 // often; while its requests are granted, it requests them at the full rate.
 func TestOverloadRequestsTokensLessOften(t *testing.T) {
--- a/internal/limit/daisyquota/host.go
+++ b/internal/limit/daisyquota/host.go
@@ -54,7 +54,9 @@
 }
 
 // Take counts a request as demand and takes a token for it. If there is none, it
-// returns the time until the host's own part of the rate yields one.
+// returns the time to retry: until the host's own part of the rate yields one, but
+// no longer than lookahead, since the tokens that it lacks are requested with each
+// heartbeat.
 func (b *HostBucket) Take(now time.Time) (ok bool, wait time.Duration) {
 	b.refill(now)
 	b.demand += 1 / demandWindow.Seconds()
@@ -72,11 +74,8 @@
 		b.level--
 		return true, 0
 	}
-	rate := b.ownRate()
-	if rate <= 0 {
-		return false, time.Second
-	}
-	return false, time.Duration((1 - b.level) / rate * float64(time.Second))
+	seconds := math.Min(lookahead.Seconds(), (1-b.level)/b.ownRate()) // A rate of 0 yields +Inf.
+	return false, time.Duration(seconds * float64(time.Second))
 }
 
 // State is the state that a HostBucket decides by, for log lines.
