State the protocol when a link opens, for the field of refusals for load

Both hosts of a link now state their protocol in the HTTP headers that open it. A reply has the field only if the other host's protocol does.

TestRefusalTellsWhenToRetry, TestAcceptedLinkHasProtocolOfDialer and TestPlainLinkStatesItsProtocol show it. A fleet of both versions was not run.

--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -24,6 +24,8 @@
 type Conn interface {
 	Send(ctx context.Context, message []byte) error
 	Receive(ctx context.Context) ([]byte, error)
+	// Protocol returns the protocol of the other host, one of daisylink's.
+	Protocol() int
 	Close()
 }
 
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -21,6 +21,7 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 )
 
 const (
@@ -98,6 +99,7 @@
 	closed  chan struct{}
 	once    *sync.Once
 	silent  func() bool // Reports whether messages are dropped.
+	peer    *host       // The other host.
 }
 
 func (w *wire) Send(_ context.Context, m []byte) error {
@@ -123,6 +125,13 @@
 	}
 }
 
+func (w *wire) Protocol() int {
+	if w.peer.old {
+		return daisylink.ProtocolFirst
+	}
+	return daisylink.ProtocolOverload
+}
+
 func (w *wire) Close() { w.once.Do(func() { close(w.closed) }) }
 
 // host is a host with a gateway and a forwarder.
@@ -136,6 +145,7 @@
 	silent    atomic.Bool // Messages to and from it are dropped.
 	leading   uint64      // The epoch in which the server leads; 0 if it does not.
 	recorded  []sample    // Recorded with answers of the primary.
+	old       bool        // It speaks the first protocol.
 }
 
 // sample is a position that a gateway recorded.
@@ -206,8 +216,8 @@
 			a, b := make(chan []byte, 64), make(chan []byte, 64)
 			closed, once := make(chan struct{}), &sync.Once{}
 			silent := func() bool { return from.silent.Load() || to.silent.Load() }
-			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent}
-			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent}
+			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent, peer: to}
+			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent, peer: from}
 			f.wait.Go(func() { daisyforwarder.Serve(f.ctx, far, to.gateway, to, &log.Logger{Handler: discard.New()}) })
 			return near, nil
 		}
@@ -369,6 +379,38 @@
 	}
 }
 
+// A refusal for load tells when to retry, except to a host of an earlier version: its
+// decoder would refuse the field, and close the link with all its calls.
+func TestRefusalTellsWhenToRetry(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		old  bool
+	}{{"SameVersion", false}, {"EarlierVersion", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				_, other := f.first()
+				other.old = test.old
+				_, _, err := other.forwarder.Run(request(daisystatement.KindRead, "warm"))
+				assert.NilError(t, err)
+				var wait sync.WaitGroup
+				for range 8 { // More than the gateway has slots or connections, for 10 ms each.
+					wait.Go(func() { _, _, _ = other.forwarder.Run(request(daisystatement.KindRead, "r")) })
+				}
+				synctest.Wait()
+				req := request(daisystatement.KindRead, "late")
+				req.SendDeadline = time.Now().Add(5 * time.Millisecond)
+				_, _, err = other.forwarder.Run(req)
+				wait.Wait()
+				assert.ErrorIs(t, err, daisygateway.ErrNotSent)
+				var overload *daisygateway.OverloadError
+				assert.Equal(t, errors.As(err, &overload), !test.old)
+			})
+		})
+	}
+}
+
 // The connection pinned for a transaction is closed with the link over which it
 // is used.
 func TestPinnedConnClosesWithLink(t *testing.T) {
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -12,6 +12,7 @@
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 )
 
 // Samples keeps the positions of primaries that a host knows.
@@ -121,7 +122,7 @@
 		r.PinnedConn = s.keepPinned(call.PinnedConn, pinned)
 	}
 	r.Fault, r.Text = fault(err)
-	if overload := (*daisygateway.OverloadError)(nil); errors.As(err, &overload) {
+	if overload := (*daisygateway.OverloadError)(nil); s.conn.Protocol() >= daisylink.ProtocolOverload && errors.As(err, &overload) {
 		r.RetryAfter = overload.RetryAfter
 	}
 	r.Sample.Epoch, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Request.Service)
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,10 +50,22 @@
 
 // Conn is one link. Send may be called from several goroutines, Receive from one.
 type Conn struct {
-	ws   *websocket.Conn
-	peer string
+	ws       *websocket.Conn
+	peer     string
+	protocol int
 }
 
+// The protocols of links. Both hosts state theirs when a link opens; hosts that state
+// none speak ProtocolFirst. Decoders refuse fields that they do not know, so a
+// message may have a field only if the receiver's protocol has it.
+const (
+	ProtocolFirst    = 1
+	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter.
+)
+
+// Protocol returns the protocol of the other host.
+func (c *Conn) Protocol() int { return c.protocol }
+
 // Peer returns the name in the certificate of the host at the other end. On a
 // link without TLS it is the name stated by the dialing host or the address
 // that was dialed.
@@ -85,6 +98,18 @@
 // nameHeader carries the name of the dialing host on links without TLS.
 const nameHeader = "Daisyglade-Host"
 
+// protocolHeader carries the protocol of the host that sends the HTTP header.
+const protocolHeader = "Daisyglade-Protocol"
+
+// parseProtocol returns the protocol stated in the header.
+func parseProtocol(h http.Header) int {
+	protocol, err := strconv.Atoi(h.Get(protocolHeader))
+	if err != nil {
+		return ProtocolFirst
+	}
+	return protocol
+}
+
 // Dialer opens links.
 type Dialer struct {
 	network daisynet.Network
@@ -101,7 +126,9 @@
 // NewPlainDialer returns a dialer for links without TLS that states the name of
 // this host.
 func NewPlainDialer(name string, n daisynet.Network) *Dialer {
-	return &Dialer{network: n, scheme: "http://", header: http.Header{nameHeader: []string{name}}}
+	return &Dialer{network: n, scheme: "http://", header: http.Header{
+		nameHeader: []string{name}, protocolHeader: []string{strconv.Itoa(ProtocolOverload)},
+	}}
 }
 
 // Dial opens a link to the address. No goroutine or connection of a failed
@@ -130,7 +157,7 @@
 	if response.TLS != nil {
 		peer = daisycert.PeerName(response.TLS)
 	}
-	return &Conn{ws: ws, peer: peer}, nil
+	return &Conn{ws: ws, peer: peer, protocol: parseProtocol(response.Header)}, nil
 }
 
 // Handler serves one accepted link, which is closed when the handler returns.
@@ -159,6 +186,7 @@
 			http.Error(w, "host certificate required", http.StatusForbidden)
 			return
 		}
+		w.Header().Set(protocolHeader, strconv.Itoa(ProtocolOverload))
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
@@ -166,7 +194,7 @@
 		ws.SetReadLimit(path.limit())
 		m.wait.Add(1)
 		defer m.wait.Done()
-		c := &Conn{ws: ws, peer: peer}
+		c := &Conn{ws: ws, peer: peer, protocol: parseProtocol(r.Header)}
 		defer c.Close()
 		h(r.Context(), c)
 	})
--- a/internal/wire/daisylink/link_test.go
+++ b/internal/wire/daisylink/link_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"testing"
@@ -14,6 +15,7 @@
 
 	stdlog "log"
 
+	"github.com/coder/websocket"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/measure/daisyregression"
@@ -197,3 +199,43 @@
 		}
 	}
 }
+
+// A host that states no protocol, as those before the header did, speaks the first.
+func TestAcceptedLinkHasProtocolOfDialer(t *testing.T) {
+	tests := []struct {
+		name   string
+		header http.Header
+		want   int
+	}{
+		{"Stated", http.Header{"Daisyglade-Host": {"h2"}, "Daisyglade-Protocol": {"2"}}, daisylink.ProtocolOverload},
+		{"NotStated", http.Header{"Daisyglade-Host": {"h2"}}, daisylink.ProtocolFirst},
+		{"Unreadable", http.Header{"Daisyglade-Host": {"h2"}, "Daisyglade-Protocol": {"x"}}, daisylink.ProtocolFirst},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			mux := &daisylink.Mux{Plain: true}
+			protocols := make(chan int, 1)
+			mux.Handle(daisylink.PathStatement, func(_ context.Context, c *daisylink.Conn) { protocols <- c.Protocol() })
+			server := httptest.NewServer(mux)
+			defer server.Close()
+			ws, _, err := websocket.Dial(t.Context(), server.URL+string(daisylink.PathStatement), &websocket.DialOptions{HTTPHeader: test.header}) //nolint:bodyclose // The library closes it.
+			assert.NilError(t, err)
+			defer func() { _ = ws.CloseNow() }()
+			assert.Equal(t, <-protocols, test.want)
+		})
+	}
+}
+
+// Both hosts of a plain link state the present protocol.
+func TestPlainLinkStatesItsProtocol(t *testing.T) {
+	mux := &daisylink.Mux{Plain: true}
+	protocols := make(chan int, 1)
+	mux.Handle(daisylink.PathStatement, func(_ context.Context, c *daisylink.Conn) { protocols <- c.Protocol() })
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	c, err := daisylink.NewPlainDialer("h2", daisynet.TCP{}).Dial(t.Context(), netip.MustParseAddrPort(server.Listener.Addr().String()), daisylink.PathStatement)
+	assert.NilError(t, err)
+	defer c.Close()
+	assert.Equal(t, <-protocols, daisylink.ProtocolOverload)
+	assert.Equal(t, c.Protocol(), daisylink.ProtocolOverload)
+}
