Count the time on the way against the deadlines of calls

The work was done for callers that had given up, and kept the overload up.

Cause: a call carries the time that is left, and the gateway counted it from when it read the call, however long that had waited in queues. Calls now carry when they were sent, on the clock of their sender since the link opened; the gateway takes what a call took longer than the fastest of the last 10 to 20 s off its deadlines. The clocks need not agree. A gateway of an earlier version is not sent the field.

TestStatementOfLateCallIsNotRun/TooLate failed before: the statement ran 0.1 s after it was too late to send it.

--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -106,6 +106,7 @@
 	if w.silent() {
 		return nil
 	}
+	time.Sleep(time.Duration(w.peer.hold.Load()))
 	select {
 	case w.out <- m:
 		return nil
@@ -141,11 +142,12 @@
 	gateway   *daisygateway.Gateway
 	pool      *daisypool.Pool
 	forwarder *daisyforwarder.Forwarder
-	down      atomic.Bool // Refuses connections.
-	silent    atomic.Bool // Messages to and from it are dropped.
-	leading   uint64      // The epoch in which the server leads; 0 if it does not.
-	recorded  []sample    // Recorded with answers of the primary.
-	old       bool        // It speaks the first protocol.
+	down      atomic.Bool  // Refuses connections.
+	silent    atomic.Bool  // Messages to and from it are dropped.
+	hold      atomic.Int64 // How long messages to it are held up, in nanoseconds.
+	leading   uint64       // The epoch in which the server leads; 0 if it does not.
+	recorded  []sample     // Recorded with answers of the primary.
+	old       bool         // It speaks the first protocol.
 }
 
 // sample is a position that a gateway recorded.
@@ -379,6 +381,39 @@
 	}
 }
 
+// Guards against statements that are run though their callers have given up: a call
+// that is held up on its way for longer than it may wait is not run.
+func TestStatementOfLateCallIsNotRun(t *testing.T) {
+	tests := []struct {
+		name  string
+		hold  time.Duration
+		old   bool
+		wants []string
+	}{
+		{"Punctual", 0, false, []string{"warm", "late"}},
+		{"LittleLate", 300 * time.Millisecond, false, []string{"warm", "late"}},
+		{"TooLate", 800 * time.Millisecond, false, []string{"warm"}},
+		{"GatewayOfEarlierVersion", 800 * time.Millisecond, true, []string{"warm", "late"}}, // It states nothing.
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				gateway, other := f.first()
+				gateway.old = test.old
+				_, _, err := other.forwarder.Run(request(daisystatement.KindWrite, "warm"))
+				assert.NilError(t, err)
+				gateway.hold.Store(int64(test.hold))
+				_, _, _ = other.forwarder.Run(request(daisystatement.KindWrite, "late")) // May be sent for 0.7 s.
+				time.Sleep(time.Second)
+				ran, _ := f.server.seen()
+				assert.DeepEqual(t, ran, test.wants)
+			})
+		})
+	}
+}
+
 // A refusal for load tells when to retry, except to a host of an earlier version: its
 // decoder would refuse the field, and close the link with all its calls.
 func TestRefusalTellsWhenToRetry(t *testing.T) {
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -10,9 +10,11 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
+	"github.com/daisyglade/daisyglade/internal/wire/daisylink"
 )
 
 const (
@@ -47,6 +49,7 @@
 	ready    chan struct{} // Closed once the link is open or has failed.
 
 	mu          sync.Mutex
+	opened      time.Time
 	conn        Conn // Nil before the link is open and after it has failed.
 	failure     error
 	failedAt    time.Time
@@ -101,7 +104,7 @@
 		return
 	}
 	l.mu.Lock()
-	l.conn = conn
+	l.conn, l.opened = conn, daisyclock.Now()
 	l.mu.Unlock()
 	close(l.ready)
 	ctx, cancel = context.WithCancel(ctx)
@@ -187,6 +190,9 @@
 func (l *link) send(ctx context.Context, conn Conn, call daisycodec.Call) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	if conn.Protocol() >= daisylink.ProtocolOverload {
+		call.Sent = max(1, daisyclock.Now().Sub(l.opened)) // 0 states nothing.
+	}
 	if conn.Send(ctx, daisycodec.EncodeCall(call, time.Now())) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
 	}
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -48,6 +48,7 @@
 func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
 	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisygateway.PinnedConn)}
 	defer s.close()
+	var t transit
 	for {
 		message, err := conn.Receive(ctx)
 		if err != nil {
@@ -58,6 +59,9 @@
 			logger.WithError(err).Warn("carrier: received a malformed call; closing the link")
 			return
 		}
+		if call.Sent > 0 {
+			call.Request.Expedite(t.delay(call.Sent, daisyclock.Now()))
+		}
 		s.handle(ctx, call)
 	}
 }
--- a/internal/holder/daisygateway/request.go
+++ b/internal/holder/daisygateway/request.go
@@ -56,6 +56,12 @@
 	Pin          bool      // Keep the connection for a transaction.
 }
 
+// Expedite brings the deadlines forward by the time for which the request was held up
+// on its way here. The caller gives up at the original ones.
+func (req *StatementRequest) Expedite(delay time.Duration) {
+	req.SendDeadline, req.Deadline = req.SendDeadline.Add(-delay), req.Deadline.Add(-delay)
+}
+
 // QueueClass returns the class under which run times are averaged. Transactions have
 // classes of their own, since the run time of all their statements counts.
 func (req *StatementRequest) QueueClass() string {
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -27,6 +27,7 @@
 	ID         uint64
 	PinnedConn uint64 // The pinned connection to run on; 0 if none.
 	Action     Action
+	Sent       time.Duration // Since the link was opened; 0 if not stated.
 	Request    daisygateway.StatementRequest
 }
 
@@ -63,7 +64,7 @@
 // EncodeCall encodes a call that is sent at now. Deadlines are encoded as the
 // time remaining, since the clocks of hosts differ.
 func EncodeCall(c Call, now time.Time) []byte {
-	w := &daisywire.Errand{ID: c.ID, Lane: c.PinnedConn, Act: int64(c.Action)}
+	w := &daisywire.Errand{ID: c.ID, Lane: c.PinnedConn, Act: int64(c.Action), Sent: int64(c.Sent)}
 	if c.Action == ActionRun {
 		e := &c.Request
 		w.Service, w.Server, w.Workspace = e.Service, e.Server, e.Workspace
@@ -88,7 +89,7 @@
 	if w == nil {
 		return c, ErrKind
 	}
-	c = Call{ID: w.ID, PinnedConn: w.Lane, Action: Action(w.Act)}
+	c = Call{ID: w.ID, PinnedConn: w.Lane, Action: Action(w.Act), Sent: time.Duration(w.Sent)}
 	if c.Action != ActionRun {
 		return c, nil
 	}
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -284,6 +284,10 @@
 	// The priority; 0 is the highest.
 	Priority int64 `json:"Priority,omitempty,omitzero"`
 
+	// When the call was sent, in nanoseconds since its link was opened; 0 if not
+	// stated.
+	Sent int64 `json:"Sent,omitempty,omitzero"`
+
 	// The backend server.
 	Server string `json:"Server,omitempty,omitzero"`
 
