Hold back only the workspace whose share was used up

Found while reading the change: a host that was refused for load held back the statements of all its workspaces, also when only the refused workspace had used up its share of the server's fair queue. One workspace could so crowd out others at that host for half of a time to retry.

A refusal now tells which it is: the whole queue is too long, or a statement did not get its turn in time. After the latter only the same workspace is held back. Held-back statements are counted.

TestRefusalsForLoadCostTheGatewayLittle/OwnShareOtherWorkspace and TestRefusalTellsWhoseLoadItIs show it.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -182,6 +182,7 @@
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
+		{"daisyglade_held_off_total", func(l daisyentryhost.Load) uint64 { return l.HeldOff }},
 	}
 	for _, t := range totals {
 		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -252,7 +252,7 @@
 		return nil
 	case daisycodec.FaultNotSent:
 		if r.RetryAfter > 0 {
-			return daisygateway.NewOverloadError(r.RetryAfter)
+			return daisygateway.NewOverloadError(r.RetryAfter, r.OwnShare)
 		}
 		return fmt.Errorf("%w: %s", daisygateway.ErrNotSent, r.Text)
 	case daisycodec.FaultUnreachable:
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -127,7 +127,7 @@
 	}
 	r.Fault, r.Text = fault(err)
 	if overload := (*daisygateway.OverloadError)(nil); s.conn.Protocol() >= daisylink.ProtocolOverload && errors.As(err, &overload) {
-		r.RetryAfter = overload.RetryAfter
+		r.RetryAfter, r.OwnShare = overload.RetryAfter, overload.OwnShare
 	}
 	r.Sample.Epoch, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Request.Service)
 	return r
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -162,14 +162,14 @@
 	rank := s.rank(req)
 	if wait := s.expectedWait(rank); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
-		return a, nil, NewOverloadError(wait)
+		return a, nil, NewOverloadError(wait, false)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
 	defer cancel()
 	c, slot, err := g.obtain(ctx, s, req, rank)
 	if errors.Is(err, errQueueTimeout) {
 		g.counters.overloaded.Add(1)
-		return a, nil, NewOverloadError(s.expectedWait(rank))
+		return a, nil, NewOverloadError(s.expectedWait(rank), true)
 	}
 	if err != nil {
 		g.counters.notSent.Add(1)
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"sync"
@@ -228,3 +229,35 @@
 		assert.Assert(t, l.backend.dialed <= 16, "%d connections opened", l.backend.dialed)
 	})
 }
+
+// A refusal tells whether the whole queue is too long or the workspace has only used
+// up its own share, so that hosts do not hold back the requests of others.
+func TestRefusalTellsWhoseLoadItIs(t *testing.T) {
+	tests := []struct {
+		name     string
+		waiting  int           // Requests of the workspace that came before.
+		sendFor  time.Duration // The time in which the refused request may be sent.
+		ownShare bool
+	}{
+		{"ExpectedWaitTooLong", 60, 100 * time.Millisecond, false},
+		{"NotServedInTime", 6, 40 * time.Millisecond, true}, // The expected wait is not too long.
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLoad(16)
+				for range test.waiting {
+					l.single("hot", "hot", 2, "long")
+				}
+				synctest.Wait()
+				req := l.request("hot", "hot", 2, daisystatement.Statement{ID: "1", Kind: daisystatement.KindRead, Text: "long"})
+				req.SendDeadline = time.Now().Add(test.sendFor)
+				_, _, err := l.gateway.Run(req)
+				var overload *daisygateway.OverloadError
+				assert.Assert(t, errors.As(err, &overload), "%v", err)
+				assert.Equal(t, overload.OwnShare, test.ownShare)
+				l.close(t)
+			})
+		})
+	}
+}
--- a/internal/holder/daisygateway/request.go
+++ b/internal/holder/daisygateway/request.go
@@ -25,6 +25,9 @@
 // passed would only add to the load.
 type OverloadError struct {
 	RetryAfter time.Duration // When the requests that go first are expected to have run.
+	// OwnShare is set if the workspace's share of the server was used up, so that the
+	// requests of other workspaces may still be served.
+	OwnShare bool
 }
 
 // minRetryAfter is the shortest RetryAfter: the time in which a server runs a few
@@ -32,8 +35,9 @@
 const minRetryAfter = 100 * time.Millisecond
 
 // NewOverloadError returns an ErrNotSent with an OverloadError.
-func NewOverloadError(expectedWait time.Duration) error {
-	return fmt.Errorf("%w: %w", ErrNotSent, &OverloadError{RetryAfter: max(expectedWait, minRetryAfter).Round(time.Millisecond)})
+func NewOverloadError(expectedWait time.Duration, ownShare bool) error {
+	retryAfter := max(expectedWait, minRetryAfter).Round(time.Millisecond)
+	return fmt.Errorf("%w: %w", ErrNotSent, &OverloadError{RetryAfter: retryAfter, OwnShare: ownShare})
 }
 
 // Error implements error.
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -20,11 +20,15 @@
 	Dials     uint64 // Connections to backend servers that the host tried to open.
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads that only the primary could serve, for want of a recent sample.
+	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
 
 // Load returns the totals so far.
 func (h *EntryHost) Load() Load {
-	return Load{Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Checks: h.router.Checks(), Unsampled: h.router.Unsampled()}
+	return Load{
+		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
+		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
+	}
 }
 
 // logLoad logs the load of each interval in which the host called a gateway or was
@@ -61,5 +65,6 @@
 		"Dials":       l.Dials - before.Dials,
 		"Checks":      l.Checks - before.Checks,
 		"Unsampled":   l.Unsampled - before.Unsampled,
+		"HeldOff":     l.HeldOff - before.HeldOff,
 	}
 }
--- a/internal/session/daisyrouter/holdoff.go
+++ b/internal/session/daisyrouter/holdoff.go
@@ -11,37 +11,51 @@
 // queue has run, and the host is one of many that return.
 const holdOffShare = 0.5
 
-// holdOff is the time until which statements of a class and priority are not sent
-// to a server.
-type holdOff struct {
-	priority int
-	until    time.Time
+// HeldClass is what a hold-off applies to.
+type HeldClass struct {
+	Server    string
+	Workspace string // Empty for all.
+	Class     string // The statements of one class have the same priority.
+	Priority  int    // 0 is the highest.
 }
 
-// HoldOff records that the server's queue refused a statement of the class for the
-// given time. Statements of one class have the same priority; 0 is the highest.
-func (r *Router) HoldOff(server, class string, priority int, retryAfter time.Duration) {
+// covers reports whether a queue that refused h also refuses s: a statement of the
+// same class, or of a lower priority.
+func (h HeldClass) covers(s HeldClass) bool {
+	return h.Server == s.Server && (h.Workspace == "" || h.Workspace == s.Workspace) && (h.Class == s.Class || h.Priority < s.Priority)
+}
+
+// HoldOff records that the server's queue refused a statement and told to retry it
+// after the given time.
+func (r *Router) HoldOff(h HeldClass, retryAfter time.Duration) {
+	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held := r.holdOffs[server]
-	if held == nil {
-		held = make(map[string]holdOff)
-		r.holdOffs[server] = held
+	for other, until := range r.holdOffs {
+		if now.After(until) {
+			delete(r.holdOffs, other)
+		}
 	}
-	held[class] = holdOff{priority: priority, until: daisyclock.Now().Add(time.Duration(holdOffShare * float64(retryAfter)))}
+	r.holdOffs[h] = now.Add(time.Duration(holdOffShare * float64(retryAfter)))
 }
 
 // HeldOff returns for how long statements of the class are not to be sent to the
-// server, or 0. A queue that refused a statement also refuses those of lower
-// priorities.
-func (r *Router) HeldOff(server, class string, priority int) (left time.Duration) {
+// server, or 0, and counts those that are not.
+func (r *Router) HeldOff(s HeldClass) (left time.Duration) {
 	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, h := range r.holdOffs[server] {
-		if name == class || h.priority < priority {
-			left = max(left, h.until.Sub(now))
+	for h, until := range r.holdOffs {
+		if h.covers(s) {
+			left = max(left, until.Sub(now))
 		}
 	}
+	if left > 0 {
+		r.heldOff.Add(1)
+	}
 	return left
 }
+
+// HeldOffTotal returns the number of statements so far that HeldOff kept from their
+// server.
+func (r *Router) HeldOffTotal() uint64 { return r.heldOff.Load() }
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -92,12 +92,13 @@
 	groups    atomic.Pointer[map[string]Group]
 	checks    atomic.Uint64
 	unsampled atomic.Uint64
+	heldOff   atomic.Uint64
 
 	mu             sync.Mutex
 	services       map[string]*service
 	servers        map[string]*daisyselector.Server
-	lastWorkspaces map[string]string             // By server, the workspace that used it last.
-	holdOffs       map[string]map[string]holdOff // By server and class.
+	lastWorkspaces map[string]string       // By server, the workspace that used it last.
+	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
 }
 
 // New returns a router of an empty fleet.
@@ -105,7 +106,7 @@
 	r := &Router{
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
-		holdOffs: make(map[string]map[string]holdOff),
+		holdOffs: make(map[HeldClass]time.Time),
 	}
 	r.groups.Store(&map[string]Group{})
 	return r
@@ -134,7 +135,6 @@
 		if !known[name] {
 			delete(r.servers, name)
 			delete(r.lastWorkspaces, name)
-			delete(r.holdOffs, name)
 		}
 	}
 }
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -204,6 +204,8 @@
 const (
 	serviceName = "baskets"
 	keyText     = "key-1"
+	// otherKeyText is the key of a second workspace.
+	otherKeyText = "key-2"
 )
 
 func (f *fleet) Dial(_ context.Context, t daisypool.Target) (daisypool.Link, error) {
@@ -248,7 +250,7 @@
 	})
 	f.router.Refresh()
 	admission := daisyadmission.New(func() {})
-	admission.SetLimits([]daisyquota.WorkspaceLimit{{Workspace: "w1", Rate: 1000, Burst: 1000}})
+	admission.SetLimits([]daisyquota.WorkspaceLimit{{Workspace: "w1", Rate: 1000, Burst: 1000}, {Workspace: "w2", Rate: 1000, Burst: 1000}})
 	time.Sleep(time.Second) // Token buckets start empty.
 	f.setKeys(keyText)
 	f.env = &daisysession.Environment{
@@ -278,10 +280,12 @@
 	}
 	profiles := []daisyspec.Profile{profile("strict", daisyspec.FreshPrimary), profile("loose", daisyspec.FreshBounded), profile("own", daisyspec.FreshSession)}
 	f.index.Store(daisyspec.NewIndex(&daisyspec.Document{
-		Version:    1,
-		Profiles:   append(profiles, f.profiles...),
-		Services:   []daisyspec.Service{{Name: serviceName, Connections: 21}},
-		Workspaces: []daisyspec.Workspace{{Name: "w1", Keys: keys, Rate: 1000, Burst: 1000}},
+		Version:  1,
+		Profiles: append(profiles, f.profiles...),
+		Services: []daisyspec.Service{{Name: serviceName, Connections: 21}},
+		Workspaces: []daisyspec.Workspace{
+			{Name: "w1", Keys: keys, Rate: 1000, Burst: 1000}, {Name: "w2", Keys: []string{otherKeyText}, Rate: 1000, Burst: 1000},
+		},
 	}))
 }
 
@@ -302,7 +306,12 @@
 
 func (f *fleet) session(database string) *daisysession.Session {
 	f.t.Helper()
-	s, refused := f.env.Open(database, keyText)
+	return f.sessionOf(database, keyText)
+}
+
+func (f *fleet) sessionOf(database, key string) *daisysession.Session {
+	f.t.Helper()
+	s, refused := f.env.Open(database, key)
 	assert.Assert(f.t, refused == nil, "%v", refused)
 	return s
 }
--- a/internal/session/daisysession/overload_test.go
+++ b/internal/session/daisysession/overload_test.go
@@ -80,17 +80,19 @@
 // refusingForwarder refuses every request for load and counts the requests.
 type refusingForwarder struct {
 	retryAfter time.Duration
+	ownShare   bool
 	requests   int
 }
 
 func (f *refusingForwarder) Run(daisygateway.StatementRequest) (daisystatement.Answer, daisygateway.PinnedConn, error) {
 	f.requests++
-	return daisystatement.Answer{}, nil, daisygateway.NewOverloadError(f.retryAfter)
+	return daisystatement.Answer{}, nil, daisygateway.NewOverloadError(f.retryAfter, f.ownShare)
 }
 
 // Guards against refusals that fill a gateway host: after a refusal for load, a host
 // refuses like statements itself for half of the time to retry. Statements of a
-// higher priority are still sent.
+// higher priority are still sent, and those of other workspaces if only the share of
+// one was used up.
 func TestRefusalsForLoadCostTheGatewayLittle(t *testing.T) {
 	const (
 		retryAfter = time.Second
@@ -99,11 +101,16 @@
 	tests := []struct {
 		name          string
 		first, second string // Databases.
+		key           string // Of the second session.
+		ownShare      bool   // The refusals are for the share of the first session's workspace.
 		requests      int    // By the statements for the second, sent for 2 s after one for the first.
 	}{
-		{"SameDatabase", "strict", "strict", 3},
-		{"LowerPriority", "strict", "low", 3},
-		{"HigherPriority", "low", "strict", 4},
+		{"SameDatabase", "strict", "strict", keyText, false, 3},
+		{"LowerPriority", "strict", "low", keyText, false, 3},
+		{"HigherPriority", "low", "strict", keyText, false, 4},
+		{"OtherWorkspace", "strict", "strict", otherKeyText, false, 3},
+		{"OwnShare", "strict", "strict", keyText, true, 3},
+		{"OwnShareOtherWorkspace", "strict", "strict", otherKeyText, true, 4},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -114,9 +121,9 @@
 					Name: "low", Database: "low", Service: serviceName, Freshness: daisyspec.FreshPrimary, Priority: 1,
 					Timeout: time.Second, Latency: 500 * time.Millisecond,
 				})
-				forwarder := &refusingForwarder{retryAfter: retryAfter}
+				forwarder := &refusingForwarder{retryAfter: retryAfter, ownShare: test.ownShare}
 				f.env.Forwarder = forwarder
-				first, second := f.session(test.first), f.session(test.second)
+				first, second := f.session(test.first), f.sessionOf(test.second, test.key)
 				assert.Equal(t, code(do(first, statement(daisystatement.KindWrite, "w"))), daisystatement.CodeBusy)
 				began, before := time.Now(), forwarder.requests
 				for time.Since(began) < 2*retryAfter {
@@ -142,7 +149,7 @@
 		return f.next.Run(req)
 	}
 	f.brings()
-	return daisystatement.Answer{}, nil, daisygateway.NewOverloadError(time.Second)
+	return daisystatement.Answer{}, nil, daisygateway.NewOverloadError(time.Second, false)
 }
 
 // Guards against reads that are refused by an overloaded primary though replicas may
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -7,6 +7,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
@@ -35,15 +36,19 @@
 // one like it, is refused here: sending it would cost the gateway host as much as
 // a request that it serves.
 func (s *Session) forward(req daisygateway.StatementRequest) (a daisystatement.Answer, conn daisygateway.PinnedConn, err error) {
-	if left := s.env.Router.HeldOff(req.Server, req.QueueClass(), req.Priority); left > 0 {
-		return a, nil, daisygateway.NewOverloadError(left)
+	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
+	if left := s.env.Router.HeldOff(class); left > 0 {
+		return a, nil, daisygateway.NewOverloadError(left, false)
 	}
 	sent := daisyclock.Now()
 	s.env.Router.Started(req.Server, s.workspace)
 	a, conn, err = s.env.Forwarder.Run(req)
 	s.recordOutcome(req, sent, err)
 	if overload := (*daisygateway.OverloadError)(nil); errors.As(err, &overload) {
-		s.env.Router.HoldOff(req.Server, req.QueueClass(), req.Priority, overload.RetryAfter)
+		if !overload.OwnShare {
+			class.Workspace = "" // All workspaces wait in the queue that refused.
+		}
+		s.env.Router.HoldOff(class, overload.RetryAfter)
 	}
 	return a, conn, err
 }
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -50,6 +50,7 @@
 	Answer     daisystatement.Answer
 	Fault      Fault
 	RetryAfter time.Duration // With FaultNotSent, set if the server's queue is too long.
+	OwnShare   bool          // With RetryAfter, whether only the workspace's share was used up.
 	Text       string
 	Sample     Sample
 }
@@ -129,7 +130,7 @@
 func EncodeCallReply(r CallReply) []byte {
 	w := &daisywire.ErrandAnswer{
 		ID: r.ID, Lane: r.PinnedConn, Rows: r.Answer.Rows, Signature: r.Answer.Signature, State: int64(r.Answer.State),
-		Term: r.Answer.Position.Term, Number: r.Answer.Position.Number, Fault: int64(r.Fault), RetryAfter: int64(r.RetryAfter), Text: r.Text,
+		Term: r.Answer.Position.Term, Number: r.Answer.Position.Number, Fault: int64(r.Fault), RetryAfter: int64(r.RetryAfter), OwnShare: r.OwnShare, Text: r.Text,
 	}
 	if s := r.Sample; s.Epoch > 0 {
 		w.SampleRound, w.SampleTerm, w.SampleNumber, w.SampleAge = s.Epoch, s.Position.Term, s.Position.Number, int64(s.Age)
@@ -151,7 +152,7 @@
 	if w == nil {
 		return r, ErrKind
 	}
-	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), Text: w.Text}
+	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), OwnShare: w.OwnShare, Text: w.Text}
 	r.Answer = daisystatement.Answer{
 		Rows: w.Rows, Signature: w.Signature, State: daisystatement.State(w.State),
 		Position: daisystatement.Position{Term: w.Term, Number: w.Number},
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -60,7 +60,7 @@
 // message may have a field only if the receiver's protocol has it.
 const (
 	ProtocolFirst    = 1
-	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter.
+	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter and OwnShare.
 )
 
 // Protocol returns the protocol of the other host.
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -324,6 +324,9 @@
 	// The number of the server's log position.
 	Number uint64 `json:"Number,omitempty,omitzero"`
 
+	// With RetryAfter, whether only the workspace's share of the server was used up.
+	OwnShare bool `json:"OwnShare,omitempty,omitzero"`
+
 	// When to try again a statement that was not sent since the server's queue is too
 	// long, in nanoseconds from now; 0 if it was not sent for another reason.
 	RetryAfter int64 `json:"RetryAfter,omitempty,omitzero"`
