--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -20,11 +20,12 @@
 )
 
 const (
-	serverName = "m1"
-	slots      = 3
-	handshake  = 12 * time.Millisecond
-	shortRun   = 8 * time.Millisecond
-	longRun    = 40 * time.Millisecond
+	serverName  = "m1"
+	slots       = 3
+	connections = 16
+	handshake   = 12 * time.Millisecond
+	shortRun    = 8 * time.Millisecond
+	longRun     = 40 * time.Millisecond
 )
 
 // backend is an in-memory server that runs as many statements at once as it has
@@ -98,7 +99,7 @@
 	longest   map[string]time.Duration
 }
 
-func newLoad(connections int) *load {
+func newLoad() *load {
 	l := &load{
 		backend: newBackend(), served: make(map[string]int), requested: make(map[string]int), longest: make(map[string]time.Duration),
 	}
@@ -171,7 +172,7 @@
 // and short statements before long ones.
 func TestPrimaryOverload(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLoad(16)
+		l := newLoad()
 		for i := range 300 { // 3 s at 10 ms.
 			workspace := fmt.Sprint("w", i%4)
 			l.single("booking", workspace, 1, "short")
@@ -199,7 +200,7 @@
 // sent nothing.
 func TestHotWorkspaceDoesNotStarveOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLoad(16)
+		l := newLoad()
 		for i := range 200 {
 			for range 5 {
 				l.single("hot", "hot", 2, "long")
@@ -219,7 +220,7 @@
 // that connections are not reopened for each statement.
 func TestWorkspacesKeepTheirConnections(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := newLoad(16)
+		l := newLoad()
 		for i := range 800 {
 			l.single("any", fmt.Sprint("w", i%8), 2, "short")
 			time.Sleep(5 * time.Millisecond)
@@ -245,7 +246,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				l := newLoad(16)
+				l := newLoad()
 				for range test.waiting {
 					l.single("hot", "hot", 2, "long")
 				}
