--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -262,3 +262,24 @@
 		})
 	}
 }
+
+// Guards against bookings that are refused while a primary is overloaded, though they
+// are a small part of its load: with many workspaces, each with lookups that wait, a
+// booking must not wait for the turn of its workspace.
+func TestPriorityHoldsAcrossWorkspaces(t *testing.T) {
+	const workspaces = 74
+	synctest.Test(t, func(t *testing.T) {
+		l := newLoad()
+		for i := range 600 { // 3 s; lookups are 2.7 times what the server can do.
+			l.single("lookup", fmt.Sprint("w", i%workspaces), 2, "long")
+			if i%10 == 0 {
+				l.single("booking", fmt.Sprint("w", i*7%workspaces), 1, "short")
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		l.close(t)
+		assert.Equal(t, l.served["booking"], l.requested["booking"])
+		assert.Assert(t, l.longest["booking"] <= 250*time.Millisecond, "%v", l.longest)
+		assert.Assert(t, l.served["lookup"] < l.requested["lookup"])
+	})
+}
