--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -193,7 +193,7 @@
 // connections, can go on.
 func (g *Gateway) obtain(ctx context.Context, s *serverState, req StatementRequest, rank float64) (*daisypool.Conn, *daisyqueue.Slot, error) {
 	urgent := req.Statement.Kind == daisystatement.KindStatus
-	slot, err := s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Priority: req.Priority, Rank: rank, Urgent: urgent})
+	slot, err := s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Rank: rank, Urgent: urgent})
 	if err != nil {
 		return nil, nil, notQueued(err)
 	}
--- a/internal/holder/daisyqueue/queue.go
+++ b/internal/holder/daisyqueue/queue.go
@@ -1,15 +1,13 @@
 // Package daisyqueue shares a fixed number of slots fairly between workspaces.
 //
 // The service that a workspace has received is the time for which it held slots,
-// divided by its weight. A free slot goes to a request of the highest priority that
-// waits, and among the workspaces that have such requests to the one that has
+// divided by its weight. A free slot goes to the waiting workspace that has
 // received the least service, as in start-time fair queueing (Goyal, Vin and
 // Cheng, 1996). An idle workspace accumulates no credit. Within a workspace, the
 // request with the lowest rank goes first.
 package daisyqueue
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -35,14 +33,13 @@
 	closed      bool
 	workspaces  map[string]*workspaceState
 	urgent      []*waiter     // Served before all others, in the order of arrival.
-	virtualTime time.Duration // Least service of the workspaces that waited when a slot was last handed out; never decreases.
+	virtualTime time.Duration // Service of the workspace last chosen as the least served; never decreases.
 }
 
 // SlotRequest is a request for a slot.
 type SlotRequest struct {
 	Workspace string
 	Weight    float64 // The workspace's share relative to others; 0 counts as 1.
-	Priority  int     // 0 is the highest. Within a workspace, a higher priority has lower ranks.
 	Rank      float64 // Orders the requests of a workspace, the lowest first.
 	Urgent    bool    // Served before all requests that are not, since others wait for the requester.
 }
@@ -57,7 +54,6 @@
 type waiter struct {
 	ready     chan struct{}
 	workspace string
-	priority  int
 	rank      float64
 	slot      *Slot
 	err       error
@@ -156,7 +152,7 @@
 	if len(ws.waiting) == 0 && len(ws.held) == 0 {
 		ws.service = max(ws.service, q.virtualTime)
 	}
-	w := &waiter{ready: make(chan struct{}), workspace: workspace, priority: r.Priority, rank: r.Rank}
+	w := &waiter{ready: make(chan struct{}), workspace: workspace, rank: r.Rank}
 	if r.Urgent {
 		q.urgent = append(q.urgent, w)
 		q.dispatch()
@@ -219,37 +215,25 @@
 	return w
 }
 
-// leastServed returns the least served of the workspaces whose first waiting request
-// has the highest priority, or nil if no request waits.
 func (q *Queue) leastServed(now time.Time) (string, *workspaceState) {
 	var name string
 	var best *workspaceState
-	var bestService, least time.Duration
+	var bestService time.Duration
 	for workspace, ws := range q.workspaces {
 		if len(ws.waiting) == 0 {
 			continue
 		}
 		service := ws.serviceAt(now)
-		if best == nil || ws.service < least {
-			least = ws.service
-		}
-		if best == nil || precedes(ws, service, workspace, best, bestService, name) {
+		if best == nil || service < bestService || service == bestService && workspace < name {
 			name, best, bestService = workspace, ws, service
 		}
 	}
 	if best != nil {
-		q.virtualTime = max(q.virtualTime, least)
+		q.virtualTime = max(q.virtualTime, best.service)
 	}
 	return name, best
 }
 
-// precedes reports whether workspace a, with its service and name, is served before
-// workspace b.
-func precedes(a *workspaceState, aService time.Duration, aName string, b *workspaceState, bService time.Duration, bName string) bool {
-	order := cmp.Or(cmp.Compare(a.waiting[0].priority, b.waiting[0].priority), cmp.Compare(aService, bService), cmp.Compare(aName, bName))
-	return order < 0
-}
-
 // serviceAt returns the service so far, including that of the slots still held.
 func (ws *workspaceState) serviceAt(now time.Time) time.Duration {
 	total := ws.service
