Grant whole tokens on demand where a host's part of a limit is less than one

Cause: a workspace's rate was divided among all hosts in fractions of a token, and the pool granted fractions in advance to hosts whose operations had passed.

Ruled out: the control leader's load (0.24 of a core at most).

Change: where a host's part of the burst is less than a token, the pool holds the whole limit and grants whole tokens for operations that wait, and for the next 0.2 s of a host with five operations a second or more. A token not used 0.2 s after its arrival is lost, and grants older than 0.3 s are dropped, so the bound is rate x (window + 0.5 s) + burst, within what the platform allows. Grants of none are stated, and refusals without such a statement are counted on their own. A waiting operation is woken by the grant. Hosts no longer hold a whole token where their part is less.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -183,6 +183,8 @@
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
 		{"daisyglade_held_off_total", func(l daisyentryhost.Load) uint64 { return l.HeldOff }},
+		{"daisyglade_refused_over_rate_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.OverRate }},
+		{"daisyglade_refused_unanswered_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.Unanswered }},
 	}
 	for _, t := range totals {
 		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
--- a/internal/control/daisylease/client.go
+++ b/internal/control/daisylease/client.go
@@ -19,6 +19,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisycontroller"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -57,7 +58,9 @@
 	Dial   Dial                            // Opens a link to a control host.
 	Report func() daisyheartbeat.Heartbeat // Returns the next heartbeat; the client sets ID and Revision.
 	Probe  func([]daisyheartbeat.Probe)    // Called with the primaries to probe.
-	Grant  func([]daisyheartbeat.Demand)   // Called with granted tokens; may be nil.
+	// Grant is called with granted tokens, unless they were requested more than
+	// daisyquota.MaxGrantAge ago; may be nil.
+	Grant func([]daisyheartbeat.Demand)
 	// Eager sends heartbeats every 60 ms while there is no lease or no leader. It is
 	// for fleets in which a new process of a host need not wait until the lease of
 	// the previous one expires.
@@ -297,7 +300,11 @@
 	if r.ID == 0 {
 		return true
 	}
-	if len(r.Grants) > 0 && c.options.Grant != nil {
+	c.mu.Lock()
+	sentAt, ok := c.sentAt[r.ID]
+	delete(c.sentAt, r.ID)
+	c.mu.Unlock()
+	if len(r.Grants) > 0 && c.options.Grant != nil && ok && daisyclock.Now().Sub(sentAt) <= daisyquota.MaxGrantAge {
 		c.options.Grant(r.Grants)
 	}
 	c.mu.Lock()
@@ -305,8 +312,6 @@
 	if len(r.Controls) > 0 {
 		c.learnedHosts = r.Controls
 	}
-	sentAt, ok := c.sentAt[r.ID]
-	delete(c.sentAt, r.ID)
 	if !r.Leader.IsValid() && c.options.Eager {
 		return c.waitForLeader(daisyclock.Now())
 	}
--- a/internal/control/daisypromotion/tokens.go
+++ b/internal/control/daisypromotion/tokens.go
@@ -39,7 +39,8 @@
 }
 
 // Grants implements daisycoordinator.Decider. It grants tokens from the
-// workspaces' pools for the demands of a heartbeat.
+// workspaces' pools for the demands of a heartbeat. A grant of no token says that the
+// pool is empty.
 func (l *Leader) Grants(now time.Time, _ *daisyfleet.State, b daisyheartbeat.Heartbeat) []daisyheartbeat.Demand {
 	var grants []daisyheartbeat.Demand
 	for _, d := range b.Demands {
@@ -47,9 +48,7 @@
 		if p == nil {
 			continue
 		}
-		if tokens := p.Draw(now, d.Tokens); tokens > 0 {
-			grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Tokens: tokens})
-		}
+		grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Tokens: p.Draw(now, d.Tokens)})
 	}
 	return grants
 }
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -7,6 +7,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/limit/daisyadmission"
 )
 
 // loadLogInterval is the interval at which a host that serves statements logs its
@@ -20,6 +21,7 @@
 	Dials     uint64 // Connections to backend servers that the host tried to open.
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads that only the primary could serve, for want of a recent sample.
+	Refusals  daisyadmission.Refusals
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
 
@@ -28,6 +30,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
+		Refusals: h.admission.Refusals(),
 	}
 }
 
@@ -66,5 +69,7 @@
 		"Checks":      l.Checks - before.Checks,
 		"Unsampled":   l.Unsampled - before.Unsampled,
 		"HeldOff":     l.HeldOff - before.HeldOff,
+		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
+		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
 	}
 }
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -19,10 +19,19 @@
 	// where more requests yield no more tokens. It is less than half the heartbeat
 	// interval, so that hosts draw from the pool before it is full.
 	maxRequestInterval = 240 * time.Millisecond
-	// retryInterval is how often a waiting operation tries to take a token.
+	// retryInterval is how often a waiting operation tries to take a token, besides
+	// when tokens are granted.
 	retryInterval = 10 * time.Millisecond
 )
 
+// Refusals are numbers of refused operations since the controller was created.
+type Refusals struct {
+	OverRate uint64 // The control leader had no token left for the workspace.
+	// Unanswered counts operations for which the control leader granted no token in
+	// time but did not say that none was left. The workspace may be within its rate.
+	Unanswered uint64
+}
+
 // Controller admits operations by the host's token buckets of the workspaces.
 // It is safe for concurrent use. Use New.
 type Controller struct {
@@ -35,12 +44,15 @@
 	lastRequest time.Time                            // When requestTokens was last called.
 	waiting     map[string]map[int]int               // Number of waiting operations, by workspace and priority.
 	pending     map[string]pendingRequest            // By workspace.
+	granted     chan struct{}                        // Closed when tokens are granted.
+	refusals    Refusals
 }
 
 // pendingRequest is the state of a workspace's request for tokens.
 type pendingRequest struct {
 	lacking  float64       // Tokens requested but not granted yet.
 	interval time.Duration // Minimum time between two early heartbeats.
+	denied   time.Time     // When the control leader last granted fewer tokens than requested.
 }
 
 // New returns a Controller without limits. It calls requestTokens when it lacks
@@ -48,7 +60,7 @@
 func New(requestTokens func()) *Controller {
 	return &Controller{
 		requestTokens: requestTokens, hosts: 1, limits: make(map[string]daisyquota.WorkspaceLimit), buckets: make(map[string]*daisyquota.HostBucket),
-		waiting: make(map[string]map[int]int), pending: make(map[string]pendingRequest),
+		waiting: make(map[string]map[int]int), pending: make(map[string]pendingRequest), granted: make(chan struct{}),
 	}
 }
 
@@ -95,26 +107,50 @@
 // and, if it gets none, returns the time to retry. Waiting operations of a higher
 // priority, which is a lower number, go first.
 func (c *Controller) Admit(workspace string, priority int, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
-	until := daisyclock.Now().Add(maxWait)
-	if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).Take); ok {
+	arrived := daisyclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ok, retryAfter = c.take(arrived, workspace, priority, (*daisyquota.HostBucket).Take); ok {
 		return ok, retryAfter
 	}
 	c.countWaiting(workspace, priority, 1)
 	defer c.countWaiting(workspace, priority, -1)
-	for daisyclock.Now().Before(until) {
-		time.Sleep(retryInterval)
-		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
+	until := arrived.Add(maxWait)
+	for now := arrived; ; now = daisyclock.Now() {
+		c.request(now, workspace)
+		if !now.Before(until) {
 			break
 		}
+		c.awaitGrant()
+		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
+			return ok, retryAfter
+		}
+	}
+	if c.pending[workspace].denied.Before(arrived) {
+		c.refusals.Unanswered++
+	} else {
+		c.refusals.OverRate++
+	}
+	return false, retryAfter
+}
+
+// awaitGrant waits until tokens are granted, but no longer than retryInterval. It
+// unlocks c.mu while it waits.
+func (c *Controller) awaitGrant() {
+	granted := c.granted
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	timer := time.NewTimer(retryInterval)
+	defer timer.Stop()
+	select {
+	case <-granted:
+	case <-timer.C:
 	}
-	return ok, retryAfter
 }
 
 // countWaiting adds the change to the number of waiting operations of the workspace
-// and priority.
+// and priority. It requires c.mu.
 func (c *Controller) countWaiting(workspace string, priority, change int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	byPriority := c.waiting[workspace]
 	if byPriority == nil {
 		byPriority = make(map[int]int)
@@ -128,6 +164,14 @@
 	}
 }
 
+// countAllWaiting returns the number of waiting operations of the workspace.
+func (c *Controller) countAllWaiting(workspace string) (n int) {
+	for _, count := range c.waiting[workspace] {
+		n += count
+	}
+	return n
+}
+
 // higherPriorityWaits reports whether an operation of a higher priority is waiting.
 func (c *Controller) higherPriorityWaits(workspace string, priority int) bool {
 	for p := range c.waiting[workspace] {
@@ -138,9 +182,9 @@
 	return false
 }
 
+// take takes a token unless an operation of a higher priority waits for one. It
+// requires c.mu.
 func (c *Controller) take(now time.Time, workspace string, priority int, take func(*daisyquota.HostBucket, time.Time) (bool, time.Duration)) (bool, time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	b := c.buckets[workspace]
 	if b == nil {
 		return false, time.Second
@@ -148,12 +192,27 @@
 	if c.higherPriorityWaits(workspace, priority) {
 		return false, minRequestInterval
 	}
-	ok, wait := take(b, now)
-	if !ok && now.Sub(c.lastRequest) > max(minRequestInterval, c.pending[workspace].interval) {
+	return take(b, now)
+}
+
+// request sends the next heartbeat early if the workspace lacks tokens that were not
+// requested a short time ago. It requires c.mu.
+func (c *Controller) request(now time.Time, workspace string) {
+	b := c.buckets[workspace]
+	if b == nil || now.Sub(c.lastRequest) <= max(minRequestInterval, c.pending[workspace].interval) {
+		return
+	}
+	if b.Wanted(now, c.countAllWaiting(workspace)) > 0 {
 		c.lastRequest = now
 		c.requestTokens()
 	}
-	return ok, wait
+}
+
+// Refusals returns the numbers of refused operations so far.
+func (c *Controller) Refusals() Refusals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals
 }
 
 // State returns the state of the workspace's bucket; zero if there is none.
@@ -174,11 +233,13 @@
 	now := daisyclock.Now()
 	var demands []daisyheartbeat.Demand
 	for name, b := range c.buckets {
-		tokens := b.Wanted(now)
+		tokens := b.Request(now, c.countAllWaiting(name))
 		if tokens > 0 {
 			demands = append(demands, daisyheartbeat.Demand{Workspace: name, Tokens: tokens})
 		}
-		c.pending[name] = c.pending[name].next(tokens)
+		if tokens > 0 || b.Requested() == 0 {
+			c.pending[name] = c.pending[name].next(tokens)
+		}
 	}
 	return demands
 }
@@ -190,10 +251,11 @@
 	if r.lacking > 0 && tokens > 0 {
 		interval = min(2*max(r.interval, minRequestInterval), maxRequestInterval)
 	}
-	return pendingRequest{lacking: tokens, interval: interval}
+	return pendingRequest{lacking: tokens, interval: interval, denied: r.denied}
 }
 
-// AddGrants adds granted tokens to the workspaces' buckets.
+// AddGrants adds granted tokens to the workspaces' buckets. A grant of fewer tokens
+// than were requested, also of none, says that the pool is empty.
 func (c *Controller) AddGrants(grants []daisyheartbeat.Demand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -202,8 +264,12 @@
 		if b := c.buckets[d.Workspace]; b != nil {
 			b.Add(now, d.Tokens)
 			r := c.pending[d.Workspace]
-			r.lacking -= d.Tokens
+			if r.lacking -= d.Tokens; r.lacking > 0 {
+				r.denied = now
+			}
 			c.pending[d.Workspace] = r
 		}
 	}
+	close(c.granted)
+	c.granted = make(chan struct{})
 }
--- a/internal/limit/daisyquota/doc.go
+++ b/internal/limit/daisyquota/doc.go
@@ -1,16 +1,26 @@
 // Package daisyquota shares the limit of a workspace, a rate and a burst, among many
 // hosts, each of which may lose its connection to the others at any time.
 //
-// A part of the rate is divided equally among the hosts, which spend it without
-// coordination. The rest is a pool on the control leader. A host requests the tokens
-// that its demand needs beyond its own part with its heartbeats. A host without a
-// connection keeps serving on its own part; one without demand requests nothing.
+// How depends on what a host's part of the burst is:
+//
+//   - If it is a token or more, the limit is divided. A part of the rate is divided
+//     equally among the hosts, which spend it without coordination. The rest is a pool
+//     on the control leader. A host requests the tokens that its demand needs beyond
+//     its own part with its heartbeats. A host without a connection keeps serving on
+//     its own part; one without demand requests nothing.
+//   - If it is less, the limit is granted on demand. The whole limit is in the pool,
+//     which grants whole tokens for operations that wait and for the next moments of a
+//     host with much demand. Parts of a token at hosts without operations would be
+//     lost to the hosts that have some.
 //
 // In any window of length w the fleet takes at most
 //
-//	rate × w + (hostBurstRatio + poolBurstRatio) × burst
+//	rate × w + (hostBurstRatio + poolBurstRatio) × burst     divided,
+//	rate × (w + MaxGrantAge + tokenLifetime) + burst         on demand,
 //
 // regardless of how many hosts restart, since a process starts without tokens.
+// Divided, a host holds no more than its part of the burst; on demand, a token is lost
+// if it was drawn from the pool more than MaxGrantAge + tokenLifetime ago.
 //
 // Entry hosts use this package. Hosts that hold databases use package daisybucket
 // instead, in which one host owns the token bucket and its local buckets hold only
--- a/internal/limit/daisyquota/host.go
+++ b/internal/limit/daisyquota/host.go
@@ -6,9 +6,19 @@
 )
 
 const (
-	// lookahead is the time for which a host requests tokens in advance. Heartbeats
-	// are sent every 0.5 s, and one may be lost.
+	// MaxGrantAge is the maximum time between a host's request for tokens and their
+	// arrival. The host must drop tokens that arrive later.
+	MaxGrantAge = 300 * time.Millisecond
+	// tokenLifetime is how long a host keeps a token that was granted on demand.
+	tokenLifetime = 200 * time.Millisecond
+	// requestTimeout is the time after which tokens that were requested on demand and
+	// not granted are requested again: four round trips between regions.
+	requestTimeout = 100 * time.Millisecond
+	// lookahead is the time for which a host requests tokens of a divided limit in
+	// advance. Heartbeats are sent every 0.5 s, and one may be lost.
 	lookahead = 1200 * time.Millisecond
+	// onDemandLookahead is the same for tokens on demand, which do not last longer.
+	onDemandLookahead = tokenLifetime
 	// demandWindow is the time constant of the demand's moving average.
 	demandWindow = time.Second
 )
@@ -18,10 +28,20 @@
 // for concurrent use.
 type HostBucket struct {
 	limit   WorkspaceLimit
-	hosts   int // Number of hosts that share the limit.
-	level   float64
+	hosts   int     // Number of hosts that share the limit.
+	level   float64 // Tokens of a divided limit.
 	updated time.Time
 	demand  float64 // Requests per second, averaged over demandWindow.
+
+	grants      []grant   // Unused tokens on demand, the oldest first.
+	requested   float64   // Tokens on demand that were requested and have not arrived.
+	requestedAt time.Time // When tokens on demand were last requested.
+}
+
+// grant is a number of tokens that expire together.
+type grant struct {
+	tokens  float64
+	expires time.Time
 }
 
 // NewHostBucket returns the empty bucket of one of the hosts that share the limit.
@@ -32,25 +52,42 @@
 // SetLimit changes the limit and the number of hosts as of now.
 func (b *HostBucket) SetLimit(now time.Time, l WorkspaceLimit, hosts int) {
 	b.refill(now)
+	wasOnDemand := b.onDemand()
 	b.limit, b.hosts = l, max(1, hosts)
+	if b.onDemand() != wasOnDemand {
+		b.level, b.grants, b.requested = 0, nil, 0
+	}
 	b.refill(now)
 }
 
-// capacity returns the maximum number of tokens in the bucket. It is at least 1, or a
-// workspace with a small burst would get no request through.
-func (b *HostBucket) capacity() float64 {
-	return math.Max(1, b.limit.Burst*hostBurstRatio/float64(b.hosts))
-}
+func (b *HostBucket) onDemand() bool { return b.limit.onDemand(b.hosts) }
 
 // ownRate returns the host's own part of the rate.
-func (b *HostBucket) ownRate() float64 { return b.limit.Rate * ownShare(b.hosts) / float64(b.hosts) }
+func (b *HostBucket) ownRate() float64 {
+	return b.limit.Rate * b.limit.ownShare(b.hosts) / float64(b.hosts)
+}
 
 func (b *HostBucket) refill(now time.Time) {
 	elapsed := now.Sub(b.updated)
 	b.updated = now
 	b.demand *= math.Exp(-elapsed.Seconds() / demandWindow.Seconds())
+	if b.onDemand() {
+		for len(b.grants) > 0 && !now.Before(b.grants[0].expires) {
+			b.grants = b.grants[1:]
+		}
+		return
+	}
 	level := b.level + elapsed.Seconds()*b.ownRate()
-	b.level = math.Min(level, b.capacity())
+	b.level = math.Min(level, b.limit.hostBurst(b.hosts))
+}
+
+// tokens returns the number of tokens in the bucket as of the last refill.
+func (b *HostBucket) tokens() float64 {
+	total := b.level
+	for _, g := range b.grants {
+		total += g.tokens
+	}
+	return total
 }
 
 // Take counts a request as demand and takes a token for it. If there is none, it
@@ -70,9 +107,15 @@
 }
 
 func (b *HostBucket) takeToken() (ok bool, wait time.Duration) {
-	if b.level >= 1 {
+	switch {
+	case b.level >= 1:
 		b.level--
 		return true, 0
+	case len(b.grants) > 0:
+		if b.grants[0].tokens--; b.grants[0].tokens < 1 {
+			b.grants = b.grants[1:]
+		}
+		return true, 0
 	}
 	seconds := math.Min(lookahead.Seconds(), (1-b.level)/b.ownRate()) // A rate of 0 yields +Inf.
 	return false, time.Duration(seconds * float64(time.Second))
@@ -88,23 +131,55 @@
 
 // State returns the state that the bucket decides by.
 func (b *HostBucket) State() State {
-	return State{Rate: b.limit.Rate, Tokens: b.level, Demand: b.demand, Hosts: b.hosts}
+	return State{Rate: b.limit.Rate, Tokens: b.tokens(), Demand: b.demand, Hosts: b.hosts}
 }
 
-// Add adds granted tokens.
+// Add adds granted tokens. On demand these are whole tokens that were requested at
+// most MaxGrantAge ago.
 func (b *HostBucket) Add(now time.Time, tokens float64) {
 	b.refill(now)
-	b.level = math.Min(b.level+tokens, b.capacity())
+	if !b.onDemand() {
+		b.level = math.Min(b.level+tokens, b.limit.hostBurst(b.hosts))
+		return
+	}
+	b.requested = math.Max(0, b.requested-tokens)
+	if tokens = math.Floor(tokens); tokens > 0 {
+		b.grants = append(b.grants, grant{tokens: tokens, expires: now.Add(tokenLifetime)})
+	}
 }
 
-// Wanted returns the number of tokens to request, so that the bucket covers the
-// demand beyond the host's own part for lookahead.
-func (b *HostBucket) Wanted(now time.Time) float64 {
+// Wanted returns the number of tokens to request. Those of a divided limit cover the
+// demand beyond the host's own part for lookahead. Those on demand are for the
+// operations that wait and the demand during onDemandLookahead; tokens that were
+// requested less than requestTimeout ago are not requested again.
+func (b *HostBucket) Wanted(now time.Time, waiting int) float64 {
 	b.refill(now)
+	if b.onDemand() {
+		if now.Sub(b.requestedAt) >= requestTimeout {
+			b.requested = 0
+		}
+		needed := float64(waiting) + math.Floor(b.demand*onDemandLookahead.Seconds())
+		return math.Max(0, needed-b.tokens()-b.requested)
+	}
 	own := b.ownRate()
-	needed := (b.demand - own) * lookahead.Seconds()
 	if b.demand <= own && b.level >= 1 {
 		return 0
 	}
-	return math.Max(0, math.Min(math.Max(needed, 1), b.capacity())-b.level)
+	needed := (b.demand - own) * lookahead.Seconds()
+	return math.Max(0, math.Min(math.Max(needed, 1), b.limit.hostBurst(b.hosts))-b.level)
 }
+
+// Request returns the number of tokens to request, which the caller does, and records
+// them as requested.
+func (b *HostBucket) Request(now time.Time, waiting int) float64 {
+	wanted := b.Wanted(now, waiting)
+	if b.onDemand() && wanted > 0 {
+		b.requested += wanted
+		b.requestedAt = now
+	}
+	return wanted
+}
+
+// Requested returns the number of tokens that were requested on demand and are still
+// expected.
+func (b *HostBucket) Requested() float64 { return b.requested }
--- a/internal/limit/daisyquota/pool.go
+++ b/internal/limit/daisyquota/pool.go
@@ -14,9 +14,10 @@
 	// use their own part, so the part is smaller.
 	smallFleetHosts = 8
 	// hostBurstRatio is the capacity of all host buckets together, relative to the
-	// burst.
+	// burst, of a divided limit.
 	hostBurstRatio = 1.2
-	// poolBurstRatio is the capacity of the pool, relative to the burst.
+	// poolBurstRatio is the capacity of the pool of a divided limit, relative to the
+	// burst.
 	poolBurstRatio = 0.2
 )
 
@@ -27,6 +28,24 @@
 	Burst     float64 // Requests that may arrive at once.
 }
 
+// hostBurst returns a host's part of the burst.
+func (l WorkspaceLimit) hostBurst(hosts int) float64 {
+	return l.Burst * hostBurstRatio / math.Max(1, float64(hosts))
+}
+
+// onDemand reports whether the limit is granted on demand among the given number of
+// hosts. Otherwise it is divided.
+func (l WorkspaceLimit) onDemand(hosts int) bool { return l.hostBurst(hosts) < 1 }
+
+// ownShare returns the part of the rate that the given number of hosts spend without
+// requesting tokens from the pool.
+func (l WorkspaceLimit) ownShare(hosts int) float64 {
+	if l.onDemand(hosts) {
+		return 0
+	}
+	return smallFleetShare * math.Min(1, smallFleetHosts/math.Max(1, float64(hosts)))
+}
+
 // Pool is the part of a workspace's limit that the control leader grants to hosts.
 // It is not safe for concurrent use.
 type Pool struct {
@@ -49,24 +68,30 @@
 	p.refill(now)
 }
 
-// ownShare returns the part of the rate that the given number of hosts spend
-// without requesting tokens from the pool.
-func ownShare(hosts int) float64 {
-	return smallFleetShare * math.Min(1, smallFleetHosts/math.Max(1, float64(hosts)))
+// capacity returns the maximum number of tokens in the pool. On demand it is at least
+// 1, or a workspace with a smaller burst would get no request through.
+func (p *Pool) capacity() float64 {
+	if p.limit.onDemand(p.hosts) {
+		return math.Max(1, p.limit.Burst)
+	}
+	return p.limit.Burst * poolBurstRatio
 }
 
 func (p *Pool) refill(now time.Time) {
 	elapsed := now.Sub(p.updated).Seconds()
 	p.updated = now
-	level := p.level + elapsed*p.limit.Rate*(1-ownShare(p.hosts))
-	p.level = math.Min(level, p.limit.Burst*poolBurstRatio)
+	level := p.level + elapsed*p.limit.Rate*(1-p.limit.ownShare(p.hosts))
+	p.level = math.Min(level, p.capacity())
 }
 
 // Draw takes up to the wanted number of tokens from the pool and returns how many
-// it took.
+// it took. On demand it takes whole tokens.
 func (p *Pool) Draw(now time.Time, wanted float64) float64 {
 	p.refill(now)
 	taken := math.Max(0, math.Min(wanted, p.level))
+	if p.limit.onDemand(p.hosts) {
+		taken = math.Floor(taken)
+	}
 	p.level -= taken
 	return taken
 }
