Let the gateways of a service's servers sample its primary for all hosts

Cause: each host that had used a service within 10 s asked its primary for its position every 1.1 s, through the one gateway host of that primary, and checked it when it was late.

Ruled out: rarer samples at each host, since a host of a large fleet sees a read of a service every three seconds, so that most samples serve none.

Change: only the gateways of a service's servers sample and check its primary: all hosts of a small fleet, nine in a large one. A read of a host that knows no position is sent to a replica's gateway with the epoch and the maximum age (protocol 3), and the gateway adds a position or refuses as not sent; then the primary serves the read as before. A control leader counts the reports of these observers only, as shares of them. The ranking of gateways moved to daisyplacement, is made for all servers at once and no longer sorts all hosts for each server.

--- /dev/null
+++ b/internal/control/daisyplacement/gateways.go
@@ -0,0 +1,120 @@
+package daisyplacement
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+)
+
+// maxGateways is the number of gateways of a server: the hosts that a request is
+// offered to in turn. Each may keep a share of the server's connections.
+const maxGateways = 3
+
+// connectionShares are the gateways' shares of a server's connections, by rank.
+// The gateways after the first serve requests that the first cannot send, so
+// that the server stays in use until the fleet's state has changed.
+var connectionShares = [maxGateways]float64{0.8, 0.15, 0.05}
+
+// Gateway is a host through which a backend server is used.
+type Gateway struct {
+	Host    string
+	Address netip.AddrPort
+}
+
+// Topology maps failure domains to regions.
+type Topology struct {
+	Regions map[string]string // By failure domain.
+}
+
+// Gateways returns the gateways of all servers in the state, in the order in which
+// they are tried. They depend on the state only, so that all hosts agree on them.
+func (t Topology) Gateways(s *daisyfleet.State) map[string][]Gateway {
+	hosts := gatewayCandidates(s)
+	gateways := make(map[string][]Gateway)
+	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+		if v, ok := o.Value.(daisyfleet.Server); ok {
+			gateways[o.Name] = t.rank(o.Name, v.FailureDomain, hosts)
+		}
+	})
+	return gateways
+}
+
+// Observers returns the hosts that report whether they reach a primary of the service:
+// the gateways of all its servers, so that there are some near each of them.
+func (t Topology) Observers(s *daisyfleet.State, service string) map[string]bool {
+	hosts := gatewayCandidates(s)
+	observers := make(map[string]bool)
+	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+		if v, ok := o.Value.(daisyfleet.Server); ok && v.Service == service {
+			for _, g := range t.rank(o.Name, v.FailureDomain, hosts) {
+				observers[g.Host] = true
+			}
+		}
+	})
+	return observers
+}
+
+// candidate is a host that may be a gateway.
+type candidate struct {
+	Gateway
+	failureDomain string
+}
+
+func gatewayCandidates(s *daisyfleet.State) (hosts []candidate) {
+	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
+		if h, ok := o.Value.(daisyfleet.Host); ok && h.Up && !h.Leaving {
+			hosts = append(hosts, candidate{Gateway{Host: o.Name, Address: h.Address}, h.FailureDomain})
+		}
+	})
+	return hosts
+}
+
+// rank returns the gateways of the server in the failure domain, in order. The nearest
+// hosts come first, in the order of their weights.
+func (t Topology) rank(server, domain string, hosts []candidate) (gateways []Gateway) {
+	type ranked struct {
+		Gateway
+		distance int
+		weight   uint64
+	}
+	compare := func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.weight, a.weight), cmp.Compare(a.Host, b.Host))
+	}
+	var best []ranked // Sorted.
+	for _, h := range hosts {
+		r := ranked{h.Gateway, t.distance(domain, h.failureDomain), Weight(server, h.Host)}
+		at, _ := slices.BinarySearchFunc(best, r, compare)
+		if at == maxGateways {
+			continue
+		}
+		best = slices.Insert(best, at, r)
+		best = best[:min(len(best), maxGateways)]
+	}
+	for _, r := range best {
+		gateways = append(gateways, r.Gateway)
+	}
+	return gateways
+}
+
+// distance returns 0 within a failure domain, 1 within a region and 2 otherwise.
+func (t Topology) distance(a, b string) int {
+	switch {
+	case a == b:
+		return 0
+	case t.Regions[a] == t.Regions[b]:
+		return 1
+	}
+	return 2
+}
+
+// ConnectionShare returns how many of a server's connections the gateway of the rank
+// may keep. It returns 0 for a rank that no gateway has, including -1.
+func ConnectionShare(connections, rank int) int {
+	const reserved = 1 // For the control leader's probes.
+	if rank < 0 || rank >= maxGateways {
+		return 0
+	}
+	return max(1, int(float64(connections-reserved)*connectionShares[rank]))
+}
--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -6,6 +6,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisycontroller"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 )
 
@@ -33,6 +34,7 @@
 type Options struct {
 	LeadingSince  time.Time     // When this host became the control leader.
 	LeaseDuration time.Duration // How long a host may act on the control state that it holds.
+	Topology      daisyplacement.Topology
 }
 
 // announcedServer is the last announcement of a server and when it arrived.
@@ -65,6 +67,7 @@
 	*daisycontroller.Leader
 
 	leadingSince time.Time
+	topology     daisyplacement.Topology
 	servers      map[string]*announcedServer // By ID.
 	departed     map[string]announcedServer  // By ID; seenAt is when the server departed.
 	probes       map[string]*probeState
@@ -79,7 +82,7 @@
 func NewLeader(o Options) *Leader {
 	leases := daisycontroller.LeaseOptions{Duration: o.LeaseDuration, SequentialProcesses: true}
 	return &Leader{
-		Leader: daisycontroller.NewLeaderWithOptions(o.LeadingSince, leases), leadingSince: o.LeadingSince,
+		Leader: daisycontroller.NewLeaderWithOptions(o.LeadingSince, leases), leadingSince: o.LeadingSince, topology: o.Topology,
 		servers: make(map[string]*announcedServer), departed: make(map[string]announcedServer),
 		probes: make(map[string]*probeState), observations: make(map[string]map[string]unreachableReport),
 		successions: make(map[string]*succession), pools: make(map[string]*daisyquota.Pool),
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -10,10 +11,10 @@
 )
 
 const (
-	// unreachableShareWithProbe is the share of hosts that must fail to reach a
+	// unreachableShareWithProbe is the share of observers that must fail to reach a
 	// primary that the control leader cannot reach either.
 	unreachableShareWithProbe = 0.4
-	// unreachableShareAlone is the share of hosts that must fail to reach a primary
+	// unreachableShareAlone is the share of observers that must fail to reach a primary
 	// that the control leader can reach; below it, clients reach the primary
 	// through other hosts.
 	unreachableShareAlone = 0.7
@@ -152,38 +153,42 @@
 	if !listed {
 		return "it is not announced"
 	}
-	unreachable, up := l.countUnreachable(now, s, service, leadership)
+	unreachable, observers := l.countUnreachable(now, s, service, leadership)
 	probed := l.probes[leadership.Server]
 	failures := 0
 	if probed != nil {
 		failures = probed.failures
 	}
 	switch {
-	case failures > 0 && unreachable > 0 && float64(unreachable) >= unreachableShareWithProbe*float64(up):
-		return fmt.Sprintf("%d of %d hosts and the control leader cannot reach it", unreachable, up)
+	case failures > 0 && unreachable > 0 && float64(unreachable) >= unreachableShareWithProbe*float64(observers):
+		return fmt.Sprintf("%d of %d observers and the control leader cannot reach it", unreachable, observers)
 	case failures >= probeFailureLimit && l.announcementsMissed(now, leadership.Server):
 		return "it announces nothing and the control leader cannot reach it"
-	case unreachable > 0 && float64(unreachable) >= unreachableShareAlone*float64(up):
-		return fmt.Sprintf("%d of %d hosts cannot reach it", unreachable, up)
+	case unreachable > 0 && float64(unreachable) >= unreachableShareAlone*float64(observers):
+		return fmt.Sprintf("%d of %d observers cannot reach it", unreachable, observers)
 	}
 	return ""
 }
 
-// countUnreachable returns how many hosts report that they cannot reach the
-// primary, and how many hosts are up.
-func (l *Leader) countUnreachable(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) (unreachable, up int) {
-	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
-		h, ok := o.Value.(daisyfleet.Host)
-		if !ok || !h.Up {
-			return
-		}
-		up++
-		seen := l.observations[service][o.Name]
-		if seen.unreachable && seen.epoch == leadership.Epoch && seen.server == leadership.Server && now.Sub(seen.seenAt) < observationTTL {
+// countUnreachable returns how many observers of the service report that they cannot
+// reach the primary, and how many observers there are. Other hosts do not count: their
+// number says where clients are, not which way is cut.
+func (l *Leader) countUnreachable(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) (unreachable, observers int) {
+	if !slices.ContainsFunc(slices.Collect(maps.Values(l.observations[service])), func(seen unreachableReport) bool { return seen.counts(now, leadership) }) {
+		return 0, 0
+	}
+	hosts := l.topology.Observers(s, service)
+	for host := range hosts {
+		if l.observations[service][host].counts(now, leadership) {
 			unreachable++
 		}
-	})
-	return unreachable, up
+	}
+	return unreachable, len(hosts)
+}
+
+// counts reports whether the report says that the primary cannot be reached now.
+func (r unreachableReport) counts(now time.Time, leadership daisyfleet.Leadership) bool {
+	return r.unreachable && r.epoch == leadership.Epoch && r.server == leadership.Server && now.Sub(r.seenAt) < observationTTL
 }
 
 // announcementsMissed reports whether the server has sent no announcement within
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -13,6 +13,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
@@ -36,7 +37,7 @@
 type Options struct {
 	Host     string // The name of this host.
 	Local    *daisygateway.Gateway
-	Topology Topology
+	Topology daisyplacement.Topology
 	Dial     Dial
 	Log      log.Interface
 }
@@ -54,7 +55,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
-	gateways atomic.Pointer[map[string][]Gateway] // By server.
+	gateways atomic.Pointer[map[string][]daisyplacement.Gateway] // By server.
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -64,18 +65,13 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{options: o, links: make(map[netip.AddrPort]*link)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.gateways.Store(&map[string][]Gateway{})
+	f.gateways.Store(&map[string][]daisyplacement.Gateway{})
 	return f
 }
 
 // Refresh sets the gateways from the fleet's state.
 func (f *Forwarder) Refresh(s *daisyfleet.State) {
-	next := make(map[string][]Gateway)
-	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		if v, ok := o.Value.(daisyfleet.Server); ok {
-			next[o.Name] = f.options.Topology.Gateways(s, o.Name, v.FailureDomain)
-		}
-	})
+	next := f.options.Topology.Gateways(s)
 	f.gateways.Store(&next)
 }
 
@@ -107,7 +103,7 @@
 
 // runAt runs the request at one gateway. An unreachable gateway gives the same
 // error as an unreachable server.
-func (f *Forwarder) runAt(g Gateway, req daisygateway.StatementRequest) (daisystatement.Answer, daisygateway.PinnedConn, error) {
+func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisygateway.StatementRequest) (daisystatement.Answer, daisygateway.PinnedConn, error) {
 	if g.Host == f.options.Host {
 		return f.options.Local.Run(req)
 	}
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
@@ -32,8 +33,9 @@
 // server is a backend server in memory.
 type server struct {
 	mu              sync.Mutex
-	executed        []string // Text of what ran, in order.
-	rolledBack      int      // Connections closed in a transaction.
+	executed        []string                  // Text of what ran, in order.
+	asserted        []daisystatement.Position // The positions that the statements need, in order.
+	rolledBack      int                       // Connections closed in a transaction.
 	unreachableFrom map[string]bool
 }
 
@@ -87,6 +89,7 @@
 		c.state = daisystatement.StateIdle
 	}
 	c.server.executed = append(c.server.executed, s.Text)
+	c.server.asserted = append(c.server.asserted, s.MinPosition)
 	return daisystatement.Answer{Signature: "s", Rows: []string{"row of " + s.Text}, State: c.state, Position: daisystatement.Position{Term: 3, Number: 41}}, nil
 }
 
@@ -130,7 +133,7 @@
 	if w.peer.old {
 		return daisylink.ProtocolFirst
 	}
-	return daisylink.ProtocolOverload
+	return daisylink.ProtocolPosition
 }
 
 func (w *wire) Close() { w.once.Do(func() { close(w.closed) }) }
@@ -171,6 +174,14 @@
 	return 7, daisystatement.Position{Term: 3, Number: 40}, 200 * time.Millisecond
 }
 
+// MinPosition implements daisyforwarder.Samples.
+func (h *host) MinPosition(_ string, epoch uint64, _ time.Time, age time.Duration) (daisystatement.Position, bool) {
+	return daisystatement.Position{Term: 3, Number: 40}, epoch == 7 && age >= 200*time.Millisecond
+}
+
+// NeedPosition implements daisyforwarder.Samples.
+func (h *host) NeedPosition(string, string) {}
+
 // fleet is a few hosts in the failure domain of one server.
 type fleet struct {
 	t      *testing.T
@@ -199,7 +210,7 @@
 		h.pool.Set(daisypool.Target{Server: serverName}, daisypool.Share{KeepOpen: 4, MaxOpen: 4})
 		h.gateway = daisygateway.New(h.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 		h.forwarder = daisyforwarder.New(daisyforwarder.Options{
-			Host: h.name, Local: h.gateway, Topology: daisyforwarder.Topology{Regions: map[string]string{domain: "r"}},
+			Host: h.name, Local: h.gateway, Topology: daisyplacement.Topology{Regions: map[string]string{domain: "r"}},
 			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
 		})
 	}
@@ -465,34 +476,3 @@
 		assert.Assert(t, err != nil)
 	})
 }
-
-// All hosts derive the same gateways from the state. The loss of a host moves
-// only the servers whose first gateway it was.
-func TestHostLossMovesOnlyItsServers(t *testing.T) {
-	var s daisyfleet.State
-	index := uint64(0)
-	put := func(name string, h daisyfleet.Host) {
-		index++
-		id := daisyfleet.ID{Kind: daisyfleet.KindHost, Name: name}
-		o, _ := s.Get(id)
-		s.Apply(index, daisyfleet.Change{Operations: []daisyfleet.Operation{{ID: id, ExpectedRevision: o.Revision, Value: h}}})
-	}
-	host := daisyfleet.Host{Address: netip.MustParseAddrPort("10.0.0.1:1"), FailureDomain: domain, Up: true}
-	for i := range 10 {
-		put(fmt.Sprint("h", i), host)
-	}
-	topology := daisyforwarder.Topology{Regions: map[string]string{domain: "r"}}
-	before := make(map[string]string)
-	for i := range 300 {
-		server := fmt.Sprint("m", i)
-		before[server] = topology.Gateways(&s, server, domain)[0].Host
-	}
-	lost := host
-	lost.Up = false
-	put("h3", lost)
-	for server, was := range before {
-		now := topology.Gateways(&s, server, domain)[0].Host
-		assert.Assert(t, now != "h3")
-		assert.Assert(t, was == "h3" || now == was, "%s moved from %s to %s", server, was, now)
-	}
-}
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -233,8 +233,22 @@
 	}
 }
 
+// protocol returns the protocol of the other host, or ProtocolFirst if the link is not
+// open.
+func (l *link) protocol() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return daisylink.ProtocolFirst
+	}
+	return l.conn.Protocol()
+}
+
 // run runs a statement request at the other host.
 func (l *link) run(req daisygateway.StatementRequest) (r daisycodec.CallReply, pinned daisygateway.PinnedConn, err error) {
+	if req.Freshness.MaxAge > 0 && l.protocol() < daisylink.ProtocolPosition {
+		return r, nil, fmt.Errorf("%w: %w", daisygateway.ErrNotSent, daisygateway.ErrNoPosition)
+	}
 	r, err = l.call(daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
@@ -255,6 +269,8 @@
 			return daisygateway.NewOverloadError(r.RetryAfter, r.OwnShare)
 		}
 		return fmt.Errorf("%w: %s", daisygateway.ErrNotSent, r.Text)
+	case daisycodec.FaultNoPosition:
+		return fmt.Errorf("%w: %w", daisygateway.ErrNotSent, daisygateway.ErrNoPosition)
 	case daisycodec.FaultUnreachable:
 		return fmt.Errorf("%w: %w: %s", daisygateway.ErrNotSent, daisygateway.ErrUnreachable, r.Text)
 	case daisycodec.FaultPinnedConnClosed:
--- /dev/null
+++ b/internal/entry/daisyforwarder/position_test.go
@@ -0,0 +1,60 @@
+package daisyforwarder_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
+)
+
+// The gateway adds a position of the asked epoch that is recent enough, and nothing
+// runs if it has none, so that no read runs on a log that is not fresh enough.
+func TestGatewayAddsPosition(t *testing.T) {
+	own := daisystatement.Position{Term: 3, Number: 99} // Of a write of the session.
+	added := daisystatement.Position{Term: 3, Number: 40}
+	tests := []struct {
+		name      string
+		freshness daisygateway.Freshness
+		stated    daisystatement.Position
+		local     bool // The host is the gateway itself.
+		old       bool // The gateway does not know how to add a position.
+		want      daisystatement.Position
+		served    bool
+	}{
+		{"Added", daisygateway.Freshness{Epoch: 7, MaxAge: time.Second}, daisystatement.Position{}, false, false, added, true},
+		{"LaterStated", daisygateway.Freshness{Epoch: 7, MaxAge: time.Second}, own, false, false, own, true},
+		{"NotAsked", daisygateway.Freshness{}, own, false, false, own, true},
+		{"OtherEpoch", daisygateway.Freshness{Epoch: 8, MaxAge: time.Second}, daisystatement.Position{}, false, false, daisystatement.Position{}, false},
+		{"TooOld", daisygateway.Freshness{Epoch: 7, MaxAge: 100 * time.Millisecond}, daisystatement.Position{}, false, false, daisystatement.Position{}, false},
+		{"Local", daisygateway.Freshness{Epoch: 7, MaxAge: time.Second}, daisystatement.Position{}, true, false, daisystatement.Position{}, false},
+		{"EarlierVersion", daisygateway.Freshness{Epoch: 7, MaxAge: time.Second}, daisystatement.Position{}, false, true, daisystatement.Position{}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				defer f.close()
+				gateway, from := f.first()
+				gateway.old = test.old
+				if test.local {
+					from = gateway
+				}
+				req := request(daisystatement.KindRead, "r1")
+				req.Freshness, req.Statement.MinPosition = test.freshness, test.stated
+				_, _, err := from.forwarder.Run(req)
+				if !test.served {
+					assert.ErrorIs(t, err, daisygateway.ErrNoPosition)
+					assert.ErrorIs(t, err, daisygateway.ErrNotSent)
+					assert.Equal(t, len(f.server.asserted), 0)
+					return
+				}
+				assert.NilError(t, err)
+				assert.DeepEqual(t, f.server.asserted, []daisystatement.Position{test.want})
+			})
+		})
+	}
+}
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -23,6 +24,13 @@
 	// LeadingEpoch returns the epoch in which the server leads the service, if it
 	// certainly does now, else 0.
 	LeadingEpoch(service, server string) uint64
+	// MinPosition returns a position that covers every write of the epoch's primary and
+	// of earlier ones that was acknowledged longer than age before now. It returns false
+	// if none is known.
+	MinPosition(service string, epoch uint64, now time.Time, age time.Duration) (daisystatement.Position, bool)
+	// NeedPosition records that a read of the workspace needs a position of the
+	// service's primary.
+	NeedPosition(service, workspace string)
 	// RecordPeerPosition records the position in an answer of the epoch's primary to
 	// a request that was sent at sentAt or later.
 	RecordPeerPosition(service string, epoch uint64, sentAt time.Time, p daisystatement.Position)
@@ -110,7 +118,9 @@
 	r.ID = call.ID
 	var pinned daisygateway.PinnedConn
 	var err error
-	if call.PinnedConn == 0 {
+	if call.PinnedConn == 0 && !s.addPosition(&call.Request) {
+		err = fmt.Errorf("%w: %w", daisygateway.ErrNotSent, daisygateway.ErrNoPosition)
+	} else if call.PinnedConn == 0 {
 		epoch, arrived := s.samples.LeadingEpoch(call.Request.Service, call.Request.Server), daisyclock.Now()
 		r.Answer, pinned, err = s.gateway.Run(call.Request)
 		if err == nil && r.Answer.Failure == nil && epoch > 0 && call.Request.Statement.Samples() {
@@ -133,11 +143,28 @@
 	return r
 }
 
+// addPosition adds the position that the request's Freshness asks for to its statement.
+// It returns false if none is known. The read arrived at its host earlier than the
+// request here, so a position that is recent enough now was so then.
+func (s *peer) addPosition(req *daisygateway.StatementRequest) bool {
+	if req.Freshness.MaxAge <= 0 {
+		return true
+	}
+	s.samples.NeedPosition(req.Service, req.Workspace)
+	p, ok := s.samples.MinPosition(req.Service, req.Freshness.Epoch, daisyclock.Now(), req.Freshness.MaxAge)
+	if ok {
+		req.Statement.MinPosition, req.Freshness = daisystatement.Max(req.Statement.MinPosition, p), daisygateway.Freshness{}
+	}
+	return ok
+}
+
 // fault returns the code and the text by which a reply reports the error.
 func fault(err error) (daisycodec.Fault, string) {
 	switch {
 	case err == nil:
 		return daisycodec.FaultNone, ""
+	case errors.Is(err, daisygateway.ErrNoPosition):
+		return daisycodec.FaultNoPosition, ""
 	case errors.Is(err, daisygateway.ErrUnreachable):
 		return daisycodec.FaultUnreachable, err.Error()
 	case errors.Is(err, daisygateway.ErrNotSent):
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -149,7 +149,8 @@
 	return float64(req.Priority)*priorityRank + float64(run.Milliseconds())
 }
 
-// Run runs the request. If Pin is set and the statement succeeded, it also returns
+// Run runs the request. The position that its Freshness asks for must have been added
+// to its statement, and the Freshness be zero. If Pin is set and the statement succeeded, it also returns
 // the pinned connection. After an error that is not ErrNotSent, it is unknown
 // whether the statement ran.
 func (g *Gateway) Run(req StatementRequest) (a daisystatement.Answer, conn PinnedConn, err error) {
@@ -158,6 +159,9 @@
 	if !g.pool.Usable(req.Server) {
 		return a, nil, fmt.Errorf("%w: %w: this host is not a gateway of the server", ErrNotSent, ErrUnreachable)
 	}
+	if req.Freshness.MaxAge > 0 {
+		return a, nil, fmt.Errorf("%w: %w", ErrNotSent, ErrNoPosition)
+	}
 	s := g.server(req.Server)
 	rank := s.rank(req)
 	if wait := s.expectedWait(rank); wait > time.Until(req.SendDeadline) {
--- a/internal/holder/daisygateway/request.go
+++ b/internal/holder/daisygateway/request.go
@@ -15,6 +15,9 @@
 	// ErrUnreachable is returned, with ErrNotSent, if no connection to the server
 	// could be opened.
 	ErrUnreachable = errors.New("backend server cannot be reached")
+	// ErrNoPosition is returned, with ErrNotSent, for a read whose Freshness asks for a
+	// position of the primary, if none is known.
+	ErrNoPosition = errors.New("no recent position of the primary is known")
 	// ErrPinnedConnClosed is returned for a pinned connection that was closed; its
 	// transaction is rolled back.
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
@@ -58,6 +61,15 @@
 	SendDeadline time.Time // For sending the statement.
 	Deadline     time.Time // For receiving the answer.
 	Pin          bool      // Keep the connection for a transaction.
+	Freshness    Freshness // For a read without a known position; zero for other statements.
+}
+
+// Freshness asks the gateway of a replica to add the minimum position that a read
+// needs to the one in its statement. The gateways of a service's servers sample its
+// primary; other hosts would ask the primary for each few reads.
+type Freshness struct {
+	Epoch  uint64        // Of the primary that the position must be from.
+	MaxAge time.Duration // Of the position, when the gateway receives the request; 0 asks for none.
 }
 
 // Expedite brings the deadlines forward by the time for which the request was held up
--- a/internal/host/daisycontrolhost/orders.go
+++ b/internal/host/daisycontrolhost/orders.go
@@ -9,6 +9,7 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/control/daisycoordinator"
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/control/daisypromotion"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 )
@@ -31,7 +32,7 @@
 // newDecider returns the decider for a term as control leader that began at the given
 // time.
 func (c *ControlHost) newDecider(started time.Time, _ uint64) daisycoordinator.Decider {
-	return &decider{Leader: daisypromotion.NewLeader(daisypromotion.Options{LeadingSince: started, LeaseDuration: LeaseDuration}), host: c}
+	return &decider{Leader: daisypromotion.NewLeader(daisypromotion.Options{LeadingSince: started, LeaseDuration: LeaseDuration, Topology: daisyplacement.Topology{Regions: c.options.Settings.Regions}}), host: c}
 }
 
 // decider makes the leader's decisions and keeps them up to date with the desired
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -24,6 +24,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/control/daisyheartbeat"
 	"github.com/daisyglade/daisyglade/internal/control/daisylease"
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyfrontend"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
@@ -126,7 +127,7 @@
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
-		Host: s.Host, Local: h.gateway, Topology: daisyforwarder.Topology{Regions: s.Regions}, Log: h.options.Log,
+		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -137,7 +138,7 @@
 	})
 	h.router = daisyrouter.New(daisyrouter.Options{
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
-		IsGateway: func(server string) bool { return h.forwarder.Rank(server) == 0 }, OnUnresponsive: h.lease.Wake, Regions: s.Regions,
+		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Regions: s.Regions,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
@@ -273,7 +274,7 @@
 				return
 			}
 			known[o.Name] = true
-			maxOpen := daisyforwarder.Share(h.connections(v.Service), h.forwarder.Rank(o.Name))
+			maxOpen := daisyplacement.ConnectionShare(h.connections(v.Service), h.forwarder.Rank(o.Name))
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
 			regions := h.options.Settings.Regions
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -20,7 +20,7 @@
 	Gateway   daisygateway.Counts
 	Dials     uint64 // Connections to backend servers that the host tried to open.
 	Checks    uint64 // Checks whether a primary can be reached.
-	Unsampled uint64 // Reads that only the primary could serve, for want of a recent sample.
+	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -12,8 +12,8 @@
 	// is checked. With a full queue before its slots, an answer takes about 0.2 s.
 	unansweredLimit = 250 * time.Millisecond
 	// checkInterval is the minimum time between two checks of a primary. It doubles
-	// with each check that reaches the primary, up to maxCheckInterval: all hosts
-	// check a primary that answers late, and each check opens a connection to it.
+	// with each check that reaches the primary, up to maxCheckInterval: all
+	// observers check a primary that answers late, and each check opens a connection.
 	checkInterval    = 150 * time.Millisecond
 	maxCheckInterval = 1200 * time.Millisecond
 	// checkTimeout bounds a check: eight round trips between regions.
@@ -39,7 +39,7 @@
 	var checks []primaryCheck
 	for name, s := range r.services {
 		l, ok := r.Leader(name)
-		if !ok || s.checking || now.Sub(s.checked) < s.nextCheck(now) {
+		if !ok || s.checking || !r.observes(name) || now.Sub(s.checked) < s.nextCheck(now) {
 			continue
 		}
 		server := r.server(l.Server)
--- a/internal/session/daisyrouter/check_test.go
+++ b/internal/session/daisyrouter/check_test.go
@@ -49,7 +49,7 @@
 		var unreachable atomic.Bool
 		var checks, reports atomic.Int32
 		r := daisyrouter.New(daisyrouter.Options{
-			View: newView(t), Lease: validLease{}, IsGateway: func(string) bool { return false },
+			View: newView(t), Lease: validLease{}, GatewayRank: func(string) int { return 1 },
 			Reach: func(context.Context, string) error {
 				checks.Add(1)
 				if unreachable.Load() {
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -48,7 +48,7 @@
 	Lease          Lease
 	Forwarder      Forwarder                                      // Runs the requests that sample positions.
 	Reach          func(ctx context.Context, server string) error // Returns an error if no connection to the server can be opened.
-	IsGateway      func(server string) bool                       // Whether this host is the server's gateway.
+	GatewayRank    func(server string) int                        // The rank of this host among the server's gateways; -1 if it is none.
 	Location       Location
 	Regions        map[string]string // The region of each failure domain.
 	OnUnresponsive func()            // Called when a primary can no longer be reached.
@@ -219,8 +219,20 @@
 	return p, ok
 }
 
-// Unsampled returns the number of reads so far that only the primary could serve,
-// since no sample of its position was recent enough.
+// NeedPosition records that a read of the workspace at another host needs a position
+// of the service's primary. The sampler asks for it over a connection of a workspace.
+func (r *Router) NeedPosition(name, workspace string) {
+	leader := r.primary(name)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.service(name).used = daisyclock.Now()
+	if r.lastWorkspaces[leader] == "" {
+		r.lastWorkspaces[leader] = workspace
+	}
+}
+
+// Unsampled returns the number of reads so far for which this host had no sample of
+// the primary's position that was recent enough.
 func (r *Router) Unsampled() uint64 { return r.unsampled.Load() }
 
 // Choose returns the server that is expected to be the first to answer a read that
@@ -301,6 +313,14 @@
 	r.server(server).Refused(daisyclock.Now())
 }
 
+// Withdrawn records that a statement was not sent to the server for a reason that says
+// nothing about the server.
+func (r *Router) Withdrawn(server string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.server(server).Withdrawn()
+}
+
 // Lagged records that the server's log had not reached the minimum position of a
 // read.
 func (r *Router) Lagged(server string, minPosition daisystatement.Position) {
@@ -357,14 +377,15 @@
 }
 
 // Observations returns the primaries that this host cannot reach, for the next
-// heartbeat. In them, Database is a service and Term an epoch.
+// heartbeat, if it observes their services. In them, Database is a service and Term an
+// epoch.
 func (r *Router) Observations() []daisyheartbeat.Observation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var observations []daisyheartbeat.Observation
 	for name, s := range r.services {
 		leadership, ok := r.options.View.Leadership(name)
-		if ok && s.unreachable && s.epoch == leadership.Epoch && leadership.Server != "" {
+		if ok && s.unreachable && r.observes(name) && s.epoch == leadership.Epoch && leadership.Server != "" {
 			observations = append(observations, daisyheartbeat.Observation{OwnershipTerm: daisyheartbeat.OwnershipTerm{Database: name, Term: leadership.Epoch}, Member: leadership.Server})
 		}
 	}
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -15,15 +15,15 @@
 	// sampleInterval is the interval at which the sampler looks for services whose
 	// latest sample is too old.
 	sampleInterval = 100 * time.Millisecond
-	// gatewaySampleAge is the age of the latest sample above which a gateway of one
-	// of the service's servers asks the primary for its position. When the primary
+	// gatewaySampleAge is the age of the latest sample above which the first gateway of
+	// one of the service's servers asks the primary for its position. When the primary
 	// fails, bounded-staleness reads, whose maximum age is at least 1.5 s, can go on
 	// for most of that age.
 	gatewaySampleAge = 400 * time.Millisecond
-	// nonGatewaySampleAge is the same for a host that is not a gateway of the
-	// service's servers. It receives positions with the gateways' answers, and asks
-	// only before reads with the smallest maximum age, 1.5 s, would need the primary.
-	nonGatewaySampleAge = 1100 * time.Millisecond
+	// fallbackSampleAge is the same for the other gateways. They receive positions with
+	// the first gateways' answers, and ask only before reads with the smallest maximum
+	// age, 1.5 s, would need the primary.
+	fallbackSampleAge = 1100 * time.Millisecond
 	// unreachableSampleAge is the same for a primary that could not be reached at
 	// the last attempt.
 	unreachableSampleAge = 150 * time.Millisecond
@@ -34,8 +34,9 @@
 	usageWindow = 10 * time.Second
 )
 
-// Run asks primaries for their log positions until ctx is done, so that samples
-// stay recent and a failed primary is detected even without requests.
+// Run asks the primaries of the services that this host observes for their log
+// positions until ctx is done, so that samples stay recent and a failed primary is
+// detected even without requests.
 func (r *Router) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
@@ -65,11 +66,12 @@
 	var names []string
 	for name, s := range r.services {
 		l, ok := r.Leader(name)
-		if !ok || s.sampling || now.Sub(s.used) > usageWindow {
+		rank := r.gatewayRank(name)
+		if !ok || s.sampling || rank < 0 || now.Sub(s.used) > usageWindow {
 			continue
 		}
-		limit := nonGatewaySampleAge
-		if r.isGatewayOf(name) {
+		limit := fallbackSampleAge
+		if rank == 0 {
 			limit = gatewaySampleAge
 		}
 		if s.unreachable && s.epoch == l.Epoch {
@@ -83,16 +85,23 @@
 	return names
 }
 
-// isGatewayOf reports whether this host is the gateway of a server of the service.
-func (r *Router) isGatewayOf(name string) bool {
+// gatewayRank returns the least rank of this host among the gateways of the service's
+// servers, or -1 if it is the gateway of none.
+func (r *Router) gatewayRank(name string) int {
+	least := -1
 	for _, s := range r.Group(name).Servers {
-		if r.options.IsGateway(s.Name) {
-			return true
+		if rank := r.options.GatewayRank(s.Name); rank >= 0 && (least < 0 || rank < least) {
+			least = rank
 		}
 	}
-	return false
+	return least
 }
 
+// observes reports whether this host samples and checks the primary of the service:
+// whether it is a gateway of one of the service's servers. All hosts of a large fleet
+// would load a primary more than its clients do.
+func (r *Router) observes(name string) bool { return r.gatewayRank(name) >= 0 }
+
 // sample asks the primary of a service for its log position. It uses a connection
 // of the workspace that used the primary last, since each connection belongs to
 // one workspace.
--- a/internal/session/daisyselector/selector.go
+++ b/internal/session/daisyselector/selector.go
@@ -89,6 +89,10 @@
 	s.refusedUntil = now.Add(refusedPause)
 }
 
+// Withdrawn records that a statement was not sent for a reason that says nothing about
+// the server.
+func (s *Server) Withdrawn() { s.inFlight-- }
+
 // Failed records that the server did not answer or could not be reached.
 func (s *Server) Failed(now time.Time) {
 	s.inFlight--
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -246,7 +246,7 @@
 	f.gateway = daisygateway.New(f.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 	f.router = daisyrouter.New(daisyrouter.Options{
 		View: f.view, Lease: f.lease, Forwarder: f.gateway, Reach: f.pool.Reach,
-		IsGateway: func(string) bool { return true }, OnUnresponsive: func() { f.unresponsive.Add(1) },
+		GatewayRank: func(string) int { return 0 }, OnUnresponsive: func() { f.unresponsive.Add(1) },
 	})
 	f.router.Refresh()
 	admission := daisyadmission.New(func() {})
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -1,11 +1,13 @@
 package daisysession
 
 import (
+	"errors"
 	"time"
 
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
+	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/session/daisystatement"
 )
 
@@ -33,19 +35,20 @@
 	var retrying retrier
 	for {
 		retrying.begin(s)
-		minPosition, ok := s.minPosition(p, arrived)
-		if !ok {
-			a, overloaded := s.direct(p, st, arrived)
-			if !overloaded {
+		minPosition, known := s.minPosition(p, arrived)
+		st.MinPosition = minPosition
+		a, retry, err := s.race(p, st, s.freshness(p, known), arrived)
+		if errors.Is(err, daisygateway.ErrNoPosition) {
+			var overloaded bool
+			if a, overloaded = s.direct(p, st, arrived); !overloaded {
 				return a
 			}
 			// The refusal may have brought a sample, so that replicas may serve.
-			if minPosition, ok = s.minPosition(p, arrived); !ok {
+			if _, known = s.minPosition(p, arrived); !known {
 				return a
 			}
+			retry = true
 		}
-		st.MinPosition = minPosition
-		a, retry := s.race(p, st, arrived)
 		if !retry {
 			return a
 		}
@@ -58,8 +61,26 @@
 	}
 }
 
+// unknownPosition is the Freshness of a read for which neither this host nor a gateway
+// may find a position.
+var unknownPosition = daisygateway.Freshness{MaxAge: -1}
+
+// freshness returns what a read asks of the gateway of a replica: nothing if this host
+// knows the position that the read needs. It must be called after minPosition, which
+// leaves a write of an earlier epoch to the samples of the present one.
+func (s *Session) freshness(p daisyspec.Profile, known bool) daisygateway.Freshness {
+	switch {
+	case known:
+		return daisygateway.Freshness{}
+	case p.MaxAge <= 0:
+		return unknownPosition
+	}
+	return daisygateway.Freshness{Epoch: s.env.Router.Epoch(p.Service), MaxAge: p.MaxAge}
+}
+
 // minPosition returns the minimum log position that the session's reads need. It
-// returns false if no sample of the primary's position is recent enough.
+// returns false if no sample of the primary's position is recent enough; then the
+// position covers the session's last write only.
 func (s *Session) minPosition(p daisyspec.Profile, arrived time.Time) (minPosition daisystatement.Position, ok bool) {
 	epoch := s.env.Router.Epoch(p.Service)
 	minPosition, ok = s.env.Router.MinPosition(p.Service, epoch, arrived, p.MaxAge)
@@ -71,8 +92,12 @@
 
 // race sends the read to the best server and, when the answer is late, also to
 // the next best (hedging). It returns retry if no server ran the read and it may
-// be tried again; if one of them is overloaded, it may not.
-func (s *Session) race(p daisyspec.Profile, st daisystatement.Statement, arrived time.Time) (a daisystatement.Answer, retry bool) {
+// be tried again; if one of them is overloaded, it may not. The error is ErrNoPosition
+// if the read was not sent for want of a position of the primary.
+func (s *Session) race(p daisyspec.Profile, st daisystatement.Statement, freshness daisygateway.Freshness, arrived time.Time) (a daisystatement.Answer, retry bool, err error) {
+	if freshness == unknownPosition {
+		return a, false, daisygateway.ErrNoPosition
+	}
 	sendBy, deadline := queueDeadline(p, arrived), arrived.Add(p.Timeout)
 	timeout := time.NewTimer(time.Until(deadline))
 	defer timeout.Stop()
@@ -91,7 +116,7 @@
 				Info("session: read sent to another server")
 		}
 		inFlight++
-		go func() { outcomes <- sessionCopy.tryRead(p, server, st, sendBy, deadline) }()
+		go func() { outcomes <- sessionCopy.tryRead(p, server, st, freshness, sendBy, deadline) }()
 		return max(hedgeMin, hedgeFactor*s.env.Router.ExpectedLatency(server))
 	}
 	hedge := time.NewTimer(launch())
@@ -101,23 +126,27 @@
 		case o := <-outcomes:
 			inFlight--
 			if o.err == nil && (o.answer.Failure == nil || !o.answer.Failure.Code.NotRun()) {
-				return o.answer, false
+				return o.answer, false, nil
+			}
+			if errors.Is(o.err, daisygateway.ErrNoPosition) {
+				err = o.err
+				continue // Attempts in flight may still be answered.
 			}
 			if refused, ok := refusal(daisystatement.StateIdle, o.err); ok {
 				a, overloaded = refused, true
 			} else if !overloaded {
 				a = o.failed(a)
 			}
-			if inFlight == 0 {
+			if inFlight == 0 && err == nil {
 				launch()
 			}
 		case <-hedge.C:
 			launch()
 		case <-timeout.C:
-			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeTimeout, "no backend server answered in time"), false
+			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeTimeout, "no backend server answered in time"), false, nil
 		}
 	}
-	return a, !overloaded
+	return a, !overloaded, err
 }
 
 // failed returns the answer to the read after a failed attempt: the server's
@@ -135,9 +164,9 @@
 
 // tryRead runs the read on one server. It waits for the answer even if another
 // server has answered first, so that the connection can be reused.
-func (s *Session) tryRead(p daisyspec.Profile, server string, st daisystatement.Statement, sendBy, deadline time.Time) outcome {
+func (s *Session) tryRead(p daisyspec.Profile, server string, st daisystatement.Statement, freshness daisygateway.Freshness, sendBy, deadline time.Time) outcome {
 	req := s.statementRequest(p, st, sendBy, deadline)
-	req.Server = server
+	req.Server, req.Freshness = server, freshness
 	a, _, err := s.forward(req)
 	if err == nil && a.Failure != nil && a.Failure.Code == daisystatement.CodeLagging {
 		s.env.Router.Lagged(server, st.MinPosition)
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -66,6 +66,8 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
+	case errors.Is(err, daisygateway.ErrNoPosition):
+		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisygateway.ErrNotSent) && !errors.Is(err, daisygateway.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
 	default:
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -1,6 +1,7 @@
 package daisysession
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -20,7 +21,8 @@
 	began           time.Time
 	conn            daisygateway.PinnedConn
 	server          string
-	leader          daisyrouter.Leader // The leader that it was begun on, unless it was begun on a replica.
+	leader          daisyrouter.Leader // The leader that it was begun on, if onLeader.
+	onLeader        bool               // It is begun on the leader, not on a replica.
 	wrote           bool
 	failed          bool
 	failureReported bool // The client has received the failure.
@@ -115,12 +117,16 @@
 	var retry retrier
 	retry.begin(t.session)
 	for {
-		server, begin, found := t.target(sendBy, tried)
+		server, begin, freshness, found := t.target(sendBy, tried)
 		if found && !slices.Contains(tried, server) {
-			a, err := t.tryOpen(server, begin, sendBy)
+			a, err := t.tryOpen(server, begin, freshness, sendBy)
 			if err == nil && a.Failure == nil {
 				return refused, true
 			}
+			if errors.Is(err, daisygateway.ErrNoPosition) {
+				t.onLeader = true // No host near has a position, so only the primary is fresh enough.
+				continue
+			}
 			tried = append(tried, server)
 			overload, isOverload := refusal(daisystatement.StateFailed, err)
 			switch {
@@ -147,34 +153,35 @@
 	return daisystatement.Fail(daisystatement.StateFailed, code, "%s", why), false
 }
 
-// target returns the server to begin the transaction on and the statement that
-// begins it.
-func (t *transaction) target(sendBy time.Time, tried []string) (server string, begin daisystatement.Statement, ok bool) {
+// target returns the server to begin the transaction on, the statement that begins it
+// and what the server's gateway has to add.
+func (t *transaction) target(sendBy time.Time, tried []string) (server string, begin daisystatement.Statement, freshness daisygateway.Freshness, ok bool) {
 	s := t.session
 	begin = daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindBegin, ReadOnly: t.readOnly}
 	if t.readOnly && t.profile.Freshness != daisyspec.FreshPrimary {
-		if minPosition, fresh := s.minPosition(t.profile, t.began); fresh {
-			begin.MinPosition = minPosition
+		minPosition, known := s.minPosition(t.profile, t.began)
+		freshness = s.freshness(t.profile, known)
+		if known || !t.onLeader && freshness != unknownPosition {
+			t.onLeader, begin.MinPosition = false, minPosition
 			server, ok = s.env.Router.Choose(t.profile.Service, minPosition, tried)
-			return server, begin, ok
+			return server, begin, freshness, ok
 		}
 	}
 	l, err := s.awaitLeader(t.profile.Service, sendBy)
-	t.leader = l
-	return l.Server, begin, err == nil
+	t.leader, t.onLeader = l, true
+	return l.Server, begin, daisygateway.Freshness{}, err == nil
 }
 
 // tryOpen begins the transaction on the server once.
-func (t *transaction) tryOpen(server string, begin daisystatement.Statement, sendBy time.Time) (a daisystatement.Answer, err error) {
+func (t *transaction) tryOpen(server string, begin daisystatement.Statement, freshness daisygateway.Freshness, sendBy time.Time) (a daisystatement.Answer, err error) {
 	s := t.session
 	sentAt := daisyclock.Now()
-	onLeader := begin.MinPosition.IsZero()
-	if onLeader && !s.env.Router.Leads(t.profile.Service, t.leader) {
+	if t.onLeader && !s.env.Router.Leads(t.profile.Service, t.leader) {
 		return a, errNoLeader
 	}
 	deadline := sendBy.Add(t.profile.Timeout / executionDivisor)
 	req := s.statementRequest(t.profile, begin, queueDeadline(t.profile, deadline.Add(-t.profile.Timeout)), deadline)
-	req.Server, req.Pin = server, true
+	req.Server, req.Pin, req.Freshness = server, true, freshness
 	a, conn, err := s.forward(req)
 	switch {
 	case err != nil:
@@ -187,7 +194,7 @@
 	case conn == nil:
 		return a, daisygateway.ErrPinnedConnClosed
 	}
-	if onLeader {
+	if t.onLeader {
 		s.env.Router.RecordPosition(t.profile.Service, t.leader, sentAt, a.Position)
 	}
 	t.conn, t.server = conn, server
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -41,6 +41,7 @@
 	FaultUnreachable            // No connection could be opened; the statement was not sent.
 	FaultPinnedConnClosed       // The pinned connection was closed; its transaction is rolled back.
 	FaultOutcomeUnknown         // The statement may have run.
+	FaultNoPosition             // The gateway has no position to add; the statement was not sent.
 )
 
 // CallReply answers a Call.
@@ -71,6 +72,7 @@
 		w.Service, w.Server, w.Workspace = e.Service, e.Server, e.Workspace
 		w.Weight, w.Priority, w.Class, w.Keep = e.Weight, int64(e.Priority), e.Class, e.Pin
 		w.Hold, w.Limit = int64(e.SendDeadline.Sub(now)), int64(e.Deadline.Sub(now))
+		w.MaxAge, w.Round = int64(e.Freshness.MaxAge), e.Freshness.Epoch
 		w.Statement = fromServerStatement(&e.Statement)
 		for _, name := range slices.Sorted(maps.Keys(e.Values)) {
 			w.Values = append(w.Values, daisywire.Setting{Name: name, Value: e.Values[name]})
@@ -101,7 +103,7 @@
 		Service: w.Service, Server: w.Server, Workspace: w.Workspace, Weight: w.Weight,
 		Priority: int(w.Priority), Class: w.Class, Pin: w.Keep,
 		SendDeadline: now.Add(time.Duration(w.Hold)), Deadline: now.Add(time.Duration(w.Limit)),
-		Statement: toServerStatement(w.Statement),
+		Statement: toServerStatement(w.Statement), Freshness: daisygateway.Freshness{Epoch: w.Round, MaxAge: time.Duration(w.MaxAge)},
 	}
 	for _, v := range w.Values {
 		if c.Request.Values == nil {
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -61,6 +61,9 @@
 const (
 	ProtocolFirst    = 1
 	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter and OwnShare.
+	ProtocolPosition = 3 // Calls may have MaxAge and Round.
+
+	protocolLatest = ProtocolPosition
 )
 
 // Protocol returns the protocol of the other host.
@@ -127,7 +130,7 @@
 // this host.
 func NewPlainDialer(name string, n daisynet.Network) *Dialer {
 	return &Dialer{network: n, scheme: "http://", header: http.Header{
-		nameHeader: []string{name}, protocolHeader: []string{strconv.Itoa(ProtocolOverload)},
+		nameHeader: []string{name}, protocolHeader: []string{strconv.Itoa(protocolLatest)},
 	}}
 }
 
@@ -186,7 +189,7 @@
 			http.Error(w, "host certificate required", http.StatusForbidden)
 			return
 		}
-		w.Header().Set(protocolHeader, strconv.Itoa(ProtocolOverload))
+		w.Header().Set(protocolHeader, strconv.Itoa(protocolLatest))
 		ws, err := websocket.Accept(w, r, nil)
 		if err != nil {
 			return
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -281,9 +281,16 @@
 	// How long the request may take in total, in nanoseconds.
 	Limit int64 `json:"Limit,omitempty,omitzero"`
 
+	// The maximum age of the primary's position that the gateway adds to a read, in
+	// nanoseconds; 0 if it adds none.
+	MaxAge int64 `json:"MaxAge,omitempty,omitzero"`
+
 	// The priority; 0 is the highest.
 	Priority int64 `json:"Priority,omitempty,omitzero"`
 
+	// The epoch of that position, with MaxAge.
+	Round uint64 `json:"Round,omitempty,omitzero"`
+
 	// When the call was sent, in nanoseconds since its link was opened; 0 if not
 	// stated.
 	Sent int64 `json:"Sent,omitempty,omitzero"`
