Grant tokens in advance in order, and deny the rest at once

Cause: an operation whose workspace's pool was empty asked for a token again and again until 0.2 s had passed, in competition with those of 295 hosts, and was then told to return in 1.2 s, whatever the load.

Change: a token that is due within 0.15 s is granted in advance, with the time from which it may be used, so that operations are served in the order of their requests and ask once. Others are denied at once, with the time at which the tokens reserved before and the operations denied before will have passed, 3 s at most. Hosts of earlier protocols get only the tokens that may be used at once (protocol 4). Requests on demand are no longer sent at growing intervals, since a denied operation does not ask again.

--- a/internal/control/daisycoordinator/coordinator.go
+++ b/internal/control/daisycoordinator/coordinator.go
@@ -270,6 +270,9 @@
 			return
 		}
 		a := c.answerHeartbeat(*m.Heartbeat)
+		if link.Protocol() < daisylink.ProtocolReservation {
+			a.reply.Grants = immediate(a.reply.Grants)
+		}
 		if a.fullState != nil && link.Send(ctx, a.fullState) != nil {
 			return
 		}
@@ -283,6 +286,17 @@
 	}
 }
 
+// immediate returns the grants that a host of an earlier protocol understands: those
+// whose tokens may be used at once. The others are lost.
+func immediate(grants []daisyheartbeat.Demand) (understood []daisyheartbeat.Demand) {
+	for _, g := range grants {
+		if g.After == 0 && g.Denied == 0 {
+			understood = append(understood, g)
+		}
+	}
+	return understood
+}
+
 // replaceRevision replaces the revision from which push sends deltas.
 func replaceRevision(revisions chan uint64, revision uint64) {
 	select {
--- a/internal/control/daisyheartbeat/heartbeat.go
+++ b/internal/control/daisyheartbeat/heartbeat.go
@@ -67,6 +67,12 @@
 type Demand struct {
 	Workspace string
 	Tokens    float64
+
+	// The other fields are of grants.
+
+	After      time.Duration // When the tokens may be used, from their arrival on.
+	Denied     float64       // Requested tokens that are not granted.
+	RetryAfter time.Duration // With Denied, when to request them again.
 }
 
 // Reply answers a Heartbeat.
--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -367,11 +367,11 @@
 			short = short || !ok
 		}
 		if short && tick%6 == 0 { // A host that lacks tokens requests them at once, at most every 60 ms.
-			busy.Add(now, pool.Draw(now, busy.Wanted(now, 0)))
+			busy.Add(now, pool.Draw(now, busy.Wanted(now, 0)), 0)
 		}
 		if tick%50 == 0 {
 			for _, b := range buckets {
-				b.Add(now, pool.Draw(now, b.Wanted(now, 0)))
+				b.Add(now, pool.Draw(now, b.Wanted(now, 0)), 0)
 			}
 		}
 		if tick%700 == 0 {
--- a/internal/control/daisypromotion/tokens.go
+++ b/internal/control/daisypromotion/tokens.go
@@ -39,8 +39,8 @@
 }
 
 // Grants implements daisycoordinator.Decider. It grants tokens from the
-// workspaces' pools for the demands of a heartbeat. A grant of no token says that the
-// pool is empty.
+// workspaces' pools for the demands of a heartbeat. Tokens that are denied
+// are stated too.
 func (l *Leader) Grants(now time.Time, _ *daisyfleet.State, b daisyheartbeat.Heartbeat) []daisyheartbeat.Demand {
 	var grants []daisyheartbeat.Demand
 	for _, d := range b.Demands {
@@ -48,7 +48,13 @@
 		if p == nil {
 			continue
 		}
-		grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Tokens: p.Draw(now, d.Tokens)})
+		granted, denied, retryAfter := p.Reserve(now, d.Tokens)
+		for _, g := range granted {
+			grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Tokens: g.Tokens, After: g.After})
+		}
+		if denied > 0 {
+			grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Denied: denied, RetryAfter: retryAfter})
+		}
 	}
 	return grants
 }
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -19,9 +19,12 @@
 	// where more requests yield no more tokens. It is less than half the heartbeat
 	// interval, so that hosts draw from the pool before it is full.
 	maxRequestInterval = 240 * time.Millisecond
-	// retryInterval is how often a waiting operation tries to take a token, besides
-	// when tokens are granted.
+	// retryInterval is how often a waiting operation tries to take a token of a divided
+	// limit, besides when tokens are granted.
 	retryInterval = 10 * time.Millisecond
+	// onDemandRetryInterval is the same for a limit granted on demand, of which no token
+	// comes without a grant.
+	onDemandRetryInterval = 50 * time.Millisecond
 )
 
 // Refusals are numbers of refused operations since the controller was created.
@@ -50,9 +53,10 @@
 
 // pendingRequest is the state of a workspace's request for tokens.
 type pendingRequest struct {
-	lacking  float64       // Tokens requested but not granted yet.
-	interval time.Duration // Minimum time between two early heartbeats.
-	denied   time.Time     // When the control leader last granted fewer tokens than requested.
+	lacking    float64       // Tokens of a divided limit requested but not granted yet.
+	interval   time.Duration // Minimum time between two early heartbeats for a divided limit.
+	denied     time.Time     // When the control leader last said that no token was left.
+	retryAfter time.Duration // When to request tokens again, from denied on; 0 if not stated.
 }
 
 // New returns a Controller without limits. It calls requestTokens when it lacks
@@ -116,31 +120,47 @@
 	c.countWaiting(workspace, priority, 1)
 	defer c.countWaiting(workspace, priority, -1)
 	until := arrived.Add(maxWait)
-	for now := arrived; ; now = daisyclock.Now() {
+	for now := arrived; now.Before(until) && !c.denied(workspace, arrived); now = daisyclock.Now() {
 		c.request(now, workspace)
-		if !now.Before(until) {
-			break
-		}
-		c.awaitGrant()
+		c.awaitGrant(workspace, now, until)
 		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
 			return ok, retryAfter
 		}
 	}
-	if c.pending[workspace].denied.Before(arrived) {
+	c.request(daisyclock.Now(), workspace)
+	p := c.pending[workspace]
+	if p.denied.Before(arrived) {
 		c.refusals.Unanswered++
-	} else {
-		c.refusals.OverRate++
+		return false, retryAfter
+	}
+	c.refusals.OverRate++
+	if p.retryAfter > 0 {
+		retryAfter = max(p.retryAfter-daisyclock.Now().Sub(p.denied), minRequestInterval)
 	}
 	return false, retryAfter
 }
 
-// awaitGrant waits until tokens are granted, but no longer than retryInterval. It
-// unlocks c.mu while it waits.
-func (c *Controller) awaitGrant() {
+// denied reports whether the control leader has denied a token to one of the waiting
+// operations since the given time, so that waiting is of no use.
+func (c *Controller) denied(workspace string, since time.Time) bool {
+	b, p := c.buckets[workspace], c.pending[workspace]
+	return b != nil && p.retryAfter > 0 && !p.denied.Before(since) && float64(c.countAllWaiting(workspace)) > b.Expected()
+}
+
+// awaitGrant waits until tokens are granted, the next token may be used or it is time
+// to try again, but no longer than until. It unlocks c.mu while it waits.
+func (c *Controller) awaitGrant(workspace string, now, until time.Time) {
+	wait := retryInterval
+	if b := c.buckets[workspace]; b != nil && b.OnDemand() {
+		wait = onDemandRetryInterval
+		if from, ok := b.NextToken(); ok {
+			wait = from.Sub(now)
+		}
+	}
 	granted := c.granted
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	timer := time.NewTimer(retryInterval)
+	timer := time.NewTimer(max(0, min(wait, until.Sub(now))))
 	defer timer.Stop()
 	select {
 	case <-granted:
@@ -237,7 +257,7 @@
 		if tokens > 0 {
 			demands = append(demands, daisyheartbeat.Demand{Workspace: name, Tokens: tokens})
 		}
-		if tokens > 0 || b.Requested() == 0 {
+		if !b.OnDemand() {
 			c.pending[name] = c.pending[name].next(tokens)
 		}
 	}
@@ -251,24 +271,29 @@
 	if r.lacking > 0 && tokens > 0 {
 		interval = min(2*max(r.interval, minRequestInterval), maxRequestInterval)
 	}
-	return pendingRequest{lacking: tokens, interval: interval, denied: r.denied}
+	return pendingRequest{lacking: tokens, interval: interval, denied: r.denied, retryAfter: r.retryAfter}
 }
 
-// AddGrants adds granted tokens to the workspaces' buckets. A grant of fewer tokens
-// than were requested, also of none, says that the pool is empty.
+// AddGrants adds granted tokens to the workspaces' buckets. A grant of none says that no
+// token is left.
 func (c *Controller) AddGrants(grants []daisyheartbeat.Demand) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := daisyclock.Now()
 	for _, d := range grants {
-		if b := c.buckets[d.Workspace]; b != nil {
-			b.Add(now, d.Tokens)
-			r := c.pending[d.Workspace]
-			if r.lacking -= d.Tokens; r.lacking > 0 {
-				r.denied = now
-			}
-			c.pending[d.Workspace] = r
+		b := c.buckets[d.Workspace]
+		if b == nil {
+			continue
+		}
+		r := c.pending[d.Workspace]
+		if d.Tokens > 0 {
+			b.Add(now, d.Tokens, d.After)
+			r.lacking -= d.Tokens
+		} else {
+			b.Deny(d.Denied)
+			r.denied, r.retryAfter = now, d.RetryAfter
 		}
+		c.pending[d.Workspace] = r
 	}
 	close(c.granted)
 	c.granted = make(chan struct{})
--- a/internal/limit/daisyadmission/refusals_test.go
+++ b/internal/limit/daisyadmission/refusals_test.go
@@ -44,3 +44,44 @@
 		})
 	}
 }
+
+// An operation that is denied a token is refused as soon as that is known, with the
+// control leader's time to return; one whose token is due soon waits for it.
+func TestDeniedOperationIsRefusedAtOnce(t *testing.T) {
+	const roundTrip = 24 * time.Millisecond
+	tests := []struct {
+		name       string
+		grant      daisyheartbeat.Demand
+		ok         bool
+		took       time.Duration
+		retryAfter time.Duration
+	}{
+		{"Denied", daisyheartbeat.Demand{Workspace: "w", Denied: 1, RetryAfter: 1700 * time.Millisecond}, false, roundTrip, 1700 * time.Millisecond},
+		{"Granted", daisyheartbeat.Demand{Workspace: "w", Tokens: 1}, true, roundTrip, 0},
+		{"InAdvance", daisyheartbeat.Demand{Workspace: "w", Tokens: 1, After: 90 * time.Millisecond}, true, roundTrip + 90*time.Millisecond, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var c *daisyadmission.Controller
+				c = daisyadmission.New(func() {
+					go func() {
+						demands := c.Demands()
+						time.Sleep(roundTrip)
+						if len(demands) > 0 {
+							c.AddGrants([]daisyheartbeat.Demand{test.grant})
+						}
+					}()
+				})
+				c.SetHosts(300)
+				c.SetLimits([]daisyquota.WorkspaceLimit{{Workspace: "w", Rate: 10, Burst: 10}})
+				began := time.Now()
+				ok, retryAfter := c.Admit("w", 1, 200*time.Millisecond)
+				assert.Equal(t, ok, test.ok)
+				assert.Equal(t, time.Since(began), test.took)
+				assert.Equal(t, retryAfter, test.retryAfter)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/limit/daisyquota/bound_test.go
+++ b/internal/limit/daisyquota/bound_test.go
@@ -18,8 +18,8 @@
 
 // grantInFlight is a grant on its way to a host.
 type grantInFlight struct {
+	daisyquota.Grant
 	host      int
-	tokens    float64
 	requested time.Time
 	arrives   time.Time
 }
@@ -57,9 +57,11 @@
 // request draws the tokens that a host wants. They arrive after the delay.
 func (f *quotaFleet) request(host int, delay time.Duration) {
 	wanted := f.buckets[host].Request(f.now, f.waiting[host])
-	if tokens := f.pool.Draw(f.now, wanted); tokens > 0 {
-		f.inFlight = append(f.inFlight, grantInFlight{host: host, tokens: tokens, requested: f.now, arrives: f.now.Add(delay)})
+	grants, denied, _ := f.pool.Reserve(f.now, wanted)
+	for _, g := range grants {
+		f.inFlight = append(f.inFlight, grantInFlight{Grant: g, host: host, requested: f.now, arrives: f.now.Add(delay)})
 	}
+	f.buckets[host].Deny(denied)
 }
 
 // advance lets grants arrive, and waiting operations take the tokens.
@@ -71,7 +73,7 @@
 		case f.now.Before(g.arrives):
 			left = append(left, g)
 		case f.now.Sub(g.requested) <= daisyquota.MaxGrantAge:
-			f.buckets[g.host].Add(f.now, g.tokens)
+			f.buckets[g.host].Add(f.now, g.Tokens, g.After)
 		}
 	}
 	f.inFlight = left
@@ -166,7 +168,7 @@
 			pool := daisyquota.NewPool(now, test.before, test.hosts)
 			bucket := daisyquota.NewHostBucket(now, test.before, test.hosts)
 			later := now.Add(time.Hour)
-			bucket.Add(later, pool.Draw(later, 5))
+			bucket.Add(later, pool.Draw(later, 5), 0)
 			pool.SetLimit(later, test.after, test.next)
 			bucket.SetLimit(later, test.after, test.next)
 			total := pool.Draw(later, math.Inf(1))
@@ -190,9 +192,36 @@
 	assert.Equal(t, b.Request(now.Add(50*time.Millisecond), 2), 0.0)
 	assert.Equal(t, b.Request(now.Add(50*time.Millisecond), 3), 1.0)
 	now = now.Add(60 * time.Millisecond)
-	b.Add(now, 2)
+	b.Add(now, 2, 0)
 	ok, _ = b.RetryTake(now)
 	assert.Assert(t, ok)
 	ok, _ = b.RetryTake(now.Add(time.Second))
 	assert.Assert(t, !ok, "an old token was taken")
 }
+
+// Tokens are granted in advance in the order in which they are requested. Beyond that
+// operations are denied at once, and told to return one after the other.
+func TestReserve(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := daisyquota.NewPool(now, daisyquota.WorkspaceLimit{Workspace: "w", Rate: 20, Burst: 20}, largeFleet)
+	now = now.Add(100 * time.Millisecond) // Two tokens.
+	grants, denied, _ := pool.Reserve(now, 3)
+	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 2}, {Tokens: 1, After: 50 * time.Millisecond}})
+	assert.Equal(t, denied, 0.0)
+	grants, denied, _ = pool.Reserve(now, 1)
+	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 1, After: 100 * time.Millisecond}})
+	assert.Equal(t, denied, 0.0)
+	grants, denied, _ = pool.Reserve(now, 1)
+	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 1, After: 150 * time.Millisecond}})
+	assert.Equal(t, denied, 0.0)
+	for i := range 4 {
+		grants, denied, retryAfter := pool.Reserve(now, 1)
+		assert.Equal(t, len(grants), 0)
+		assert.Equal(t, denied, 1.0)
+		assert.Equal(t, retryAfter, time.Duration(200+50*i)*time.Millisecond)
+	}
+	now = now.Add(400 * time.Millisecond) // All that were denied may have returned.
+	grants, denied, _ = pool.Reserve(now, 4)
+	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 4}})
+	assert.Equal(t, denied, 0.0)
+}
--- a/internal/limit/daisyquota/doc.go
+++ b/internal/limit/daisyquota/doc.go
@@ -11,7 +11,9 @@
 //   - If it is less, the limit is granted on demand. The whole limit is in the pool,
 //     which grants whole tokens for operations that wait and for the next moments of a
 //     host with much demand. Parts of a token at hosts without operations would be
-//     lost to the hosts that have some.
+//     lost to the hosts that have some. A token that is due within maxReservation is
+//     granted in advance, so that operations are served in the order of their requests;
+//     others are denied at once, with the time to return.
 //
 // In any window of length w the fleet takes at most
 //
--- a/internal/limit/daisyquota/host.go
+++ b/internal/limit/daisyquota/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -33,15 +34,15 @@
 	updated time.Time
 	demand  float64 // Requests per second, averaged over demandWindow.
 
-	grants      []grant   // Unused tokens on demand, the oldest first.
+	grants      []grant   // Unused tokens on demand, in the order in which they may be used.
 	requested   float64   // Tokens on demand that were requested and have not arrived.
 	requestedAt time.Time // When tokens on demand were last requested.
 }
 
-// grant is a number of tokens that expire together.
+// grant is a number of tokens that may be used from one time to another.
 type grant struct {
-	tokens  float64
-	expires time.Time
+	tokens        float64
+	from, expires time.Time
 }
 
 // NewHostBucket returns the empty bucket of one of the hosts that share the limit.
@@ -81,7 +82,8 @@
 	b.level = math.Min(level, b.limit.hostBurst(b.hosts))
 }
 
-// tokens returns the number of tokens in the bucket as of the last refill.
+// tokens returns the number of tokens in the bucket as of the last refill, with those
+// that may be used only later.
 func (b *HostBucket) tokens() float64 {
 	total := b.level
 	for _, g := range b.grants {
@@ -111,7 +113,7 @@
 	case b.level >= 1:
 		b.level--
 		return true, 0
-	case len(b.grants) > 0:
+	case len(b.grants) > 0 && !b.updated.Before(b.grants[0].from):
 		if b.grants[0].tokens--; b.grants[0].tokens < 1 {
 			b.grants = b.grants[1:]
 		}
@@ -134,9 +136,9 @@
 	return State{Rate: b.limit.Rate, Tokens: b.tokens(), Demand: b.demand, Hosts: b.hosts}
 }
 
-// Add adds granted tokens. On demand these are whole tokens that were requested at
-// most MaxGrantAge ago.
-func (b *HostBucket) Add(now time.Time, tokens float64) {
+// Add adds granted tokens, which may be used after the given time. On demand these are
+// whole tokens that were requested at most MaxGrantAge ago.
+func (b *HostBucket) Add(now time.Time, tokens float64, after time.Duration) {
 	b.refill(now)
 	if !b.onDemand() {
 		b.level = math.Min(b.level+tokens, b.limit.hostBurst(b.hosts))
@@ -144,10 +146,31 @@
 	}
 	b.requested = math.Max(0, b.requested-tokens)
 	if tokens = math.Floor(tokens); tokens > 0 {
-		b.grants = append(b.grants, grant{tokens: tokens, expires: now.Add(tokenLifetime)})
+		from := now.Add(after)
+		g := grant{tokens: tokens, from: from, expires: from.Add(tokenLifetime)}
+		at, _ := slices.BinarySearchFunc(b.grants, g, func(a, b grant) int { return a.from.Compare(b.from) })
+		b.grants = slices.Insert(b.grants, at, g)
 	}
 }
 
+// Deny records that requested tokens are not granted.
+func (b *HostBucket) Deny(tokens float64) { b.requested = math.Max(0, b.requested-tokens) }
+
+// NextToken returns when the next token may be used that the bucket holds, and whether
+// it holds one.
+func (b *HostBucket) NextToken() (from time.Time, ok bool) {
+	if len(b.grants) == 0 {
+		return from, false
+	}
+	return b.grants[0].from, true
+}
+
+// Expected returns how many tokens on demand the bucket holds or still expects.
+func (b *HostBucket) Expected() float64 { return b.tokens() + b.requested }
+
+// OnDemand reports whether the bucket holds only tokens that operations waited for.
+func (b *HostBucket) OnDemand() bool { return b.onDemand() }
+
 // Wanted returns the number of tokens to request. Those of a divided limit cover the
 // demand beyond the host's own part for lookahead. Those on demand are for the
 // operations that wait and the demand during onDemandLookahead; tokens that were
@@ -179,7 +202,3 @@
 	}
 	return wanted
 }
-
-// Requested returns the number of tokens that were requested on demand and are still
-// expected.
-func (b *HostBucket) Requested() float64 { return b.requested }
--- a/internal/limit/daisyquota/pool.go
+++ b/internal/limit/daisyquota/pool.go
@@ -19,6 +19,11 @@
 	// poolBurstRatio is the capacity of the pool of a divided limit, relative to the
 	// burst.
 	poolBurstRatio = 0.2
+	// maxReservation is how far in advance of the rate tokens are granted on demand:
+	// less than an operation waits for one, 0.2 s, by two round trips between regions.
+	maxReservation = 150 * time.Millisecond
+	// maxRetryAfter bounds the time after which a denied operation is to return.
+	maxRetryAfter = 3 * time.Second
 )
 
 // WorkspaceLimit is the rate limit of a workspace.
@@ -49,10 +54,17 @@
 // Pool is the part of a workspace's limit that the control leader grants to hosts.
 // It is not safe for concurrent use.
 type Pool struct {
-	limit   WorkspaceLimit
-	hosts   int
-	level   float64
-	updated time.Time
+	limit     WorkspaceLimit
+	hosts     int
+	level     float64 // Negative if tokens have been granted in advance.
+	returning float64 // Operations that were denied a token and have not returned.
+	updated   time.Time
+}
+
+// Grant is a number of tokens granted together.
+type Grant struct {
+	Tokens float64
+	After  time.Duration // When they may be used.
 }
 
 // NewPool returns an empty pool, so that a new leader adds nothing to what the
@@ -82,6 +94,7 @@
 	p.updated = now
 	level := p.level + elapsed*p.limit.Rate*(1-p.limit.ownShare(p.hosts))
 	p.level = math.Min(level, p.capacity())
+	p.returning = math.Max(0, p.returning-elapsed*p.limit.Rate)
 }
 
 // Draw takes up to the wanted number of tokens from the pool and returns how many
@@ -95,3 +108,39 @@
 	p.level -= taken
 	return taken
 }
+
+// Reserve is like Draw, but on demand it also grants tokens in advance, up to the rate
+// during maxReservation, so that operations get tokens in the order in which they were
+// requested. It returns the grants, the number of tokens denied and, for these, when
+// to request them again: once those that were granted in advance, and those that
+// others were denied before, have become due.
+func (p *Pool) Reserve(now time.Time, wanted float64) (grants []Grant, denied float64, retryAfter time.Duration) {
+	if tokens := p.Draw(now, wanted); tokens > 0 {
+		grants = append(grants, Grant{Tokens: tokens})
+		wanted -= tokens
+	}
+	if !p.limit.onDemand(p.hosts) {
+		return grants, math.Max(0, wanted), maxRetryAfter
+	}
+	for ; wanted >= 1; wanted-- {
+		due := p.due(p.level - 1)
+		if due > maxReservation {
+			break
+		}
+		p.level--
+		grants = append(grants, Grant{Tokens: 1, After: due})
+	}
+	if wanted >= 1 {
+		retryAfter = min(p.due(p.level-p.returning-1), maxRetryAfter)
+		p.returning = math.Min(p.returning+wanted, p.limit.Rate*maxRetryAfter.Seconds())
+	}
+	return grants, wanted, retryAfter
+}
+
+// due returns when a level becomes 0 at the rate: maxRetryAfter if that is never.
+func (p *Pool) due(level float64) time.Duration {
+	if p.limit.Rate <= 0 {
+		return maxRetryAfter
+	}
+	return time.Duration(math.Min(-level/p.limit.Rate, maxRetryAfter.Seconds()) * float64(time.Second))
+}
--- a/internal/wire/daisycodec/heartbeat.go
+++ b/internal/wire/daisycodec/heartbeat.go
@@ -117,7 +117,7 @@
 func fromDemands(demands []daisyheartbeat.Demand) []daisywire.Demand {
 	var ws []daisywire.Demand
 	for _, d := range demands {
-		ws = append(ws, daisywire.Demand{Workspace: d.Workspace, Tokens: d.Tokens})
+		ws = append(ws, daisywire.Demand{Workspace: d.Workspace, Tokens: d.Tokens, After: int64(d.After), Denied: d.Denied, RetryAfter: int64(d.RetryAfter)})
 	}
 	return ws
 }
@@ -125,7 +125,9 @@
 func toDemands(ws []daisywire.Demand) []daisyheartbeat.Demand {
 	var demands []daisyheartbeat.Demand
 	for _, w := range ws {
-		demands = append(demands, daisyheartbeat.Demand{Workspace: w.Workspace, Tokens: w.Tokens})
+		demands = append(demands, daisyheartbeat.Demand{
+			Workspace: w.Workspace, Tokens: w.Tokens, After: time.Duration(w.After), Denied: w.Denied, RetryAfter: time.Duration(w.RetryAfter),
+		})
 	}
 	return demands
 }
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -62,8 +62,10 @@
 	ProtocolFirst    = 1
 	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter and OwnShare.
 	ProtocolPosition = 3 // Calls may have MaxAge and Round.
+	// Grants of tokens may have After, Denied and RetryAfter.
+	ProtocolReservation = 4
 
-	protocolLatest = ProtocolPosition
+	protocolLatest = ProtocolReservation
 )
 
 // Protocol returns the protocol of the other host.
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -225,6 +225,15 @@
 
 // An amount of a workspace's rate limit tokens, requested or granted.
 type Demand struct {
+	// Of a grant: when the tokens may be used, in nanoseconds from their arrival on.
+	After int64 `json:"After,omitempty,omitzero"`
+
+	// Of a grant: the number of requested tokens that are not granted.
+	Denied float64 `json:"Denied,omitempty,omitzero"`
+
+	// Of a grant, with Denied: when to request the tokens again, in nanoseconds.
+	RetryAfter int64 `json:"RetryAfter,omitempty,omitzero"`
+
 	// The number of tokens.
 	Tokens float64 `json:"Tokens"`
 
