Finish the work of other hosts and running statements in a planned stop

Cause: a stopping host closed its gateway as soon as its own sessions had ended, some 2 s after SIGTERM, and with it the transactions of other hosts there; one of their COMMITs was reported as in doubt though it had not been sent. It closed its listener while clients still came.

Change: a stopping host refuses new clients as not run, waits until no transaction uses its gateway (0.7 of the grace period at most), aborts open transactions then, answers the statements that are running until 0.9, and no longer waits after 0.96. A COMMIT that certainly was not sent is reported as aborted; its connection is closed.

--- a/internal/entry/daisyfrontend/server.go
+++ b/internal/entry/daisyfrontend/server.go
@@ -59,10 +59,11 @@
 
 // Server serves client connections.
 type Server struct {
-	options  Options
-	listener net.Listener
-	wait     sync.WaitGroup
-	draining atomic.Bool
+	options   Options
+	listener  net.Listener
+	wait      sync.WaitGroup
+	draining  atomic.Bool // Sessions end once they are idle.
+	finishing atomic.Bool // Sessions end once their statement is answered.
 
 	mu       sync.Mutex
 	sessions map[*client]struct{}
@@ -70,8 +71,9 @@
 
 // client is a client connection.
 type client struct {
-	conn net.Conn
-	idle atomic.Bool // No statement is being served and no transaction is open.
+	conn    net.Conn
+	idle    atomic.Bool // No statement is being served and no transaction is open.
+	reading atomic.Bool // No statement is being served.
 }
 
 // Open starts to accept client connections.
@@ -137,6 +139,10 @@
 		s.options.Log.WithError(err).WithField("Caller", c.conn.RemoteAddr().String()).Info("entry: startup failed; connection closed")
 		return
 	}
+	if s.draining.Load() {
+		_ = codec.WriteRefusal(&daisystatement.Failure{Code: daisystatement.CodeBusy, Text: "the host is stopping; connect again"})
+		return
+	}
 	session, refused := s.options.Environment.Open(database, key)
 	if refused != nil {
 		s.options.Log.WithFields(log.Fields{
@@ -168,7 +174,7 @@
 		if codec.WriteAnswer(answer) != nil || session.Ended() {
 			return
 		}
-		if s.draining.Load() && !session.InTransaction() {
+		if s.finishing.Load() || s.draining.Load() && !session.InTransaction() {
 			return
 		}
 	}
@@ -187,8 +193,13 @@
 		if s.draining.Load() && !session.InTransaction() {
 			return daisystatement.Statement{}, net.ErrClosed
 		}
+		c.reading.Store(true)
 		st, err := codec.ReadStatement()
 		c.idle.Store(false)
+		c.reading.Store(false)
+		if errors.Is(err, os.ErrDeadlineExceeded) && s.finishing.Load() {
+			return st, err
+		}
 		if errors.Is(err, os.ErrDeadlineExceeded) && session.InTransaction() {
 			session.Expire()
 			continue
@@ -197,14 +208,27 @@
 	}
 }
 
-// Drain stops accepting clients and ends idle sessions. It waits until the other
-// sessions have finished their transactions and ended, or ctx ends.
+// Drain refuses new clients as not served and ends idle sessions. It waits until the
+// other sessions have finished their transactions and ended, or ctx ends.
 func (s *Server) Drain(ctx context.Context) {
 	s.draining.Store(true)
-	_ = s.listener.Close()
+	s.interrupt(ctx, func(c *client) bool { return c.idle.Load() })
+}
+
+// Finish is like Drain, but also aborts the transactions that are open, once their
+// present statement is answered. Statements that were read are still answered.
+func (s *Server) Finish(ctx context.Context) {
+	s.draining.Store(true)
+	s.finishing.Store(true)
+	s.interrupt(ctx, func(c *client) bool { return c.reading.Load() })
+}
+
+// interrupt interrupts the reads of the sessions that are to end, until all sessions
+// have ended or ctx ends.
+func (s *Server) interrupt(ctx context.Context, ends func(*client) bool) {
 	ticker := time.NewTicker(drainCheckInterval)
 	defer ticker.Stop()
-	for s.interruptIdle() > 0 {
+	for s.interruptReads(ends) > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -213,17 +237,16 @@
 	}
 }
 
-// drainCheckInterval is the time between checks for idle sessions during Drain.
+// drainCheckInterval is the time between checks for sessions that are to end.
 const drainCheckInterval = 20 * time.Millisecond
 
-// interruptIdle interrupts the reads of idle sessions, which ends them, and
-// returns the number of sessions left. A statement that was just read is still
-// answered.
-func (s *Server) interruptIdle() int {
+// interruptReads interrupts the reads of the sessions that are to end and returns the
+// number of sessions left. A statement that was just read is still answered.
+func (s *Server) interruptReads(ends func(*client) bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.sessions {
-		if c.idle.Load() {
+		if ends(c) {
 			_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 		}
 	}
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -41,6 +42,7 @@
 	wait sync.WaitGroup
 
 	counters counters
+	active   atomic.Int64 // Statements running, and pinned connections.
 
 	mu      sync.Mutex
 	servers map[string]*serverState
@@ -155,7 +157,13 @@
 // whether the statement ran.
 func (g *Gateway) Run(req StatementRequest) (a daisystatement.Answer, conn PinnedConn, err error) {
 	g.counters.requests.Add(1)
-	defer func() { g.logFailure(req, err) }()
+	g.active.Add(1)
+	defer func() {
+		if conn == nil {
+			g.active.Add(-1)
+		}
+		g.logFailure(req, err)
+	}()
 	if !g.pool.Usable(req.Server) {
 		return a, nil, fmt.Errorf("%w: %w: this host is not a gateway of the server", ErrNotSent, ErrUnreachable)
 	}
@@ -280,6 +288,10 @@
 	}).Info("gateway: statement request not answered by the server")
 }
 
+// Active returns the number of statements that are running and of connections that are
+// pinned for transactions.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
 // Close waits for the rollbacks of pinned connections that were closed.
 func (g *Gateway) Close() error {
 	g.wait.Wait()
--- a/internal/holder/daisygateway/pinned.go
+++ b/internal/holder/daisygateway/pinned.go
@@ -53,6 +53,7 @@
 	p.server.observeClass(p.class, p.runTime)
 	p.conn.Release()
 	p.conn = nil
+	p.gateway.active.Add(-1)
 }
 
 // Close implements PinnedConn.
@@ -64,6 +65,7 @@
 	p.conn = nil
 	p.server.observeClass(p.class, p.runTime)
 	p.gateway.wait.Go(func() {
+		defer p.gateway.active.Add(-1)
 		defer c.Release()
 		if err := c.Send([]daisystatement.Statement{systemStatement(daisystatement.KindRollback)}); err != nil {
 			return
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -43,6 +43,15 @@
 	// drainShare is the part of the grace period after which open transactions
 	// are aborted. The rest is for the statements that are still running then.
 	drainShare = 0.7
+	// finishShare is the part after which statements that are still running lose their
+	// connections.
+	finishShare = 0.9
+	// closeShare is the part after which Stop no longer waits, since the platform
+	// kills the process at the end of the grace period.
+	closeShare = 0.96
+	// workCheckInterval is the time between checks whether the work of other hosts at
+	// the gateway of a stopping host has ended.
+	workCheckInterval = 20 * time.Millisecond
 	// leaseCheckInterval is the time between checks whether the lease has expired
 	// or become valid, to log the change.
 	leaseCheckInterval = 200 * time.Millisecond
@@ -341,19 +350,50 @@
 func (h *EntryHost) Sessions() int { return h.server.Sessions() }
 
 // Stop stops the host gracefully. The host first reports that it is not ready, so
-// that the balancer sends new clients elsewhere. Sessions end once they are idle,
-// and open transactions may run for drainShare of the grace period.
+// that the balancer sends new clients elsewhere and other hosts use other gateways.
+// Sessions end once they are idle, and open transactions, also those of other hosts at
+// this gateway, may run for drainShare of the grace period. Statements that are running
+// then are answered until finishShare of it.
 func (h *EntryHost) Stop() error {
 	started := time.Now()
+	until := func(share float64) time.Time {
+		return started.Add(time.Duration(float64(h.options.Settings.GracePeriod) * share))
+	}
 	h.leaving.Store(true)
 	h.lease.Wake()
 	h.options.Log.Info("front: stopping; draining sessions")
-	limit := time.Duration(float64(h.options.Settings.GracePeriod) * drainShare)
-	time.Sleep(min(balancerDelay, limit/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(limit))
+	time.Sleep(min(balancerDelay, time.Until(until(drainShare))/2))
+	drain, cancel := context.WithDeadline(context.Background(), until(drainShare))
+	defer cancel()
+	h.server.Drain(drain)
+	h.awaitGateway(drain)
+	h.options.Log.WithFields(log.Fields{"Sessions": h.server.Sessions(), "Active": h.gateway.Active()}).Info("front: ending sessions once their statements are answered")
+	finish, cancel := context.WithDeadline(context.Background(), until(finishShare))
 	defer cancel()
-	h.server.Drain(ctx)
-	return h.Close()
+	h.server.Finish(finish)
+	closed := make(chan error, 1)
+	go func() { closed <- h.Close() }()
+	select {
+	case err := <-closed:
+		return err
+	case <-time.After(time.Until(until(closeShare))):
+		h.options.Log.Warn("front: the grace period is nearly over; ending with statements unanswered")
+		return nil
+	}
+}
+
+// awaitGateway waits until no statement or transaction uses this host's gateway, or ctx
+// ends.
+func (h *EntryHost) awaitGateway(ctx context.Context) {
+	ticker := time.NewTicker(workCheckInterval)
+	defer ticker.Stop()
+	for h.gateway.Active() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Close stops the host at once and waits until all its parts have stopped.
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -202,7 +202,8 @@
 }
 
 // commit commits the transaction. If the answer is missing, the outcome is in
-// doubt if the transaction wrote; else the transaction counts as aborted.
+// doubt if the transaction wrote and its COMMIT may have been sent; else the
+// transaction is aborted, since its connection is closed.
 func (t *transaction) commit(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	deadline := arrived.Add(t.profile.Timeout)
 	if refused, ok := t.ensureOpen(deadline); !ok {
@@ -214,7 +215,7 @@
 	a, err := s.forwardPinned(t.conn, t.request(st, deadline))
 	t.end()
 	switch {
-	case err != nil && t.wrote:
+	case err != nil && t.wrote && !errors.Is(err, daisygateway.ErrNotSent) && !errors.Is(err, daisygateway.ErrPinnedConnClosed):
 		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err)
 	case err != nil:
 		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeAborted, "%v", err)
