Reject amounts and ages out of range when decoding

Cause: found while looking for malformed messages that take more than themselves down. A heartbeat with a demand that is not a number made the level of the workspace's pool not a number for good; a weight of that kind spoiled the queue of a server, a negative age of a position made it count as fresh for longer than it is, and one refusal could hold statements back for any time.

Change: tokens and weights must be finite and not negative, ages and delays not negative, or the message is malformed and its link is closed. A hold-off lasts 2 s at most. The fuzz target decodes calls, replies and grants too.

--- a/internal/session/daisyrouter/holdoff.go
+++ b/internal/session/daisyrouter/holdoff.go
@@ -11,6 +11,9 @@
 // queue has run, and the host is one of many that return.
 const holdOffShare = 0.5
 
+// maxHoldOff bounds the time for which a host refuses on the word of one refusal.
+const maxHoldOff = 2 * time.Second
+
 // HeldClass is what a hold-off applies to.
 type HeldClass struct {
 	Server    string
@@ -36,7 +39,7 @@
 			delete(r.holdOffs, other)
 		}
 	}
-	r.holdOffs[h] = now.Add(time.Duration(holdOffShare * float64(retryAfter)))
+	r.holdOffs[h] = now.Add(min(time.Duration(holdOffShare*float64(retryAfter)), maxHoldOff))
 }
 
 // HeldOff returns for how long statements of the class are not to be sent to the
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -92,6 +92,9 @@
 	if w == nil {
 		return c, ErrKind
 	}
+	if err := checkDurations(w.Sent); err != nil {
+		return c, err
+	}
 	c = Call{ID: w.ID, PinnedConn: w.Lane, Action: Action(w.Act), Sent: time.Duration(w.Sent)}
 	if c.Action != ActionRun {
 		return c, nil
@@ -99,6 +102,9 @@
 	if w.Statement == nil {
 		return c, errors.New("statement request has no statement")
 	}
+	if err := errors.Join(checkAmounts(w.Weight), checkDurations(w.MaxAge)); err != nil {
+		return c, err
+	}
 	c.Request = daisygateway.StatementRequest{
 		Service: w.Service, Server: w.Server, Workspace: w.Workspace, Weight: w.Weight,
 		Priority: int(w.Priority), Class: w.Class, Pin: w.Keep,
@@ -154,6 +160,9 @@
 	if w == nil {
 		return r, ErrKind
 	}
+	if err := checkDurations(w.RetryAfter, w.SampleAge); err != nil {
+		return r, err
+	}
 	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), OwnShare: w.OwnShare, Text: w.Text}
 	r.Answer = daisystatement.Answer{
 		Rows: w.Rows, Signature: w.Signature, State: daisystatement.State(w.State),
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -141,6 +141,8 @@
 	f.Add(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Address: addr}))
 	f.Add(daisycodec.EncodeLogMessage(daisylog.Message{Kind: daisylog.KindAppend, Snapshot: &snap, Entries: []daisylog.Entry{{Index: 1, Change: &c}}}))
 	f.Add(daisycodec.EncodeRecord(daisycodec.Record{Replica: 3, Snapshot: &snap}))
+	f.Add(daisycodec.EncodeCall(daisycodec.Call{ID: 1}, time.Unix(1000, 0)))
+	f.Add(daisycodec.EncodeCallReply(daisycodec.CallReply{ID: 1, RetryAfter: time.Second, Sample: daisycodec.Sample{Epoch: 1}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		_, _ = daisycodec.DecodeRequest(b)
 		_, _ = daisycodec.DecodeAnswer(b)
@@ -148,5 +150,9 @@
 		_, _ = daisycodec.DecodeServerMessage(b)
 		_, _ = daisycodec.DecodeLogMessage(b)
 		_, _ = daisycodec.DecodeRecord(b)
+		_, _ = daisycodec.DecodeCall(b, time.Unix(1000, 0))
+		_, _ = daisycodec.DecodeCallReply(b)
+		_, _ = daisycodec.DecodeGrantRequest(b)
+		_, _, _ = daisycodec.DecodeGrant(b)
 	})
 }
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -29,6 +29,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -69,7 +70,35 @@
 // one to decode.
 var ErrKind = errors.New("frame holds an unexpected kind of message")
 
-var errNegative = errors.New("number of tokens is negative")
+var (
+	errNegative = errors.New("number of tokens is negative")
+	// errAmount is returned for a number that is not a finite amount. One such number
+	// would make a token bucket or a queue useless for good.
+	errAmount = errors.New("number is negative or not finite")
+	// errDuration is returned for a negative duration. A position of a negative age
+	// would count as fresh for longer than it is.
+	errDuration = errors.New("duration is negative")
+)
+
+// checkAmounts returns an error unless all numbers are finite and not negative.
+func checkAmounts(amounts ...float64) error {
+	for _, a := range amounts {
+		if !(a >= 0) || math.IsInf(a, 1) {
+			return errAmount
+		}
+	}
+	return nil
+}
+
+// checkDurations returns an error if a duration is negative.
+func checkDurations(durations ...int64) error {
+	for _, d := range durations {
+		if d < 0 {
+			return errDuration
+		}
+	}
+	return nil
+}
 
 func encode(f daisywire.Frame) []byte {
 	b, err := encMode.Marshal(f)
--- a/internal/wire/daisycodec/heartbeat.go
+++ b/internal/wire/daisycodec/heartbeat.go
@@ -1,6 +1,7 @@
 package daisycodec
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 
@@ -70,8 +71,8 @@
 			Value: daisyfleet.Member{Database: a.Database, Address: addr, FailureDomain: a.FailureDomain, Leaving: a.Leaving},
 		})
 	}
-	h.Demands = toDemands(w.Demands)
-	return h, nil
+	h.Demands, err = toDemands(w.Demands)
+	return h, err
 }
 
 // EncodeHeartbeatReply encodes the answer to a heartbeat.
@@ -109,7 +110,9 @@
 		}
 		r.Controls = append(r.Controls, addr)
 	}
-	r.Grants = toDemands(w.Grants)
+	if r.Grants, err = toDemands(w.Grants); err != nil {
+		return r, err
+	}
 	r.Leader, err = parseAddr(w.Leader)
 	return r, err
 }
@@ -122,14 +125,16 @@
 	return ws
 }
 
-func toDemands(ws []daisywire.Demand) []daisyheartbeat.Demand {
-	var demands []daisyheartbeat.Demand
+func toDemands(ws []daisywire.Demand) (demands []daisyheartbeat.Demand, err error) {
 	for _, w := range ws {
+		if err := errors.Join(checkAmounts(w.Tokens, w.Denied), checkDurations(w.After, w.RetryAfter)); err != nil {
+			return nil, err
+		}
 		demands = append(demands, daisyheartbeat.Demand{
 			Workspace: w.Workspace, Tokens: w.Tokens, After: time.Duration(w.After), Denied: w.Denied, RetryAfter: time.Duration(w.RetryAfter),
 		})
 	}
-	return demands
+	return demands, nil
 }
 
 // Proposal asks the control leader to accept or refuse a change.
