Send each change of the state once over a link

Cause: the reply to a heartbeat carried all that its host lacked by the revision in the heartbeat. A host that requests tokens sends a heartbeat every 60 ms, and until a desired state of some 10 kB has arrived each of them was answered with another copy.

Change: the leader records for each link up to which revision it has sent, and sends a delta again only to a host that still lacks it after 1.5 s. Replies carry no delta but the revision that the host must have, without which the host does not extend its lease. A delta is encoded once for all hosts that lack the same. Hosts of earlier protocols are answered as before. A client of the leader also tells whether its messages are held up.

--- a/internal/control/daisycoordinator/coordinator.go
+++ b/internal/control/daisycoordinator/coordinator.go
@@ -65,6 +65,7 @@
 	wait       sync.WaitGroup
 	wake       chan struct{}
 
+	deltas   deltaCache
 	observed notifier // Notified when a host reports an observation of a primary.
 
 	mu        sync.Mutex
@@ -179,11 +180,10 @@
 	c.fullState = fullState{revision: delta.To, message: daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: &delta})}
 }
 
-// answer holds the messages that answer a heartbeat.
+// answer is the answer to a heartbeat.
 type answer struct {
-	fullState []byte // Message to send first, if the host has no state yet.
-	reply     daisyheartbeat.Reply
-	revision  uint64 // The host's revision after the answer; 0 if this host does not lead.
+	reply daisyheartbeat.Reply
+	leads bool // This host leads, so that the host's state is brought up to date.
 }
 
 // controls returns the addresses of the control hosts.
@@ -213,17 +213,10 @@
 		if len(b.Demands) > 0 && a.reply.Lease > 0 {
 			a.reply.Grants = decider.Grants(now, s, b)
 		}
-		from := b.Revision
-		if from == 0 && s.Revision() > 0 {
-			c.refreshFullState(s)
-			a.fullState, from = c.fullState.message, c.fullState.revision
-		}
-		if from != s.Revision() {
-			delta := s.Delta(from)
-			a.reply.Delta = &delta
+		if b.Revision != s.Revision() {
 			a.reply.Controls = controls
 		}
-		a.revision = s.Revision()
+		a.leads = true
 	})
 	if len(b.Observations) > 0 {
 		c.observed.notify()
@@ -248,8 +241,8 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	revisions := make(chan uint64, 1)
-	wait.Go(func() { c.push(ctx, link, revisions) })
+	state := &replication{coordinator: c, link: link}
+	wait.Go(func() { c.push(ctx, link, state) })
 	defer cancel()
 	for {
 		message, err := link.Receive(ctx)
@@ -273,16 +266,12 @@
 		if link.Protocol() < daisylink.ProtocolReservation {
 			a.reply.Grants = immediate(a.reply.Grants)
 		}
-		if a.fullState != nil && link.Send(ctx, a.fullState) != nil {
-			return
-		}
-		if link.Send(ctx, daisycodec.EncodeHeartbeatReply(a.reply)) != nil {
+		if err := c.sendAnswer(ctx, link, state, a, m.Heartbeat.Revision); err != nil {
 			return
 		}
 		if !a.reply.Leader.IsValid() && (!c.node.Joined() || c.node.Failed() != nil) {
 			return // The host then asks another one, which knows the leader sooner.
 		}
-		replaceRevision(revisions, a.revision)
 	}
 }
 
@@ -297,30 +286,41 @@
 	return understood
 }
 
-// replaceRevision replaces the revision from which push sends deltas.
-func replaceRevision(revisions chan uint64, revision uint64) {
-	select {
-	case <-revisions:
-	default:
+// sendAnswer sends the answer to a heartbeat of a host that states to have the revision.
+// Hosts of earlier protocols are sent all that they lack with each answer, since they
+// would extend their leases without it.
+func (c *Coordinator) sendAnswer(ctx context.Context, link *daisylink.Conn, state *replication, a answer, held uint64) error {
+	switch {
+	case !a.leads:
+		return link.Send(ctx, daisycodec.EncodeHeartbeatReply(a.reply))
+	case link.Protocol() >= daisylink.ProtocolReservation:
+		return state.answer(ctx, held, a.reply)
+	}
+	state.mu.Lock()
+	defer state.mu.Unlock()
+	if held == 0 {
+		state.sent = 0
+		if err := state.update(ctx, 0); err != nil {
+			return err
+		}
+		held = state.sent
 	}
-	revisions <- revision
+	c.view.Read(func(s *daisyfleet.State) {
+		if state.sent = s.Revision(); state.sent != held {
+			delta := s.Delta(held)
+			a.reply.Delta = &delta
+		}
+	})
+	return link.Send(ctx, daisycodec.EncodeHeartbeatReply(a.reply))
 }
 
 // push sends deltas when the state changes and probes when a host reports an
-// observation, between heartbeats. It starts from the latest of the revisions.
-func (c *Coordinator) push(ctx context.Context, link *daisylink.Conn, revisions <-chan uint64) {
-	var from uint64
+// observation, between heartbeats.
+func (c *Coordinator) push(ctx context.Context, link *daisylink.Conn, state *replication) {
 	for {
 		changed, observed := c.view.Changed(), c.observed.next()
-		if from != 0 && from < c.view.Revision() {
-			if _, ok := c.node.Leads(); ok {
-				var delta daisyfleet.Delta
-				c.view.Read(func(s *daisyfleet.State) { delta = s.Delta(from) })
-				if link.Send(ctx, daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: &delta})) != nil {
-					return
-				}
-				from = delta.To
-			}
+		if _, ok := c.node.Leads(); ok && state.push(ctx) != nil {
+			return
 		}
 		select {
 		case <-changed:
@@ -328,7 +328,6 @@
 			if probes := c.probes(link.Peer()); len(probes) > 0 {
 				_ = link.Send(ctx, daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Probes: probes}))
 			}
-		case from = <-revisions:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/control/daisyheartbeat/heartbeat.go
+++ b/internal/control/daisyheartbeat/heartbeat.go
@@ -77,11 +77,12 @@
 
 // Reply answers a Heartbeat.
 type Reply struct {
-	ID     uint64
-	Lease  time.Duration // From the time at which the heartbeat was sent; 0 grants none.
-	Delta  *daisyfleet.Delta
-	Probes []Probe        // Primaries that the host must probe now.
-	Leader netip.AddrPort // The leader, to which heartbeats must be sent; invalid if unknown.
+	ID       uint64
+	Lease    time.Duration // From the time at which the heartbeat was sent; 0 grants none.
+	Revision uint64        // The revision that the host must have for the lease; 0 if not stated.
+	Delta    *daisyfleet.Delta
+	Probes   []Probe        // Primaries that the host must probe now.
+	Leader   netip.AddrPort // The leader, to which heartbeats must be sent; invalid if unknown.
 
 	Controls []netip.AddrPort // Replaces the control hosts that the host knows, unless empty.
 	Grants   []Demand         // Tokens granted in answer to the demands.
--- a/internal/control/daisylease/client.go
+++ b/internal/control/daisylease/client.go
@@ -38,6 +38,11 @@
 	// lease or no leader. The control log accepts a new host within some tens of
 	// milliseconds.
 	eagerHeartbeatInterval = 60 * time.Millisecond
+	// maxRoundTrip is the time after which an unanswered heartbeat counts as delayed:
+	// six round trips between regions.
+	maxRoundTrip = 150 * time.Millisecond
+	// delayMemory is how long a delay is remembered after its end.
+	delayMemory = time.Second
 	// proposeRetryInterval is the pause before a change is proposed again.
 	proposeRetryInterval = 100 * time.Millisecond
 )
@@ -89,6 +94,7 @@
 	sentAt        map[uint64]time.Time
 	decisions     map[uint64]chan daisycodec.Decision
 	lastReply     time.Time
+	delayedUntil  time.Time        // Until when a delayed reply is remembered.
 	noLeaderSince time.Time        // Since when the present control host knows no leader; zero if it knows one.
 	leaderHint    netip.AddrPort   // The leader named by the last control host; invalid if none was named.
 	learnedHosts  []netip.AddrPort // The control hosts of the last reply that listed them; empty if none did.
@@ -303,6 +309,9 @@
 	c.mu.Lock()
 	sentAt, ok := c.sentAt[r.ID]
 	delete(c.sentAt, r.ID)
+	if now := daisyclock.Now(); ok && now.Sub(sentAt) > maxRoundTrip {
+		c.delayedUntil = now.Add(delayMemory)
+	}
 	c.mu.Unlock()
 	if len(r.Grants) > 0 && c.options.Grant != nil && ok && daisyclock.Now().Sub(sentAt) <= daisyquota.MaxGrantAge {
 		c.options.Grant(r.Grants)
@@ -321,12 +330,29 @@
 		return false
 	}
 	c.lastReply = daisyclock.Now()
-	if ok && r.Lease > 0 {
+	if ok && r.Lease > 0 && c.options.View.Revision() >= r.Revision {
 		c.Extend(sentAt, r.Lease)
 	}
 	return true
 }
 
+// Delayed reports whether messages between this host and the control host are held up,
+// or were a short time ago.
+func (c *Client) Delayed() bool {
+	now := daisyclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Before(c.delayedUntil) {
+		return true
+	}
+	for _, sentAt := range c.sentAt {
+		if now.Sub(sentAt) > maxRoundTrip {
+			return true
+		}
+	}
+	return false
+}
+
 // waitForLeader records a reply that names no leader. It reports whether to stay with
 // the control host, which may learn of a leader sooner than another link opens.
 // c.mu is held.
--- a/internal/wire/daisycodec/heartbeat.go
+++ b/internal/wire/daisycodec/heartbeat.go
@@ -77,7 +77,7 @@
 
 // EncodeHeartbeatReply encodes the answer to a heartbeat.
 func EncodeHeartbeatReply(r daisyheartbeat.Reply) []byte {
-	w := &daisywire.BeatReply{ID: r.ID, Lease: int64(r.Lease), Delta: fromDelta(r.Delta), Leader: formatAddr(r.Leader)}
+	w := &daisywire.BeatReply{ID: r.ID, Lease: int64(r.Lease), Revision: r.Revision, Delta: fromDelta(r.Delta), Leader: formatAddr(r.Leader)}
 	for _, p := range r.Probes {
 		w.Probes = append(w.Probes, daisywire.Probe{Database: p.Database, Term: p.Term, Member: p.Member, Address: formatAddr(p.Address)})
 	}
@@ -94,7 +94,7 @@
 	if err != nil {
 		return r, err
 	}
-	r = daisyheartbeat.Reply{ID: w.ID, Lease: time.Duration(w.Lease), Delta: delta}
+	r = daisyheartbeat.Reply{ID: w.ID, Lease: time.Duration(w.Lease), Revision: w.Revision, Delta: delta}
 	for _, p := range w.Probes {
 		addr, err := parseAddr(p.Address)
 		if err != nil {
--- a/internal/wire/daisylink/link.go
+++ b/internal/wire/daisylink/link.go
@@ -62,7 +62,8 @@
 	ProtocolFirst    = 1
 	ProtocolOverload = 2 // Calls may have Sent, and their refusals RetryAfter and OwnShare.
 	ProtocolPosition = 3 // Calls may have MaxAge and Round.
-	// Grants of tokens may have After, Denied and RetryAfter.
+	// Grants of tokens may have After, Denied and RetryAfter, replies to heartbeats
+	// Revision.
 	ProtocolReservation = 4
 
 	protocolLatest = ProtocolReservation
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -127,6 +127,10 @@
 
 	// Primaries that the host must probe now.
 	Probes []Probe `json:"Probes,omitempty,omitzero"`
+
+	// The revision of the state that the host must have for the lease; 0 if not
+	// stated.
+	Revision uint64 `json:"Revision,omitempty,omitzero"`
 }
 
 // An atomic set of operations.
