Keep hosts whose messages are held up from reporting primaries

Cause: the observers of a primary are gateways, whose network links fill first under overload. One whose link is full opens no connection to any server within 0.2 s and reported all its primaries; 7 of 9 observers sufficed, though the control leader reached them. Links between hosts that were silent for 0.45 s were closed and opened anew over the full link.

--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -39,6 +39,7 @@
 	Local    *daisygateway.Gateway
 	Topology daisyplacement.Topology
 	Dial     Dial
+	Delayed  func() bool // Reports whether messages of this host are held up; may be nil.
 	Log      log.Interface
 }
 
@@ -127,7 +128,7 @@
 	f.mu.Lock()
 	l := f.links[addr]
 	if l == nil || l.hasFailed() && !l.failedRecently() {
-		l = newLink(addr, &f.counters)
+		l = newLink(addr, &f.counters, f.options.Delayed)
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
 	}
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -151,6 +151,7 @@
 	leading   uint64       // The epoch in which the server leads; 0 if it does not.
 	recorded  []sample     // Recorded with answers of the primary.
 	old       bool         // It speaks the first protocol.
+	delayed   atomic.Bool  // It knows that its messages are held up.
 }
 
 // sample is a position that a gateway recorded.
@@ -211,7 +212,7 @@
 		h.gateway = daisygateway.New(h.pool, &log.Logger{Handler: discard.New(), Level: log.FatalLevel})
 		h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 			Host: h.name, Local: h.gateway, Topology: daisyplacement.Topology{Regions: map[string]string{domain: "r"}},
-			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel},
+			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Delayed: h.delayed.Load,
 		})
 	}
 	for _, h := range f.hosts {
@@ -327,6 +328,35 @@
 	})
 }
 
+// While messages of this host are held up, a silent link is kept for longer: the reply
+// may still come.
+func TestSilentLinkIsKeptWhileDelayed(t *testing.T) {
+	tests := []struct {
+		name    string
+		delayed bool
+		served  bool
+	}{
+		{"Delayed", true, true},
+		{"NotDelayed", false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				defer f.close()
+				_, other := f.first()
+				other.delayed.Store(test.delayed)
+				_, _, err := other.forwarder.Run(request(daisystatement.KindWrite, "w1"))
+				assert.NilError(t, err)
+				other.hold.Store(int64(700 * time.Millisecond)) // Replies are held up.
+				_, _, err = other.forwarder.Run(request(daisystatement.KindRead, "r1"))
+				assert.Equal(t, err == nil, test.served, "%v", err)
+				other.hold.Store(0)
+			})
+		})
+	}
+}
+
 // An answer carries the position of the primary that the gateway knows. The
 // reported time is no later than when the primary was asked, however long the
 // answer took.
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -29,6 +29,9 @@
 	// silenceTimeout is how long it may be silent before it is closed. The reply
 	// to a ping needs one round trip, 25 ms between regions.
 	silenceTimeout = 450 * time.Millisecond
+	// delayedSilenceTimeout is the same while messages of this host are held up, so that
+	// it does not open all its links anew over a full network link.
+	delayedSilenceTimeout = 1500 * time.Millisecond
 	// checkInterval is the time between checks of a link for silence.
 	checkInterval = 50 * time.Millisecond
 	// sendTimeout bounds the sending of a call or a reply.
@@ -46,6 +49,7 @@
 type link struct {
 	addr     netip.AddrPort
 	counters *counters
+	delayed  func() bool   // Reports whether messages of this host are held up; may be nil.
 	ready    chan struct{} // Closed once the link is open or has failed.
 
 	mu          sync.Mutex
@@ -59,8 +63,8 @@
 	pingSent    bool
 }
 
-func newLink(addr netip.AddrPort, c *counters) *link {
-	return &link{addr: addr, counters: c, ready: make(chan struct{}), pending: make(map[uint64]chan daisycodec.CallReply)}
+func newLink(addr netip.AddrPort, c *counters, delayed func() bool) *link {
+	return &link{addr: addr, counters: c, delayed: delayed, ready: make(chan struct{}), pending: make(map[uint64]chan daisycodec.CallReply)}
 }
 
 // hasFailed reports whether the link was lost or could not be opened.
@@ -177,8 +181,12 @@
 		ping := silent > pingDelay && !l.pingSent
 		l.pingSent = l.pingSent || ping
 		l.mu.Unlock()
+		timeout := silenceTimeout
+		if silent > silenceTimeout && l.delayed != nil && l.delayed() {
+			timeout = delayedSilenceTimeout
+		}
 		switch {
-		case silent > silenceTimeout:
+		case silent > timeout:
 			conn.Close()
 			return
 		case ping:
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -136,7 +136,7 @@
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
-		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log,
+		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -147,7 +147,7 @@
 	})
 	h.router = daisyrouter.New(daisyrouter.Options{
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
-		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Regions: s.Regions,
+		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -60,7 +60,9 @@
 	return min(checkInterval<<s.reached, maxCheckInterval)
 }
 
-// check records whether a connection to the primary can be opened.
+// check records whether a connection to the primary can be opened. A failure does not
+// count while messages of this host are held up: a gateway whose network link is full
+// reaches no server in time, and replacing the primaries would only add to the load.
 func (r *Router) check(ctx context.Context, c primaryCheck) {
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
@@ -70,6 +72,9 @@
 	defer r.mu.Unlock()
 	s := r.service(c.service)
 	s.checking, s.checked = false, daisyclock.Now()
+	if err != nil && r.options.Delayed != nil && r.options.Delayed() {
+		return
+	}
 	if err != nil {
 		s.reached = 0
 		r.markUnreachable(c.service, c.leader.Epoch)
--- a/internal/session/daisyrouter/check_test.go
+++ b/internal/session/daisyrouter/check_test.go
@@ -76,3 +76,33 @@
 		<-done
 	})
 }
+
+// Guards against the replacement of all primaries at once: a gateway whose own network
+// link is full cannot reach any of them in time.
+func TestDelayedHostDoesNotReportPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var delayed atomic.Bool
+		var reports atomic.Int32
+		delayed.Store(true)
+		r := daisyrouter.New(daisyrouter.Options{
+			View: newView(t), Lease: validLease{}, GatewayRank: func(string) int { return 0 },
+			Reach:          func(context.Context, string) error { return errors.New("unreachable") },
+			OnUnresponsive: func() { reports.Add(1) }, Delayed: delayed.Load,
+		})
+		r.Refresh()
+		r.MinPosition(serviceName, 1, time.Now(), time.Second) // The service is in use.
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); r.Run(ctx) }()
+		r.Started(primaryName, "") // Stays unanswered.
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, reports.Load(), int32(0))
+		assert.Equal(t, len(r.Observations()), 0)
+		delayed.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, reports.Load(), int32(1))
+		assert.Equal(t, len(r.Observations()), 1)
+		cancel()
+		<-done
+	})
+}
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -52,6 +52,9 @@
 	Location       Location
 	Regions        map[string]string // The region of each failure domain.
 	OnUnresponsive func()            // Called when a primary can no longer be reached.
+	// Delayed reports whether messages of this host are held up, so that it says nothing
+	// about a primary if this host cannot reach it; may be nil.
+	Delayed func() bool
 }
 
 // Leader identifies the leader of a service: its primary server and the epoch of
