Ignore delayed announcements after the control leader was replaced

Cause: found while looking for servers that are in use again after a restart. A leader keeps the announcements in memory. One that was delayed until after a change of leader registered a server that had ended, beside its successor at the same address, until the successor's next announcement.

Change: an announcement that is older than the server which the state has at its address is ignored.

Measured: TestNewLeaderIgnoresDelayedAnnouncement fails without the change. Not mended: a delayed announcement of a server that left without a successor at its address (docs/PROOFS.md, open findings).

--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -172,6 +172,10 @@
 		if ok && stored == next {
 			continue
 		}
+		if !ok && replacedAtAddress(s, known.Announcement) {
+			delete(l.servers, id)
+			continue
+		}
 		if !ok {
 			o = daisyfleet.Object{ID: daisyfleet.ID{Kind: daisyfleet.KindServer, Name: id}}
 		}
@@ -193,6 +197,16 @@
 	return changes
 }
 
+// replacedAtAddress reports whether the state has another server at the address that
+// started later. A new leader learns from nothing else that the announcement is delayed.
+func replacedAtAddress(s *daisyfleet.State, a Announcement) (replaced bool) {
+	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
+		v, ok := o.Value.(daisyfleet.Server)
+		replaced = replaced || ok && o.Name != a.ID && v.Address == a.Address && v.Started.After(a.Started)
+	})
+	return replaced
+}
+
 // replaceValue returns a change that replaces the value of the object, provided
 // that the object has not changed since it was read. A nil value deletes it.
 func replaceValue(o daisyfleet.Object, v daisyfleet.Value, reason string) daisyfleet.Change {
