Leave a silent control leader sooner, and wait for the next one's tokens

Cause: where limits are granted on demand, operations are refused while no leader answers. A host left a silent leader after 0.75 s, asked a follower, which still named the silent one, and went back to it: 0.59 s after the election in the test until tokens came.

Change: an eager client whose messages are not held up leaves a leader that has not answered a heartbeat for 0.45 s, and for 1 s does not return to it on the word of another host.

--- a/internal/control/daisylease/client.go
+++ b/internal/control/daisylease/client.go
@@ -26,6 +26,10 @@
 const (
 	// replyTimeout is how long a control host may take to reply to a heartbeat.
 	replyTimeout = 750 * time.Millisecond
+	// eagerReplyTimeout is the same for an eager client whose messages are not held up:
+	// the shortest election timeout. A leader that is silent for that long is being
+	// replaced.
+	eagerReplyTimeout = 450 * time.Millisecond
 	// noLeaderTimeout is how long the client stays with a control host that knows no
 	// leader: several times what a new link takes, but less than an election.
 	noLeaderTimeout = 300 * time.Millisecond
@@ -41,6 +45,9 @@
 	// maxRoundTrip is the time after which an unanswered heartbeat counts as delayed:
 	// six round trips between regions.
 	maxRoundTrip = 150 * time.Millisecond
+	// silenceMemory is how long a client does not return to a control host that did not
+	// answer because another names it as the leader: longer than an election takes.
+	silenceMemory = time.Second
 	// delayMemory is how long a delay is remembered after its end.
 	delayMemory = time.Second
 	// proposeRetryInterval is the pause before a change is proposed again.
@@ -74,6 +81,9 @@
 	Log   log.Interface
 }
 
+// errSilent is returned if a control host no longer answers heartbeats.
+var errSilent = errors.New("control host stopped answering heartbeats")
+
 // ErrNoLeader is returned if no control leader decided a change before the context
 // ended.
 var ErrNoLeader = errors.New("no control leader answered the proposal")
@@ -95,6 +105,8 @@
 	decisions     map[uint64]chan daisycodec.Decision
 	lastReply     time.Time
 	delayedUntil  time.Time        // Until when a delayed reply is remembered.
+	silent        netip.AddrPort   // The control host that was last left since it did not answer.
+	silentUntil   time.Time        // Until when it is not returned to on the word of another.
 	noLeaderSince time.Time        // Since when the present control host knows no leader; zero if it knows one.
 	leaderHint    netip.AddrPort   // The leader named by the last control host; invalid if none was named.
 	learnedHosts  []netip.AddrPort // The control hosts of the last reply that listed them; empty if none did.
@@ -132,7 +144,11 @@
 			addr = hosts[next%len(hosts)]
 			next++
 		}
-		if err := c.runLink(addr); err != nil {
+		err := c.runLink(addr)
+		if errors.Is(err, errSilent) {
+			c.avoid(addr)
+		}
+		if err != nil {
 			c.options.Log.WithError(err).WithField("control", addr).Info("keeper: left the control host; trying another")
 		}
 		if !hinted && c.redirected(addr) {
@@ -145,6 +161,13 @@
 	}
 }
 
+// avoid records that the control host did not answer.
+func (c *Client) avoid(addr netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent, c.silentUntil = addr, daisyclock.Now().Add(silenceMemory)
+}
+
 // takeLeaderHint returns the leader's address as named by the last control host,
 // and clears it.
 func (c *Client) takeLeaderHint() netip.AddrPort {
@@ -227,24 +250,57 @@
 		if err := c.sendHeartbeat(ctx, link); err != nil {
 			return err
 		}
-		timer := time.NewTimer(c.interval())
+		if err := c.awaitNext(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitNext waits until the next heartbeat is due. It returns an error if a reply is
+// overdue or ctx ends.
+func (c *Client) awaitNext(ctx context.Context) error {
+	next := daisyclock.Now().Add(c.interval())
+	for {
+		left := next.Sub(daisyclock.Now())
+		if left <= 0 {
+			return nil
+		}
+		timer := time.NewTimer(min(left, max(c.untilOverdue(), time.Millisecond)))
+		woken := false
 		select {
 		case <-timer.C:
 		case <-c.wake:
-			timer.Stop()
+			woken = true
 		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
 		}
-		c.mu.Lock()
-		replyOverdue := daisyclock.Now().Sub(c.lastReply) > replyTimeout
-		c.mu.Unlock()
-		if replyOverdue {
-			return errors.New("control host stopped answering heartbeats")
+		timer.Stop()
+		switch {
+		case ctx.Err() != nil:
+			return ctx.Err()
+		case c.untilOverdue() <= 0:
+			return errSilent
+		case woken:
+			return nil
 		}
 	}
 }
 
+// untilOverdue returns the time until a reply is overdue. It counts from the last reply
+// or, for an eager client, from the first heartbeat that is not answered.
+func (c *Client) untilOverdue() time.Duration {
+	now := daisyclock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := replyTimeout - now.Sub(c.lastReply)
+	if !c.options.Eager || now.Before(c.delayedUntil) {
+		return left
+	}
+	for _, sentAt := range c.sentAt {
+		left = min(left, eagerReplyTimeout-now.Sub(sentAt))
+	}
+	return left
+}
+
 // interval returns the time until the next heartbeat.
 func (c *Client) interval() time.Duration {
 	c.mu.Lock()
@@ -321,8 +377,10 @@
 	if len(r.Controls) > 0 {
 		c.learnedHosts = r.Controls
 	}
-	if !r.Leader.IsValid() && c.options.Eager {
-		return c.waitForLeader(daisyclock.Now())
+	now := daisyclock.Now()
+	outdated := r.Leader == c.silent && now.Before(c.silentUntil) // Followers notice a silent leader later.
+	if (!r.Leader.IsValid() || outdated) && c.options.Eager {
+		return c.waitForLeader(now)
 	}
 	c.noLeaderSince = time.Time{}
 	if r.Leader != addr {
--- a/internal/control/daisylease/client_test.go
+++ b/internal/control/daisylease/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 type controlHosts struct {
 	mu     sync.Mutex
 	leader netip.AddrPort
+	grants atomic.Bool // The leader grants a token with each reply.
 }
 
 func (c *controlHosts) lead(addr netip.AddrPort) {
@@ -59,6 +61,9 @@
 		l.controlHosts.mu.Unlock()
 		if r.Leader == l.addr {
 			r.Lease = 3 * time.Second
+			if l.controlHosts.grants.Load() {
+				r.Grants = []daisyheartbeat.Demand{{Workspace: "w", Tokens: 1}}
+			}
 		}
 		time.AfterFunc(oneWay, func() { l.replies <- daisycodec.EncodeHeartbeatReply(r) })
 	})
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -25,6 +25,10 @@
 	// onDemandRetryInterval is the same for a limit granted on demand, of which no token
 	// comes without a grant.
 	onDemandRetryInterval = 50 * time.Millisecond
+	// unansweredFactor is how many times as long an operation may wait for the answer of
+	// a control leader that grants on demand: it is denied at once if no token is left,
+	// so that an operation without an answer waits for another leader.
+	unansweredFactor = 2
 )
 
 // Refusals are numbers of refused operations since the controller was created.
@@ -107,8 +111,9 @@
 	}
 }
 
-// Admit admits one operation of the workspace. It waits up to maxWait for a token
-// and, if it gets none, returns the time to retry. Waiting operations of a higher
+// Admit admits one operation of the workspace. It waits up to maxWait for a token, or
+// unansweredFactor times as long for a control leader that does not answer, and, if it
+// gets none, returns the time to retry. Waiting operations of a higher
 // priority, which is a lower number, go first.
 func (c *Controller) Admit(workspace string, priority int, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
 	arrived := daisyclock.Now()
@@ -119,6 +124,9 @@
 	}
 	c.countWaiting(workspace, priority, 1)
 	defer c.countWaiting(workspace, priority, -1)
+	if b := c.buckets[workspace]; b != nil && b.OnDemand() {
+		maxWait *= unansweredFactor
+	}
 	until := arrived.Add(maxWait)
 	for now := arrived; now.Before(until) && !c.denied(workspace, arrived); now = daisyclock.Now() {
 		c.request(now, workspace)
