Answer the calls that were accepted before a stop

Cause: found while looking for accepted requests that a planned stop cuts off. A control host that was told to stop closed its HTTP server, and with it the connections of operators and servers whose calls were being answered.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -35,6 +35,9 @@
 	settingsInterval = time.Second
 	// callTimeout bounds the time to read a request of the HTTP servers.
 	callTimeout = 10 * time.Second
+	// answerShare is the part of the grace period in which calls that were accepted are
+	// answered before the process stops.
+	answerShare = 0.3
 )
 
 // process is the part that entry and control hosts on the platform share.
@@ -113,6 +116,18 @@
 	}
 }
 
+// answerCalls refuses new calls and waits until those that were accepted are answered,
+// for answerShare of the grace period at most.
+func (p *process) answerCalls() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(answerShare*float64(p.settings.GracePeriod)))
+	defer cancel()
+	for _, s := range p.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			p.log.WithError(err).Warn("process: stopping with calls unanswered")
+		}
+	}
+}
+
 func (p *process) close() error {
 	var errs []error
 	for _, s := range p.servers {
@@ -220,6 +235,7 @@
 			if err == nil {
 				p.followSettings(c.Context(), host.SetSeeds)
 			}
+			p.answerCalls()
 			return errors.Join(err, host.Close())
 		},
 	}
