--- a/internal/control/daisypromotion/restart_test.go
+++ b/internal/control/daisypromotion/restart_test.go
@@ -34,7 +34,7 @@
 			added := false
 			for _, c := range l.Due(now, &s) {
 				for _, op := range c.Operations {
-					added = added || op.ID.Kind == daisyfleet.KindServer && op.ID.Name == "other" && op.Value != nil
+					added = added || op.ID == (daisyfleet.ID{Kind: daisyfleet.KindServer, Name: "other"}) && op.Value != nil
 				}
 			}
 			assert.Equal(t, added, test.added)
