Request tokens as soon as the pause since the last request ends

Cause: found while reading the change. An operation that came within 60 ms of another's request looked again after 50 ms, and one that let an operation of a higher priority go first looked without a pause.

Change: it looks when the next request may be sent, and at most once a millisecond.

--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -25,6 +25,8 @@
 	// onDemandRetryInterval is the same for a limit granted on demand, of which no token
 	// comes without a grant.
 	onDemandRetryInterval = 50 * time.Millisecond
+	// minRetryInterval is the minimum time between two attempts of an operation.
+	minRetryInterval = time.Millisecond
 	// unansweredFactor is how many times as long an operation may wait for the answer of
 	// a control leader that grants on demand: it is denied at once if no token is left,
 	// so that an operation without an answer waits for another leader.
@@ -161,14 +163,17 @@
 	wait := retryInterval
 	if b := c.buckets[workspace]; b != nil && b.OnDemand() {
 		wait = onDemandRetryInterval
+		if next := c.lastRequest.Add(minRequestInterval); next.After(now) {
+			wait = next.Sub(now) // Another operation's request was just sent.
+		}
 		if from, ok := b.NextToken(); ok {
-			wait = from.Sub(now)
+			wait = max(from.Sub(now), minRetryInterval) // An operation of a higher priority may take it.
 		}
 	}
 	granted := c.granted
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	timer := time.NewTimer(max(0, min(wait, until.Sub(now))))
+	timer := time.NewTimer(min(wait, until.Sub(now)))
 	defer timer.Stop()
 	select {
 	case <-granted:
@@ -227,7 +232,7 @@
 // requested a short time ago. It requires c.mu.
 func (c *Controller) request(now time.Time, workspace string) {
 	b := c.buckets[workspace]
-	if b == nil || now.Sub(c.lastRequest) <= max(minRequestInterval, c.pending[workspace].interval) {
+	if b == nil || now.Sub(c.lastRequest) <= max(minRequestInterval-minRetryInterval, c.pending[workspace].interval) {
 		return
 	}
 	if b.Wanted(now, c.countAllWaiting(workspace)) > 0 {
