--- a/internal/control/daisylease/client.go
+++ b/internal/control/daisylease/client.go
@@ -1,8 +1,8 @@
 // Package daisylease is a host's lease client. It sends heartbeats to the control
 // leader, reconnects when the leader changes, and merges the deltas of the control
-// state. The lease is extended only after the delta that came with it is merged, so
-// while the lease is valid, every change that was accepted before it was granted
-// is in force on this host.
+// state. The lease is extended only if the host has the revision that the leader had
+// when it granted it, so while the lease is valid, every change that was accepted
+// before is in force on this host.
 package daisylease
 
 import (
--- a/internal/control/daisyplacement/placement.go
+++ b/internal/control/daisyplacement/placement.go
@@ -2,6 +2,11 @@
 // the database group, and the observers, which probe its primary. It uses
 // rendezvous hashing (Thaler and Ravishankar, 1998) with a bound on the load of
 // each host, so that the loss of a host moves only the databases that it held.
+//
+// Where another party carries promotions out, Topology ranks the hosts through which
+// each backend server is used: those that are up and not leaving, by their distance to
+// the server and then by rendezvous hashing without a bound. The loss of a host moves
+// only the servers that it was the gateway of.
 package daisyplacement
 
 import (
