Wait at the gateway of a replica for a position that is on its way

Cause: after a restart of all hosts no gateway has a position of any primary.

Change: the gateway asks the primary at once, not at its next tick, and a read waits for the answer for 75 ms at most before the primary has to serve it.

Measured: TestGatewayWaitsForPosition and TestGatewaySamplesForOtherHosts, which now does not allow the sampler to wait for its tick, fail without the change.

--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -145,13 +145,15 @@
 	gateway   *daisygateway.Gateway
 	pool      *daisypool.Pool
 	forwarder *daisyforwarder.Forwarder
-	down      atomic.Bool  // Refuses connections.
-	silent    atomic.Bool  // Messages to and from it are dropped.
-	hold      atomic.Int64 // How long messages to it are held up, in nanoseconds.
-	leading   uint64       // The epoch in which the server leads; 0 if it does not.
-	recorded  []sample     // Recorded with answers of the primary.
-	old       bool         // It speaks the first protocol.
-	delayed   atomic.Bool  // It knows that its messages are held up.
+	down      atomic.Bool   // Refuses connections.
+	silent    atomic.Bool   // Messages to and from it are dropped.
+	hold      atomic.Int64  // How long messages to it are held up, in nanoseconds.
+	leading   uint64        // The epoch in which the server leads; 0 if it does not.
+	recorded  []sample      // Recorded with answers of the primary.
+	old       bool          // It speaks the first protocol.
+	delayed   atomic.Bool   // It knows that its messages are held up.
+	epochs    atomic.Uint64 // The epoch of its positions; 0 is 7.
+	needed    atomic.Int64  // How often a position was needed that it lacked.
 }
 
 // sample is a position that a gateway recorded.
@@ -177,11 +179,15 @@
 
 // MinPosition implements daisyforwarder.Samples.
 func (h *host) MinPosition(_ string, epoch uint64, _ time.Time, age time.Duration) (daisystatement.Position, bool) {
-	return daisystatement.Position{Term: 3, Number: 40}, epoch == 7 && age >= 200*time.Millisecond
+	known := h.epochs.Load()
+	if known == 0 {
+		known = 7
+	}
+	return daisystatement.Position{Term: 3, Number: 40}, epoch == known && age >= 200*time.Millisecond
 }
 
 // NeedPosition implements daisyforwarder.Samples.
-func (h *host) NeedPosition(string, string) {}
+func (h *host) NeedPosition(string, string) { h.needed.Add(1) }
 
 // fleet is a few hosts in the failure domain of one server.
 type fleet struct {
--- a/internal/entry/daisyforwarder/position_test.go
+++ b/internal/entry/daisyforwarder/position_test.go
@@ -58,3 +58,33 @@
 		})
 	}
 }
+
+// A gateway without a position waits for one that is on its way, for a short time.
+func TestGatewayWaitsForPosition(t *testing.T) {
+	tests := []struct {
+		name   string
+		comes  time.Duration // When the position comes after the request.
+		served bool
+	}{
+		{"Soon", 45 * time.Millisecond, true},
+		{"TooLate", 200 * time.Millisecond, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 3)
+				defer f.close()
+				gateway, from := f.first()
+				gateway.epochs.Store(6) // Of an earlier epoch only.
+				req := request(daisystatement.KindRead, "r1")
+				req.Freshness = daisygateway.Freshness{Epoch: 7, MaxAge: time.Second}
+				time.AfterFunc(test.comes, func() { gateway.epochs.Store(7) })
+				began := time.Now()
+				_, _, err := from.forwarder.Run(req)
+				assert.Equal(t, err == nil, test.served, "%v", err)
+				assert.Assert(t, time.Since(began) <= 100*time.Millisecond)
+				assert.Assert(t, gateway.needed.Load() > 0)
+			})
+		})
+	}
+}
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -28,8 +28,8 @@
 	// of earlier ones that was acknowledged longer than age before now. It returns false
 	// if none is known.
 	MinPosition(service string, epoch uint64, now time.Time, age time.Duration) (daisystatement.Position, bool)
-	// NeedPosition records that a read of the workspace needs a position of the
-	// service's primary.
+	// NeedPosition has the service's primary asked for its position, for a read of the
+	// workspace. It does not wait for the answer.
 	NeedPosition(service, workspace string)
 	// RecordPeerPosition records the position in an answer of the epoch's primary to
 	// a request that was sent at sentAt or later.
@@ -143,15 +143,28 @@
 	return r
 }
 
+const (
+	// positionWait is how long a read waits for a position that the gateway does not
+	// have: three round trips between regions. After a restart of all hosts no host has
+	// any, and the primaries could not serve all reads.
+	positionWait = 75 * time.Millisecond
+	// positionInterval is how often it looks for the position meanwhile.
+	positionInterval = 10 * time.Millisecond
+)
+
 // addPosition adds the position that the request's Freshness asks for to its statement.
-// It returns false if none is known. The read arrived at its host earlier than the
+// It returns false if none is known in time. The read arrived at its host earlier than the
 // request here, so a position that is recent enough now was so then.
 func (s *peer) addPosition(req *daisygateway.StatementRequest) bool {
 	if req.Freshness.MaxAge <= 0 {
 		return true
 	}
-	s.samples.NeedPosition(req.Service, req.Workspace)
 	p, ok := s.samples.MinPosition(req.Service, req.Freshness.Epoch, daisyclock.Now(), req.Freshness.MaxAge)
+	for until := time.Now().Add(positionWait); !ok && time.Now().Before(until); {
+		s.samples.NeedPosition(req.Service, req.Workspace)
+		time.Sleep(positionInterval)
+		p, ok = s.samples.MinPosition(req.Service, req.Freshness.Epoch, daisyclock.Now(), req.Freshness.MaxAge)
+	}
 	if ok {
 		req.Statement.MinPosition, req.Freshness = daisystatement.Max(req.Statement.MinPosition, p), daisygateway.Freshness{}
 	}
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -97,6 +97,8 @@
 	unsampled atomic.Uint64
 	heldOff   atomic.Uint64
 
+	wake chan struct{} // Receives when a service is to be sampled at once.
+
 	mu             sync.Mutex
 	services       map[string]*service
 	servers        map[string]*daisyselector.Server
@@ -109,7 +111,7 @@
 	r := &Router{
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
-		holdOffs: make(map[HeldClass]time.Time),
+		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1),
 	}
 	r.groups.Store(&map[string]Group{})
 	return r
@@ -222,8 +224,9 @@
 	return p, ok
 }
 
-// NeedPosition records that a read of the workspace at another host needs a position
-// of the service's primary. The sampler asks for it over a connection of a workspace.
+// NeedPosition makes the sampler ask the service's primary for its position, if the
+// latest sample is too old, for a read of the workspace at another host. It asks over a
+// connection of a workspace.
 func (r *Router) NeedPosition(name, workspace string) {
 	leader := r.primary(name)
 	r.mu.Lock()
@@ -232,6 +235,10 @@
 	if r.lastWorkspaces[leader] == "" {
 		r.lastWorkspaces[leader] = workspace
 	}
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Unsampled returns the number of reads so far for which this host had no sample of
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -45,6 +45,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-r.wake:
 		case <-ctx.Done():
 			return
 		}
--- a/internal/session/daisyrouter/sampler_test.go
+++ b/internal/session/daisyrouter/sampler_test.go
@@ -79,8 +79,9 @@
 		go func() { defer close(done); r.Run(ctx) }()
 		_, ok := r.MinPosition(serviceName, 1, time.Now(), time.Second)
 		assert.Assert(t, !ok)
+		time.Sleep(10 * time.Millisecond) // Off the sampler's ticks.
 		r.NeedPosition(serviceName, "w")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(time.Millisecond) // The sampler does not wait for its next tick.
 		p, ok := r.MinPosition(serviceName, 1, time.Now(), time.Second)
 		assert.Assert(t, ok)
 		assert.Equal(t, p, daisystatement.Position{Term: 1, Number: 7})
