Let operations of a divided limit wait for their host's own tokens

A pool that lacked some of the tokens that a host requested in advance denied them with 3 s to return, and a waiting operation was refused with that, though its host's own part of the rate yields the next token within the wait. It concerns small fleets and large workspaces of medium ones. An on-demand pool granted nothing to hosts of earlier versions, which request parts of tokens.

Change: a denial ends the wait on demand only. A part of a token is granted whole on demand.

Measured: TestDividedLimitIsNotDenied and TestPartOfTokenIsGrantedWhole fail without it.

--- a/internal/limit/daisyadmission/refusals_test.go
+++ b/internal/limit/daisyadmission/refusals_test.go
@@ -85,3 +85,28 @@
 		})
 	}
 }
+
+// Where the limit is divided, a pool that lacks some of the requested tokens does not end
+// the wait of an operation: the host's own part of the rate yields the next token.
+func TestDividedLimitIsNotDenied(t *testing.T) {
+	const hosts, maxWait = 5, 200 * time.Millisecond
+	limit := daisyquota.WorkspaceLimit{Workspace: "w", Rate: 100, Burst: 100} // 11 a second are the host's own.
+	synctest.Test(t, func(t *testing.T) {
+		pool := daisyquota.NewPool(time.Now(), limit, hosts)
+		var c *daisyadmission.Controller
+		c = daisyadmission.New(func() {
+			go func() {
+				for _, d := range c.Demands() {
+					pool.Draw(time.Now(), 1000) // Other hosts were faster.
+					_, denied, retryAfter := pool.Reserve(time.Now(), d.Tokens)
+					c.AddGrants([]daisyheartbeat.Demand{{Workspace: d.Workspace, Denied: denied, RetryAfter: retryAfter}})
+				}
+			}()
+		})
+		c.SetHosts(hosts)
+		c.SetLimits([]daisyquota.WorkspaceLimit{limit})
+		ok, _ := c.Admit("w", 1, maxWait)
+		assert.Assert(t, ok)
+		synctest.Wait()
+	})
+}
--- a/internal/limit/daisyquota/bound_test.go
+++ b/internal/limit/daisyquota/bound_test.go
@@ -225,3 +225,14 @@
 	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 4}})
 	assert.Equal(t, denied, 0.0)
 }
+
+// A host of an earlier version, which requests parts of tokens, gets whole ones.
+func TestPartOfTokenIsGrantedWhole(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pool := daisyquota.NewPool(now, daisyquota.WorkspaceLimit{Workspace: "w", Rate: 10, Burst: 10}, largeFleet)
+	now = now.Add(time.Second)
+	grants, denied, _ := pool.Reserve(now, 0.4)
+	assert.DeepEqual(t, grants, []daisyquota.Grant{{Tokens: 1}})
+	assert.Assert(t, denied <= 0)
+	assert.Equal(t, pool.Draw(now, 0), 0.0)
+}
--- a/internal/limit/daisyquota/pool.go
+++ b/internal/limit/daisyquota/pool.go
@@ -98,9 +98,13 @@
 }
 
 // Draw takes up to the wanted number of tokens from the pool and returns how many
-// it took. On demand it takes whole tokens.
+// it took. On demand it takes whole tokens, one for a part of a token, which hosts of
+// earlier versions want.
 func (p *Pool) Draw(now time.Time, wanted float64) float64 {
 	p.refill(now)
+	if p.limit.onDemand(p.hosts) {
+		wanted = math.Ceil(wanted)
+	}
 	taken := math.Max(0, math.Min(wanted, p.level))
 	if p.limit.onDemand(p.hosts) {
 		taken = math.Floor(taken)
@@ -111,16 +115,17 @@
 
 // Reserve is like Draw, but on demand it also grants tokens in advance, up to the rate
 // during maxReservation, so that operations get tokens in the order in which they were
-// requested. It returns the grants, the number of tokens denied and, for these, when
-// to request them again: once those that were granted in advance, and those that
-// others were denied before, have become due.
+// requested. It returns the grants, the number of tokens denied and, on demand, when
+// to request these again: once those that were granted in advance, and those that
+// others were denied before, have become due. Hosts of a divided limit do not need to
+// know, since their own parts of the rate yield tokens.
 func (p *Pool) Reserve(now time.Time, wanted float64) (grants []Grant, denied float64, retryAfter time.Duration) {
 	if tokens := p.Draw(now, wanted); tokens > 0 {
 		grants = append(grants, Grant{Tokens: tokens})
 		wanted -= tokens
 	}
 	if !p.limit.onDemand(p.hosts) {
-		return grants, math.Max(0, wanted), maxRetryAfter
+		return grants, math.Max(0, wanted), 0
 	}
 	for ; wanted >= 1; wanted-- {
 		due := p.due(p.level - 1)
