--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
+	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
@@ -245,23 +246,31 @@
 // the primary's position that was recent enough.
 func (r *Router) Unsampled() uint64 { return r.unsampled.Load() }
 
-// Choose returns the server that is expected to be the first to answer a read that
-// needs minPosition. It skips servers that are leaving or in exclude.
-func (r *Router) Choose(name string, minPosition daisystatement.Position, exclude []string) (string, bool) {
-	leader := r.primary(name)
+// Query describes a read for which a server is to be chosen.
+type Query struct {
+	Profile     daisyspec.Profile
+	Workspace   string
+	MinPosition daisystatement.Position // The least log position that the server must have.
+	Exclude     []string                // Servers that were tried before.
+}
+
+// Choose returns the server that is expected to be the first to answer a read. It skips
+// servers that are leaving or that were tried before.
+func (r *Router) Choose(q Query) (string, bool) {
+	leader := r.primary(q.Profile.Service)
 	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates []daisyselector.Candidate
-	for _, s := range r.Group(name).Servers {
-		if s.Leaving || contains(exclude, s.Name) {
+	for _, s := range r.Group(q.Profile.Service).Servers {
+		if s.Leaving || contains(q.Exclude, s.Name) {
 			continue
 		}
 		c := r.server(s.Name)
 		c.RoundTrip = s.RoundTrip
 		candidates = append(candidates, daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
 	}
-	best := daisyselector.Best(now, minPosition, candidates)
+	best := daisyselector.Best(now, q.MinPosition, candidates)
 	if best < 0 {
 		return "", false
 	}
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -9,6 +9,7 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 )
 
 const (
@@ -106,7 +107,7 @@
 	var tried []string
 	inFlight, overloaded := 0, false
 	launch := func() time.Duration {
-		server, ok := s.env.Router.Choose(p.Service, st.MinPosition, tried)
+		server, ok := s.env.Router.Choose(daisyrouter.Query{Profile: p, Workspace: s.workspace, MinPosition: st.MinPosition, Exclude: tried})
 		if !ok || len(tried) == readAttempts {
 			return 0
 		}
