Keep links of waiting hosts, back off with jitter and compress the state

A host left a control host after 0.45 s without a reply though its state was still arriving over a narrow link, asked one that knew no leader for 0.3 s only, and dialed again on fixed times; each heartbeat without a lease started a round of decisions, and each round was pushed to all hosts at once. Measured: TestHostFindsNewLeader holds its bound 50 times in a row; its fake control hosts name a new leader to connected hosts, as real ones do now.

--- a/internal/cluster/daisycoordinator/coordinator.go
+++ b/internal/cluster/daisycoordinator/coordinator.go
@@ -22,8 +22,20 @@
 const (
 	// decideInterval is how often the leader checks for changes that are due.
 	decideInterval = 100 * time.Millisecond
+	// minDecideInterval is the minimum time between two such checks. When all hosts
+	// start, each of their heartbeats asks for a check, and each round of changes is a
+	// log entry that is pushed to all of them.
+	minDecideInterval = 25 * time.Millisecond
 	// decideTimeout is the maximum wait for the outcomes of proposed changes.
 	decideTimeout = 5 * time.Second
+	// minPushInterval is the minimum time between two pushes of changes over one link.
+	minPushInterval = 50 * time.Millisecond
+	// leaderCheckInterval is how often a control host looks for a new leader to name to
+	// the hosts that wait for one.
+	leaderCheckInterval = 20 * time.Millisecond
+	// silentHostTimeout is the time without a message after which the link of a host is
+	// closed: ten heartbeats. A host that left may be unable to say so.
+	silentHostTimeout = 5 * time.Second
 )
 
 // Decider makes the control leader's decisions. A new one is made for each term in
@@ -67,6 +79,7 @@
 
 	deltas   deltaCache
 	observed notifier // Notified when a host reports an observation of a primary.
+	elected  notifier // Notified when this host learns of another leader.
 
 	mu        sync.Mutex
 	decider   Decider // Nil while this host does not lead.
@@ -79,7 +92,7 @@
 // and then a delta with the later changes.
 type fullState struct {
 	revision uint64
-	message  []byte
+	message  deltaMessage
 }
 
 // maxFullStateAge is the maximum age of the cached full state, in revisions.
@@ -90,9 +103,31 @@
 	c := &Coordinator{node: o.Node, view: o.View, self: o.Self, newDecider: o.NewDecider, log: o.Log, wake: make(chan struct{}, 1)}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	c.wait.Go(c.decide)
+	c.wait.Go(c.watchLeader)
 	return c
 }
 
+// watchLeader notifies the links of hosts when this host learns of another leader, so
+// that hosts can wait for it without asking again and again.
+func (c *Coordinator) watchLeader() {
+	ticker := time.NewTicker(leaderCheckInterval)
+	defer ticker.Stop()
+	var known netip.AddrPort
+	for {
+		select {
+		case <-ticker.C:
+		case <-c.ctx.Done():
+			return
+		}
+		if leader := c.node.Leader(); leader != known {
+			known = leader
+			if leader.IsValid() {
+				c.elected.notify()
+			}
+		}
+	}
+}
+
 // currentDecider returns the decider of the current term, or nil if this host does
 // not lead; c.mu is held.
 func (c *Coordinator) currentDecider(now time.Time) Decider {
@@ -122,6 +157,21 @@
 			c.propose(due)
 		}
 		c.decided()
+		if !c.pause(c.ctx, minDecideInterval) {
+			return
+		}
+	}
+}
+
+// pause waits for the duration. It returns false if ctx ended.
+func (c *Coordinator) pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
@@ -173,11 +223,11 @@
 
 // refreshFullState encodes the full state if the cached one is too old; c.mu is held.
 func (c *Coordinator) refreshFullState(s *daisyfleet.State) {
-	if c.fullState.message != nil && s.Revision()-c.fullState.revision <= maxFullStateAge {
+	if c.fullState.message.plain != nil && s.Revision()-c.fullState.revision <= maxFullStateAge {
 		return
 	}
 	delta := s.Delta(0)
-	c.fullState = fullState{revision: delta.To, message: daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: &delta})}
+	c.fullState = fullState{revision: delta.To, message: newDeltaMessage(&delta)}
 }
 
 // answer is the answer to a heartbeat.
@@ -245,7 +295,7 @@
 	wait.Go(func() { c.push(ctx, link, state) })
 	defer cancel()
 	for {
-		message, err := link.Receive(ctx)
+		message, err := receiveWithin(ctx, link, silentHostTimeout)
 		if err != nil {
 			return
 		}
@@ -275,6 +325,13 @@
 	}
 }
 
+// receiveWithin receives a message. The link is unusable after a timeout.
+func receiveWithin(ctx context.Context, link *daisylink.Conn, d time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return link.Receive(ctx)
+}
+
 // immediate returns the grants that a host of an earlier protocol understands: those
 // whose tokens may be used at once. The others are lost.
 func immediate(grants []daisyheartbeat.Demand) (understood []daisyheartbeat.Demand) {
@@ -314,16 +371,26 @@
 	return link.Send(ctx, daisycodec.EncodeHeartbeatReply(a.reply))
 }
 
-// push sends deltas when the state changes and probes when a host reports an
-// observation, between heartbeats.
+// push sends deltas when the state changes, the address of a new leader and, when a host
+// reports an observation, probes, between heartbeats.
 func (c *Coordinator) push(ctx context.Context, link *daisylink.Conn, state *replication) {
 	for {
-		changed, observed := c.view.Changed(), c.observed.next()
-		if _, ok := c.node.Leads(); ok && state.push(ctx) != nil {
-			return
+		changed, observed, elected := c.view.Changed(), c.observed.next(), c.elected.next()
+		if _, ok := c.node.Leads(); ok {
+			pushed, err := state.push(ctx)
+			if err != nil || pushed && !c.pause(ctx, minPushInterval) {
+				return
+			}
+			if pushed {
+				continue
+			}
 		}
 		select {
 		case <-changed:
+		case <-elected:
+			if leader := c.node.Leader(); leader.IsValid() {
+				_ = link.Send(ctx, daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Leader: leader}))
+			}
 		case <-observed:
 			if probes := c.probes(link.Peer()); len(probes) > 0 {
 				_ = link.Send(ctx, daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Probes: probes}))
--- a/internal/cluster/daisycoordinator/replication.go
+++ b/internal/cluster/daisycoordinator/replication.go
@@ -8,6 +8,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -19,6 +20,27 @@
 // sender sends messages to one host.
 type sender interface {
 	Send(ctx context.Context, message []byte) error
+	// Protocol returns the protocol of the host, one of daisylink's.
+	Protocol() int
+}
+
+// deltaMessage is an encoded delta. It is compressed once for all hosts that
+// understand that.
+type deltaMessage struct {
+	plain, compressed []byte
+}
+
+func newDeltaMessage(d *daisyfleet.Delta) deltaMessage {
+	plain := daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: d})
+	return deltaMessage{plain: plain, compressed: daisycodec.Compress(plain)}
+}
+
+// encodedFor returns the message for a host of the protocol.
+func (m deltaMessage) encodedFor(protocol int) []byte {
+	if protocol >= daisylink.ProtocolLoad {
+		return m.compressed
+	}
+	return m.plain
 }
 
 // replication brings the state of one host up to date over one link. Messages arrive
@@ -45,7 +67,7 @@
 	r.sent = max(to, held)
 	for _, m := range messages {
 		r.sentAt = now
-		if err := r.link.Send(ctx, m); err != nil {
+		if err := r.link.Send(ctx, m.encodedFor(r.link.Protocol())); err != nil {
 			return err
 		}
 	}
@@ -64,14 +86,15 @@
 	return r.link.Send(ctx, daisycodec.EncodeHeartbeatReply(reply))
 }
 
-// push sends the changes since the last message, if the host has a state.
-func (r *replication) push(ctx context.Context) error {
+// push sends the changes since the last message, if the host has a state, and reports
+// whether there were any.
+func (r *replication) push(ctx context.Context) (pushed bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.sent == 0 || r.sent >= r.coordinator.view.Revision() {
-		return nil
+		return false, nil
 	}
-	return r.update(ctx, r.sent)
+	return true, r.update(ctx, r.sent)
 }
 
 // deltaCache holds the encoded deltas to the present revision, by the revision from
@@ -79,12 +102,12 @@
 type deltaCache struct {
 	mu       sync.Mutex
 	to       uint64
-	messages map[uint64][]byte
+	messages map[uint64]deltaMessage
 }
 
 // deltaMessages returns the encoded messages that lead from a revision to the present
 // one, and that revision. From revision 0 they begin with the full state.
-func (c *Coordinator) deltaMessages(from uint64) (messages [][]byte, to uint64) {
+func (c *Coordinator) deltaMessages(from uint64) (messages []deltaMessage, to uint64) {
 	c.mu.Lock()
 	c.view.Read(func(s *daisyfleet.State) {
 		to = s.Revision()
@@ -102,22 +125,22 @@
 }
 
 // delta returns the encoded delta from the revision to the present one.
-func (c *Coordinator) delta(from uint64) (message []byte, to uint64) {
+func (c *Coordinator) delta(from uint64) (message deltaMessage, to uint64) {
 	c.deltas.mu.Lock()
 	defer c.deltas.mu.Unlock()
 	var delta daisyfleet.Delta
 	c.view.Read(func(s *daisyfleet.State) {
 		to = s.Revision()
-		if to == c.deltas.to && c.deltas.messages[from] != nil {
+		if to == c.deltas.to && c.deltas.messages[from].plain != nil {
 			return
 		}
 		delta = s.Delta(from)
 	})
 	if to != c.deltas.to || c.deltas.messages == nil {
-		c.deltas.to, c.deltas.messages = to, make(map[uint64][]byte)
+		c.deltas.to, c.deltas.messages = to, make(map[uint64]deltaMessage)
 	}
-	if c.deltas.messages[from] == nil {
-		c.deltas.messages[from] = daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: &delta})
+	if c.deltas.messages[from].plain == nil {
+		c.deltas.messages[from] = newDeltaMessage(&delta)
 	}
 	return c.deltas.messages[from], to
 }
--- a/internal/cluster/daisycoordinator/replication_test.go
+++ b/internal/cluster/daisycoordinator/replication_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -35,6 +36,8 @@
 	return nil
 }
 
+func (l *recordingLink) Protocol() int { return daisylink.ProtocolLoad }
+
 // putDocument stores a desired state of some size that does not compress.
 func putDocument(t *testing.T, v *daisyfleet.View, version uint64) {
 	content := make([]byte, 15_000)
@@ -64,7 +67,8 @@
 		assert.Equal(t, len(link.deltas), 0)
 		for version := range uint64(4) {
 			putDocument(t, view, 2+version)
-			assert.NilError(t, r.push(t.Context()))
+			_, err := r.push(t.Context())
+			assert.NilError(t, err)
 		}
 		for id := range uint64(20) { // The host receives nothing yet.
 			assert.NilError(t, r.answer(t.Context(), held, daisyheartbeat.Reply{ID: 2 + id}))
@@ -95,7 +99,8 @@
 		for step := range uint64(40) {
 			putDocument(t, view, 1+step)
 			if step%3 == 0 {
-				assert.NilError(t, r.push(t.Context()))
+				_, err := r.push(t.Context())
+				assert.NilError(t, err)
 			}
 			if step%4 == 0 {
 				assert.NilError(t, r.answer(t.Context(), host.Revision(), daisyheartbeat.Reply{ID: 1 + step}))
--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -30,23 +31,36 @@
 	// the shortest election timeout. A leader that is silent for that long is being
 	// replaced.
 	eagerReplyTimeout = 450 * time.Millisecond
-	// noLeaderTimeout is how long the client stays with a control host that knows no
-	// leader: several times what a new link takes, but less than an election.
-	noLeaderTimeout = 300 * time.Millisecond
+	// minNoLeaderTimeout is how long the client first stays with a control host that knows
+	// no leader: several times what a new link takes, but less than an election. The time
+	// doubles with each such host, up to maxNoLeaderTimeout. A control host names a leader
+	// as soon as it knows one, so to ask others helps only if this one is cut off.
+	minNoLeaderTimeout = 300 * time.Millisecond
+	maxNoLeaderTimeout = 2400 * time.Millisecond
+	// progressTimeout is how long bytes that arrive count as an answer of a control host
+	// that answers no heartbeat. A state that is sent whole fills a narrow network link
+	// for up to a second; to leave then starts the same transfer again elsewhere.
+	progressTimeout = 2 * time.Second
 	// dialTimeout bounds the opening of a link to a control host. A machine without
 	// power does not answer a SYN, and TCP repeats it only after 1 s.
 	dialTimeout = 250 * time.Millisecond
-	// redialInterval is the pause before the next control host is tried.
-	redialInterval = 50 * time.Millisecond
-	// eagerHeartbeatInterval is the heartbeat interval of an eager client that has no
-	// lease or no leader. The control log accepts a new host within some tens of
-	// milliseconds.
-	eagerHeartbeatInterval = 60 * time.Millisecond
+	// minRedialPause is the pause before the next control host is tried. It doubles with
+	// each one in a row that granted no lease, up to maxRedialPause, and is jittered: what
+	// makes one host fail makes all hosts fail, and their attempts would keep control
+	// hosts busy that could serve them.
+	minRedialPause = 50 * time.Millisecond
+	maxRedialPause = time.Second
+	// minEagerInterval is the first heartbeat interval of an eager client that has no
+	// lease or no leader. It doubles with each heartbeat, up to maxEagerInterval; the
+	// control host pushes what the client waits for.
+	minEagerInterval = 60 * time.Millisecond
+	maxEagerInterval = 240 * time.Millisecond
 	// maxRoundTrip is the time after which an unanswered heartbeat counts as delayed:
 	// six round trips between regions.
 	maxRoundTrip = 150 * time.Millisecond
 	// silenceMemory is how long a client does not return to a control host that did not
-	// answer because another names it as the leader: longer than an election takes.
+	// answer or could not be reached because another names it as the leader: longer than
+	// an election takes.
 	silenceMemory = time.Second
 	// delayMemory is how long a delay is remembered after its end.
 	delayMemory = time.Second
@@ -73,7 +87,7 @@
 	// Grant is called with granted tokens, unless they were requested more than
 	// daisyquota.MaxGrantAge ago; may be nil.
 	Grant func([]daisyheartbeat.Demand)
-	// Eager sends heartbeats every 60 ms while there is no lease or no leader. It is
+	// Eager sends heartbeats more often while there is no lease or no leader. It is
 	// for fleets in which a new process of a host need not wait until the lease of
 	// the previous one expires.
 	Eager bool
@@ -81,8 +95,15 @@
 	Log   log.Interface
 }
 
-// errSilent is returned if a control host no longer answers heartbeats.
-var errSilent = errors.New("control host stopped answering heartbeats")
+// maxDoublings bounds the doublings of a pause, far above its maximum.
+const maxDoublings = 10
+
+var (
+	// errSilent is returned if a control host no longer answers heartbeats.
+	errSilent = errors.New("control host stopped answering heartbeats")
+	// errDial is returned if no link to a control host could be opened.
+	errDial = errors.New("control host cannot be reached")
+)
 
 // ErrNoLeader is returned if no control leader decided a change before the context
 // ended.
@@ -101,10 +122,16 @@
 	mu            sync.Mutex
 	link          Link // To the present control host, or nil.
 	nextID        uint64
+	host          string // The name of this host, as last reported.
 	sentAt        map[uint64]time.Time
 	decisions     map[uint64]chan daisycodec.Decision
 	lastReply     time.Time
 	delayedUntil  time.Time        // Until when a delayed reply is remembered.
+	served        bool             // The present control host has extended the lease.
+	failures      int              // Control hosts tried in a row that did not extend the lease.
+	leaderless    int              // Control hosts left in a row since they knew no leader.
+	stayed        bool             // The last control host was left since it knew no leader.
+	eagerInterval time.Duration    // Until the next heartbeat of an eager client without a lease or a leader.
 	silent        netip.AddrPort   // The control host that was last left since it did not answer.
 	silentUntil   time.Time        // Until when it is not returned to on the word of another.
 	noLeaderSince time.Time        // Since when the present control host knows no leader; zero if it knows one.
@@ -145,7 +172,7 @@
 			next++
 		}
 		err := c.runLink(addr)
-		if errors.Is(err, errSilent) {
+		if errors.Is(err, errSilent) || errors.Is(err, errDial) {
 			c.avoid(addr)
 		}
 		if err != nil {
@@ -155,12 +182,32 @@
 			continue // Only the first redirect is followed without a pause: two hosts may name each other.
 		}
 		select {
-		case <-time.After(redialInterval):
+		case <-time.After(c.redialPause()):
 		case <-c.ctx.Done():
 		}
 	}
 }
 
+// redialPause returns the pause before the next control host is tried: none if the
+// client has just stayed with one that knew no leader.
+func (c *Client) redialPause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stayed {
+		c.stayed = false
+		return 0
+	}
+	if c.served {
+		c.failures = 0
+	}
+	pause := min(minRedialPause<<min(c.failures, maxDoublings), maxRedialPause)
+	c.failures++
+	return jitter(pause)
+}
+
+// jitter returns a duration between half of d and d.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
+
 // avoid records that the control host did not answer.
 func (c *Client) avoid(addr netip.AddrPort) {
 	c.mu.Lock()
@@ -215,7 +262,7 @@
 	link, err := c.options.Dial(ctx, addr)
 	cancel()
 	if err != nil {
-		return err
+		return errors.Join(errDial, err)
 	}
 	ctx, cancel = context.WithCancel(c.ctx)
 	defer cancel()
@@ -236,6 +283,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.link = link
+	if link != nil {
+		c.served, c.eagerInterval = false, minEagerInterval
+	}
 	c.lastReply, c.noLeaderSince = daisyclock.Now(), time.Time{}
 	clear(c.sentAt)
 	for id, decision := range c.decisions {
@@ -291,22 +341,46 @@
 	now := daisyclock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := replyTimeout - now.Sub(c.lastReply)
+	progress := c.lastProgress()
+	left := replyTimeout - now.Sub(later(c.lastReply, progress))
 	if !c.options.Eager || now.Before(c.delayedUntil) {
 		return left
 	}
 	for _, sentAt := range c.sentAt {
-		left = min(left, eagerReplyTimeout-now.Sub(sentAt))
+		left = min(left, eagerReplyTimeout-now.Sub(later(sentAt, progress)))
 	}
 	return left
 }
 
+// lastProgress returns when bytes last arrived from the control host, if that counts as
+// an answer; c.mu is held.
+func (c *Client) lastProgress() time.Time {
+	link, ok := c.link.(interface{ LastReceived() time.Time })
+	if !ok {
+		return time.Time{}
+	}
+	received := link.LastReceived()
+	if received.Sub(c.lastReply) > progressTimeout {
+		return time.Time{}
+	}
+	return received
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // interval returns the time until the next heartbeat.
 func (c *Client) interval() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.options.Eager && (!c.noLeaderSince.IsZero() || !c.Valid()) {
-		return eagerHeartbeatInterval
+		interval := c.eagerInterval
+		c.eagerInterval = min(2*interval, maxEagerInterval)
+		return interval
 	}
 	return daisycontroller.HeartbeatInterval
 }
@@ -316,6 +390,7 @@
 	b.Revision = c.options.View.Revision()
 	now := daisyclock.Now()
 	c.mu.Lock()
+	c.host = b.Host
 	c.nextID++
 	b.ID = c.nextID
 	c.sentAt[b.ID] = now
@@ -352,7 +427,7 @@
 		if err != nil {
 			return true // The next heartbeat carries the held revision, from which the leader sends a delta.
 		}
-		if hasSuccession(*r.Delta) {
+		if hasSuccession(*r.Delta) || c.declares(*r.Delta) {
 			c.Wake()
 		}
 	}
@@ -360,7 +435,7 @@
 		c.options.Probe(r.Probes)
 	}
 	if r.ID == 0 {
-		return true
+		return !c.followElection(r.Leader, addr)
 	}
 	c.mu.Lock()
 	sentAt, ok := c.sentAt[r.ID]
@@ -390,10 +465,37 @@
 	c.lastReply = daisyclock.Now()
 	if ok && r.Lease > 0 && c.options.View.Revision() >= r.Revision {
 		c.Extend(sentAt, r.Lease)
+		c.served, c.leaderless = true, 0
 	}
 	return true
 }
 
+// followElection records the leader that a control host names without being asked, once
+// it knows one. It reports whether to leave the control host for that leader.
+func (c *Client) followElection(leader, addr netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !leader.IsValid() || c.served && c.noLeaderSince.IsZero() {
+		return false
+	}
+	if leader == addr {
+		c.Wake() // The next heartbeat gets a lease.
+		return false
+	}
+	c.leaderHint = leader
+	return true
+}
+
+// declares reports whether the delta declares this host up or changes it. The control
+// leader grants a lease only then, so the next heartbeat must not wait.
+func (c *Client) declares(d daisyfleet.Delta) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.Valid() && slices.ContainsFunc(d.Objects, func(o daisyfleet.Object) bool {
+		return o.Kind == daisyfleet.KindHost && o.Name == c.host
+	})
+}
+
 // Delayed reports whether messages between this host and the control host are held up,
 // or were a short time ago.
 func (c *Client) Delayed() bool {
@@ -419,7 +521,13 @@
 		c.noLeaderSince = now
 	}
 	c.lastReply = now
-	return now.Sub(c.noLeaderSince) < noLeaderTimeout
+	timeout := min(minNoLeaderTimeout<<min(c.leaderless, maxDoublings), maxNoLeaderTimeout)
+	if now.Sub(c.noLeaderSince) < timeout {
+		return true
+	}
+	c.leaderless++
+	c.stayed = true
+	return false
 }
 
 // hasSuccession reports whether the delta puts a service into a succession, that is,
--- a/internal/cluster/daisylease/client_test.go
+++ b/internal/cluster/daisylease/client_test.go
@@ -27,18 +27,28 @@
 type controlHosts struct {
 	mu     sync.Mutex
 	leader netip.AddrPort
+	links  []*link
 	grants atomic.Bool // The leader grants a token with each reply.
 }
 
+// lead makes the control host at the address the leader. All name it to the hosts that
+// are connected to them.
 func (c *controlHosts) lead(addr netip.AddrPort) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.leader = addr
+	for _, l := range c.links {
+		l.push(daisyheartbeat.Reply{Leader: addr})
+	}
 }
 
 func (c *controlHosts) dial(_ context.Context, addr netip.AddrPort) (daisylease.Link, error) {
 	time.Sleep(4 * oneWay) // The TCP and TLS handshakes.
-	return &link{controlHosts: c, addr: addr, replies: make(chan []byte, 64), ended: make(chan struct{})}, nil
+	l := &link{controlHosts: c, addr: addr, replies: make(chan []byte, 64), ended: make(chan struct{})}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.links = append(c.links, l)
+	return l, nil
 }
 
 // link answers each heartbeat after a round trip.
@@ -65,11 +75,21 @@
 				r.Grants = []daisyheartbeat.Demand{{Workspace: "w", Tokens: 1}}
 			}
 		}
-		time.AfterFunc(oneWay, func() { l.replies <- daisycodec.EncodeHeartbeatReply(r) })
+		l.push(r)
 	})
 	return nil
 }
 
+// push sends a reply, which arrives unless the link has ended.
+func (l *link) push(r daisyheartbeat.Reply) {
+	time.AfterFunc(oneWay, func() {
+		select {
+		case l.replies <- daisycodec.EncodeHeartbeatReply(r):
+		case <-l.ended:
+		}
+	})
+}
+
 func (l *link) Receive(ctx context.Context) ([]byte, error) {
 	select {
 	case b := <-l.replies:
--- a/internal/net/daisylink/link.go
+++ b/internal/net/daisylink/link.go
@@ -15,10 +15,12 @@
 	"net/netip"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/websocket"
 
+	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
 	"github.com/daisyglade/daisyglade/internal/security/daisycert"
@@ -53,6 +55,30 @@
 	ws       *websocket.Conn
 	peer     string
 	protocol int
+	received *receiveTimer // Nil for accepted links.
+}
+
+// receiveTimer notes when bytes last arrived on a connection.
+type receiveTimer struct {
+	net.Conn
+	last atomic.Int64 // Nanoseconds of daisyclock since opened.
+	zero time.Time
+}
+
+func (c *receiveTimer) Read(b []byte) (n int, err error) {
+	if n, err = c.Conn.Read(b); n > 0 {
+		c.last.Store(int64(daisyclock.Now().Sub(c.zero)))
+	}
+	return n, err
+}
+
+// LastReceived returns when bytes last arrived on a link that this host dialed, also
+// those of a message that is still incomplete; zero for an accepted link.
+func (c *Conn) LastReceived() time.Time {
+	if c.received == nil {
+		return time.Time{}
+	}
+	return c.received.zero.Add(time.Duration(c.received.last.Load()))
 }
 
 // The protocols of links. Both hosts state theirs when a link opens; hosts that state
@@ -147,10 +173,11 @@
 	defer daisyerror.Annotate(&err, "dial %s%s", addr, path)
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	conn, err := d.network.Dial(ctx, addr)
+	dialed, err := d.network.Dial(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	conn := &receiveTimer{Conn: dialed, zero: daisyclock.Now()}
 	// Each attempt has its own transport: a shared one continues to dial after the
 	// attempt was abandoned and keeps the connection that it opens.
 	client := &http.Client{Transport: &http.Transport{
@@ -167,7 +194,7 @@
 	if response.TLS != nil {
 		peer = daisycert.PeerName(response.TLS)
 	}
-	return &Conn{ws: ws, peer: peer, protocol: parseProtocol(response.Header)}, nil
+	return &Conn{ws: ws, peer: peer, protocol: parseProtocol(response.Header), received: conn}, nil
 }
 
 // Handler serves one accepted link, which is closed when the handler returns.
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -110,7 +110,17 @@
 
 func decode(b []byte) (f daisywire.Frame, err error) {
 	defer daisyerror.Annotate(&err, "decode frame")
-	err = decMode.Unmarshal(b, &f)
+	if err = decMode.Unmarshal(b, &f); err != nil || f.Compressed == nil {
+		return f, err
+	}
+	inner, err := decompress(*f.Compressed)
+	if err != nil {
+		return f, err
+	}
+	f = daisywire.Frame{}
+	if err = decMode.Unmarshal(inner, &f); err == nil && f.Compressed != nil {
+		err = ErrKind // A frame is compressed once.
+	}
 	return f, err
 }
 
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -406,6 +406,9 @@
 	// BeatReply corresponds to the JSON schema field "BeatReply".
 	BeatReply *BeatReply `json:"BeatReply,omitempty,omitzero"`
 
+	// Another frame, compressed with DEFLATE.
+	Compressed *[]byte `json:"Compressed,omitempty,omitzero"`
+
 	// Consensus corresponds to the JSON schema field "Consensus".
 	Consensus *Consensus `json:"Consensus,omitempty,omitzero"`
 
