--- a/internal/cluster/daisycoordinator/coordinator.go
+++ b/internal/cluster/daisycoordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -77,6 +78,9 @@
 	wait       sync.WaitGroup
 	wake       chan struct{}
 
+	links  atomic.Int64  // Links of hosts that are open.
+	opened atomic.Uint64 // Links of hosts so far.
+
 	deltas   deltaCache
 	observed notifier // Notified when a host reports an observation of a primary.
 	elected  notifier // Notified when this host learns of another leader.
@@ -287,6 +291,9 @@
 
 // Serve answers a host's messages until its link ends.
 func (c *Coordinator) Serve(ctx context.Context, link *daisylink.Conn) {
+	c.opened.Add(1)
+	c.links.Add(1)
+	defer c.links.Add(-1)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -443,6 +450,9 @@
 	return true
 }
 
+// Links returns how many links of hosts are open, and how many were opened so far.
+func (c *Coordinator) Links() (open int64, opened uint64) { return c.links.Load(), c.opened.Load() }
+
 // Events returns the latest changes of the fleet's state, oldest first.
 func (c *Coordinator) Events() (events []daisyfleet.Event) {
 	c.view.Read(func(s *daisyfleet.State) { events = s.Events() })
--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -12,6 +12,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -118,6 +119,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	wake    chan struct{}
+	dials   atomic.Uint64
 
 	mu            sync.Mutex
 	link          Link // To the present control host, or nil.
@@ -149,6 +151,9 @@
 	return c
 }
 
+// Dials returns how many links to control hosts the client has tried to open.
+func (c *Client) Dials() uint64 { return c.dials.Load() }
+
 // Start starts sending heartbeats.
 func (c *Client) Start() { c.wait.Go(c.run) }
 
@@ -258,6 +263,7 @@
 // runLink opens a link to a control host and sends heartbeats until the link fails
 // or the control host does not lead.
 func (c *Client) runLink(addr netip.AddrPort) error {
+	c.dials.Add(1)
 	ctx, cancel := context.WithTimeout(c.ctx, dialTimeout)
 	link, err := c.options.Dial(ctx, addr)
 	cancel()
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -198,6 +198,7 @@
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
 		{"daisyglade_held_off_total", func(l daisyentryhost.Load) uint64 { return l.HeldOff }},
+		{"daisyglade_control_dials_total", func(l daisyentryhost.Load) uint64 { return l.Controls }},
 		{"daisyglade_refused_over_rate_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.OverRate }},
 		{"daisyglade_refused_unanswered_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.Unanswered }},
 	}
@@ -228,6 +229,8 @@
 			}
 			metrics := daisymetrics.New()
 			metrics.AddGauge("daisyglade_leads", func() float64 { return boolGauge(host.Leads()) })
+			metrics.AddGauge("daisyglade_control_links", func() float64 { open, _ := host.Links(); return float64(open) })
+			metrics.AddGauge("daisyglade_control_links_total", func() float64 { _, opened := host.Links(); return float64(opened) })
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Control, platform.NewControlHandler(host, p.settings.Control, p.log)),
 				p.serveMetrics(c.Context(), metrics),
--- a/internal/host/daisycontrolhost/host.go
+++ b/internal/host/daisycontrolhost/host.go
@@ -198,6 +198,9 @@
 	return leads
 }
 
+// Links returns how many links of entry hosts are open, and how many were opened so far.
+func (c *ControlHost) Links() (open int64, opened uint64) { return c.coordinator.Links() }
+
 // SetSeeds replaces the addresses of the seeds, the hosts that a host contacts
 // first.
 func (c *ControlHost) SetSeeds(seeds []netip.AddrPort) {
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -22,6 +22,7 @@
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
+	Controls  uint64 // Links to control hosts that the host tried to open.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
 
@@ -30,7 +31,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
-		Refusals: h.admission.Refusals(),
+		Refusals: h.admission.Refusals(), Controls: h.lease.Dials(),
 	}
 }
 
@@ -69,6 +70,7 @@
 		"Checks":      l.Checks - before.Checks,
 		"Unsampled":   l.Unsampled - before.Unsampled,
 		"HeldOff":     l.HeldOff - before.HeldOff,
+		"Controls":    l.Controls - before.Controls,
 		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
 		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
 	}
