Look up the servers of a service and of an address without a pass over all

Change: the control state keeps its servers by service and by address, the leader its announcements by address. Entry hosts pass over the primaries when the state has changed, no longer five times a second.

--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -39,9 +39,10 @@
 	minNoLeaderTimeout = 300 * time.Millisecond
 	maxNoLeaderTimeout = 2400 * time.Millisecond
 	// progressTimeout is how long bytes that arrive count as an answer of a control host
-	// that answers no heartbeat. A state that is sent whole fills a narrow network link
-	// for up to a second; to leave then starts the same transfer again elsewhere.
-	progressTimeout = 2 * time.Second
+	// that answers no heartbeat. The whole state of a fleet with thousands of servers fills
+	// a narrow network link for seconds; to leave then starts the same transfer again
+	// elsewhere.
+	progressTimeout = 3 * time.Second
 	// dialTimeout bounds the opening of a link to a control host. A machine without
 	// power does not answer a SYN, and TCP repeats it only after 1 s.
 	dialTimeout = 250 * time.Millisecond
--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -1,6 +1,7 @@
 package daisypromotion
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/control/daisycontroller"
@@ -69,6 +70,7 @@
 	leadingSince time.Time
 	topology     daisyplacement.Topology
 	servers      map[string]*announcedServer // By ID.
+	byAddress    map[netip.AddrPort]string   // The ID of the last server that announced itself there.
 	departed     map[string]announcedServer  // By ID; seenAt is when the server departed.
 	probes       map[string]*probeState
 	observations map[string]map[string]unreachableReport // By service, then host.
@@ -83,7 +85,7 @@
 	leases := daisycontroller.LeaseOptions{Duration: o.LeaseDuration, SequentialProcesses: true}
 	return &Leader{
 		Leader: daisycontroller.NewLeaderWithOptions(o.LeadingSince, leases), leadingSince: o.LeadingSince, topology: o.Topology,
-		servers: make(map[string]*announcedServer), departed: make(map[string]announcedServer),
+		servers: make(map[string]*announcedServer), byAddress: make(map[netip.AddrPort]string), departed: make(map[string]announcedServer),
 		probes: make(map[string]*probeState), observations: make(map[string]map[string]unreachableReport),
 		successions: make(map[string]*succession), pools: make(map[string]*daisyquota.Pool),
 	}
@@ -101,16 +103,30 @@
 			return
 		}
 	}
-	for id, known := range l.servers {
-		if id == a.ID || known.Address != a.Address {
-			continue
-		}
+	if id, known := l.announcedAt(a.Address); known != nil && id != a.ID {
 		if known.Started.After(a.Started) {
 			return
 		}
 		l.markDeparted(now, id)
 	}
+	l.forget(a.ID)
 	l.servers[a.ID] = &announcedServer{Announcement: a, seenAt: now}
+	l.byAddress[a.Address] = a.ID
+}
+
+// forget drops the last announcement of a server.
+func (l *Leader) forget(id string) {
+	if known := l.servers[id]; known != nil && l.byAddress[known.Address] == id {
+		delete(l.byAddress, known.Address)
+	}
+	delete(l.servers, id)
+}
+
+// announcedAt returns the server that announced itself at the address, or nil. At most
+// one does: a later one counts the earlier as departed.
+func (l *Leader) announcedAt(addr netip.AddrPort) (id string, known *announcedServer) {
+	id = l.byAddress[addr]
+	return id, l.servers[id]
 }
 
 // Leave records that the incarnation of a server has ended.
@@ -126,7 +142,7 @@
 	departed := *l.servers[id]
 	departed.seenAt = now
 	l.departed[id] = departed
-	delete(l.servers, id)
+	l.forget(id)
 }
 
 // Heartbeat implements daisycoordinator.Decider. It also records the host's
@@ -160,7 +176,7 @@
 	var changes []daisyfleet.Change
 	for id, known := range l.servers {
 		if now.Sub(known.seenAt) > announcementTTL {
-			delete(l.servers, id)
+			l.forget(id)
 			continue
 		}
 		o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindServer, Name: id})
@@ -173,7 +189,7 @@
 			continue
 		}
 		if !ok && replacedAtAddress(s, known.Announcement) {
-			delete(l.servers, id)
+			l.forget(id)
 			continue
 		}
 		if !ok {
@@ -200,9 +216,8 @@
 // replacedAtAddress reports whether the state has another server at the address that
 // started later. A new leader learns from nothing else that the announcement is delayed.
 func replacedAtAddress(s *daisyfleet.State, a Announcement) (replaced bool) {
-	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		v, ok := o.Value.(daisyfleet.Server)
-		replaced = replaced || ok && o.Name != a.ID && v.Address == a.Address && v.Started.After(a.Started)
+	s.EachServerAt(a.Address, func(name string, v daisyfleet.Server) {
+		replaced = replaced || name != a.ID && v.Started.After(a.Started)
 	})
 	return replaced
 }
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -76,12 +76,7 @@
 // services returns the services that have servers or a leadership, sorted by
 // name.
 func (l *Leader) services(s *daisyfleet.State) []string {
-	var names []string
-	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		if v, ok := o.Value.(daisyfleet.Server); ok {
-			names = append(names, v.Service)
-		}
-	})
+	names := s.Services()
 	s.Each(daisyfleet.KindLeadership, func(o daisyfleet.Object) { names = append(names, o.Name) })
 	slices.Sort(names)
 	return slices.Compact(names)
@@ -324,10 +319,8 @@
 // members returns the servers of the service, sorted by name.
 func members(s *daisyfleet.State, service string) []member {
 	var all []member
-	s.EachSorted(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		if v, ok := o.Value.(daisyfleet.Server); ok && v.Service == service {
-			all = append(all, member{name: o.Name, server: v})
-		}
+	s.EachServer(service, func(name string, v daisyfleet.Server) {
+		all = append(all, member{name: name, server: v})
 	})
 	return all
 }
--- a/internal/domain/daisyfleet/state.go
+++ b/internal/domain/daisyfleet/state.go
@@ -102,6 +102,7 @@
 	revision          uint64
 	compactedRevision uint64 // The oldest revision that deltas can start from.
 	objects           map[Kind]map[string]Object
+	servers           serverIndex
 	recentChanges     []objectChange // In the order in which they were applied.
 	outcomes          map[string]Outcome
 	outcomeOrder      []string // IDs of changes, oldest first.
@@ -219,6 +220,9 @@
 	if s.objects[o.Kind] == nil {
 		s.objects[o.Kind] = make(map[string]Object)
 	}
+	if o.Kind == KindServer {
+		s.servers.replace(o.Name, s.objects[o.Kind][o.Name].Value, o.Value)
+	}
 	s.objects[o.Kind][o.Name] = o
 	s.recentChanges = append(s.recentChanges, objectChange{revision: o.Revision, id: o.ID})
 	if len(s.recentChanges) >= 2*minRecentChanges {
@@ -282,7 +286,7 @@
 		return ErrGap
 	}
 	if d.From == 0 {
-		s.objects = nil
+		s.objects, s.servers = nil, serverIndex{}
 		s.recentChanges = nil
 		s.compactedRevision = d.To
 	}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -217,8 +217,9 @@
 // logUntilChange logs changes of the lease and of primaries until the control
 // state changes. It returns false if the host is closed.
 func (h *EntryHost) logUntilChange(changed <-chan struct{}, tick <-chan time.Time, logged *loggedState) bool {
+	h.logPrimaries(logged)
 	for {
-		h.logChanges(logged)
+		h.logLease(logged)
 		select {
 		case <-changed:
 			return true
@@ -235,12 +236,16 @@
 	leaderships map[string]daisyfleet.Leadership
 }
 
-// logChanges writes a log line for each change of the lease or of a primary.
-func (h *EntryHost) logChanges(logged *loggedState) {
+// logLease writes a log line if the lease has expired or become valid.
+func (h *EntryHost) logLease(logged *loggedState) {
 	if valid := h.lease.Valid(); valid != logged.leaseValid {
 		logged.leaseValid = valid
 		h.options.Log.WithFields(log.Fields{"Valid": valid, "Revision": h.view.Revision()}).Info("front: lease changed")
 	}
+}
+
+// logPrimaries writes a log line for each change of a primary.
+func (h *EntryHost) logPrimaries(logged *loggedState) {
 	h.view.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindLeadership, func(o daisyfleet.Object) {
 			leadership, ok := o.Value.(daisyfleet.Leadership)
