Spread the requests of a server over three gateways with bounded loads

Cause: all statements of a server went through the first of its gateways, whose link of 2 Mbit/s is suspected to be the bottleneck of bursts. Weights alone also let one host be the first gateway of several servers.

Change: in failure domains with 3 or more hosts the three gateways of a server serve a part of its workspaces each, in an order by rendezvous hashing. A host is a gateway of at most its fair share of its domain's servers, rounded up, plus one. Connections are divided evenly; the sum with the control leader's one stays within the limit, also for very small limits, where the standby gateways had one each beyond it. Each gateway sends a server as many statements as it has slots. While a lost link is opened again, requests go to the next gateway.

TestHostLossMovesOnlyItsServers demanded that no first gateway moves unless its host is lost, which bounded loads cannot promise, and there is no first gateway any more. TestGatewaysAreBoundedAndStay replaces it for the same fleet (300 servers, 10 hosts) and five others: it looks at all three gateways after the loss of each host.

TestFrozenGatewayIsReplaced fails without the change of the link (310 ms a request). Tests of the changed packages, of the session packages and of platform/ pass.

--- a/internal/control/daisyplacement/gateways.go
+++ b/internal/control/daisyplacement/gateways.go
@@ -8,15 +8,10 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
-// maxGateways is the number of gateways of a server: the hosts that a request is
-// offered to in turn. Each may keep a share of the server's connections.
+// maxGateways is the number of gateways of a server. Each may keep a share of the
+// server's connections.
 const maxGateways = 3
 
-// connectionShares are the gateways' shares of a server's connections, by rank.
-// The gateways after the first serve requests that the first cannot send, so
-// that the server stays in use until the fleet's state has changed.
-var connectionShares = [maxGateways]float64{0.8, 0.15, 0.05}
-
 // Gateway is a host through which a backend server is used.
 type Gateway struct {
 	Host    string
@@ -29,26 +24,38 @@
 }
 
 // Gateways returns the gateways of all servers in the state, in the order in which
-// they are tried. They depend on the state only, so that all hosts agree on them.
-func (t Topology) Gateways(s *daisyfleet.State) map[string][]Gateway {
+// they are ranked. They depend on the state only, so that all hosts agree on them.
+func (t Topology) Gateways(s *daisyfleet.State) map[string]Gateways {
 	hosts := gatewayCandidates(s)
-	gateways := make(map[string][]Gateway)
+	gateways := make(map[string]Gateways)
+	servers := make(map[string][]string) // In failure domains with enough hosts, by domain.
+	known := hostsByDomain(s)
 	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		if v, ok := o.Value.(daisyfleet.Server); ok {
-			gateways[o.Name] = t.rank(o.Name, v.FailureDomain, hosts)
+		v, ok := o.Value.(daisyfleet.Server)
+		switch {
+		case !ok:
+		case known[v.FailureDomain] >= minSpreadHosts:
+			servers[v.FailureDomain] = append(servers[v.FailureDomain], o.Name)
+		default:
+			gateways[o.Name] = Gateways{Ranked: t.rank(o.Name, v.FailureDomain, hosts)}
 		}
 	})
+	for domain, names := range servers {
+		for name, ranked := range t.assign(domain, names, hosts) {
+			gateways[name] = Gateways{Ranked: ranked, Spread: true}
+		}
+	}
 	return gateways
 }
 
 // Observers returns the hosts that report whether they reach a primary of the service:
 // the gateways of all its servers, so that there are some near each of them.
 func (t Topology) Observers(s *daisyfleet.State, service string) map[string]bool {
-	hosts := gatewayCandidates(s)
+	gateways := t.Gateways(s)
 	observers := make(map[string]bool)
 	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
 		if v, ok := o.Value.(daisyfleet.Server); ok && v.Service == service {
-			for _, g := range t.rank(o.Name, v.FailureDomain, hosts) {
+			for _, g := range gateways[o.Name].Ranked {
 				observers[g.Host] = true
 			}
 		}
@@ -108,13 +115,3 @@
 	}
 	return 2
 }
-
-// ConnectionShare returns how many of a server's connections the gateway of the rank
-// may keep. It returns 0 for a rank that no gateway has, including -1.
-func ConnectionShare(connections, rank int) int {
-	const reserved = 1 // For the control leader's probes.
-	if rank < 0 || rank >= maxGateways {
-		return 0
-	}
-	return max(1, int(float64(connections-reserved)*connectionShares[rank]))
-}
--- a/internal/control/daisyplacement/placement.go
+++ b/internal/control/daisyplacement/placement.go
@@ -4,9 +4,10 @@
 // each host, so that the loss of a host moves only the databases that it held.
 //
 // Where another party carries promotions out, Topology ranks the hosts through which
-// each backend server is used: those that are up and not leaving, by their distance to
-// the server and then by rendezvous hashing without a bound. The loss of a host moves
-// only the servers that it was the gateway of.
+// each backend server is used: those that are up and not leaving. Where a failure domain
+// has enough hosts, the requests of a server are spread over three of them by workspace,
+// and a bound limits the servers of a host. Elsewhere one host serves all requests of a
+// server and two others stand by.
 package daisyplacement
 
 import (
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -57,7 +57,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
-	gateways atomic.Pointer[map[string][]daisyplacement.Gateway] // By server.
+	gateways atomic.Pointer[map[string]daisyplacement.Gateways] // By server.
+
+	fingerprint uint64 // Of the state from which gateways was derived.
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -67,35 +69,39 @@
 func New(o Options) *Forwarder {
 	f := &Forwarder{options: o, links: make(map[netip.AddrPort]*link)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
-	f.gateways.Store(&map[string][]daisyplacement.Gateway{})
+	f.gateways.Store(&map[string]daisyplacement.Gateways{})
 	return f
 }
 
-// Refresh sets the gateways from the fleet's state.
+// Refresh sets the gateways from the fleet's state. Calls must not overlap.
 func (f *Forwarder) Refresh(s *daisyfleet.State) {
+	fingerprint := daisyplacement.Fingerprint(s)
+	if fingerprint == f.fingerprint {
+		return
+	}
+	f.fingerprint = fingerprint
 	next := f.options.Topology.Gateways(s)
 	f.gateways.Store(&next)
 }
 
-// Rank returns the rank of this host among the gateways of a server, or -1.
-func (f *Forwarder) Rank(server string) int {
-	for i, g := range (*f.gateways.Load())[server] {
-		if g.Host == f.options.Host {
-			return i
-		}
-	}
-	return -1
+// Gateways returns the gateways of a server.
+func (f *Forwarder) Gateways(server string) daisyplacement.Gateways {
+	return (*f.gateways.Load())[server]
 }
 
-// Run runs the request at the first gateway that can send it. Errors are as for
-// daisygateway.Gateway.Run.
+// Rank returns the rank of this host among the gateways of a server, or -1.
+func (f *Forwarder) Rank(server string) int { return f.Gateways(server).Rank(f.options.Host) }
+
+// Run runs the request at the first gateway, in the order for its workspace, that can
+// send it. Errors are as for daisygateway.Gateway.Run.
 func (f *Forwarder) Run(req daisyrequest.Request) (a daisystatement.Answer, pinned daisyrequest.PinnedConn, err error) {
 	err = fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, errNoGateway)
-	for _, g := range (*f.gateways.Load())[req.Server] {
+	gateways := f.Gateways(req.Server).Order(req.Server, req.Workspace)
+	for i, g := range gateways {
 		if time.Until(req.SendDeadline) <= 0 {
 			break
 		}
-		a, pinned, err = f.runAt(g, req)
+		a, pinned, err = f.runAt(g, req, i == len(gateways)-1)
 		if !errors.Is(err, daisyrequest.ErrUnreachable) {
 			return a, pinned, err
 		}
@@ -104,12 +110,13 @@
 }
 
 // runAt runs the request at one gateway. An unreachable gateway gives the same
-// error as an unreachable server.
-func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisyrequest.Request) (daisystatement.Answer, daisyrequest.PinnedConn, error) {
+// error as an unreachable server. The last gateway is also waited for while a lost link
+// to it is opened again.
+func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisyrequest.Request, last bool) (daisystatement.Answer, daisyrequest.PinnedConn, error) {
 	if g.Host == f.options.Host {
 		return f.options.Local.Run(req)
 	}
-	l, err := f.link(g.Address, req.SendDeadline)
+	l, err := f.link(g.Address, req.SendDeadline, last)
 	if err != nil {
 		return daisystatement.Answer{}, nil, fmt.Errorf("%w: %w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrUnreachable, err)
 	}
@@ -124,16 +131,23 @@
 }
 
 // link returns an open link to the host. It opens one if there is none, unless
-// the last one failed less than redialDelay ago.
-func (f *Forwarder) link(addr netip.AddrPort, deadline time.Time) (*link, error) {
+// the last one failed less than redialDelay ago. While a link that failed is opened again,
+// it returns an error at once unless wait is set: a frozen host answers no dial, and
+// each request would wait for dialTimeout before it goes to the next gateway.
+func (f *Forwarder) link(addr netip.AddrPort, deadline time.Time, wait bool) (*link, error) {
 	f.mu.Lock()
 	l := f.links[addr]
 	if l == nil || l.hasFailed() && !l.failedRecently() {
+		reopened := l != nil
 		l = newLink(addr, &f.counters, f.options.Delayed)
+		l.reopened = reopened
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
 	}
 	f.mu.Unlock()
+	if l.reopened && !wait {
+		deadline = time.Time{}
+	}
 	return l, l.await(deadline)
 }
 
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -148,6 +148,7 @@
 	forwarder *daisyforwarder.Forwarder
 	down      atomic.Bool   // Refuses connections.
 	silent    atomic.Bool   // Messages to and from it are dropped.
+	frozen    atomic.Bool   // Does not answer dials.
 	hold      atomic.Int64  // How long messages to it are held up, in nanoseconds.
 	leading   uint64        // The epoch in which the server leads; 0 if it does not.
 	recorded  []sample      // Recorded with answers of the primary.
@@ -229,11 +230,15 @@
 }
 
 func (f *fleet) dial(from *host) daisyforwarder.Dial {
-	return func(_ context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
+	return func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 		for _, to := range f.hosts {
 			if to.address != addr || to.down.Load() {
 				continue
 			}
+			if to.frozen.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			a, b := make(chan []byte, 64), make(chan []byte, 64)
 			closed, once := make(chan struct{}), &sync.Once{}
 			silent := func() bool { return from.silent.Load() || to.silent.Load() }
@@ -246,10 +251,10 @@
 	}
 }
 
-// first returns the server's gateway and another host.
+// first returns the server's gateway for the workspace w and another host.
 func (f *fleet) first() (gateway, other *host) {
 	for _, h := range f.hosts {
-		if h.forwarder.Rank(serverName) == 0 {
+		if h.forwarder.Gateways(serverName).Order(serverName, "w")[0].Host == h.name {
 			gateway = h
 		} else if other == nil {
 			other = h
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -51,6 +51,7 @@
 	counters *counters
 	delayed  func() bool   // Reports whether messages of this host are held up; may be nil.
 	ready    chan struct{} // Closed once the link is open or has failed.
+	reopened bool          // Whether it replaces a link that failed.
 
 	mu          sync.Mutex
 	opened      time.Time
@@ -83,6 +84,11 @@
 
 // await waits until the link is open, has failed or the deadline has passed.
 func (l *link) await(deadline time.Time) error {
+	select {
+	case <-l.ready:
+		return l.state()
+	default:
+	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
@@ -90,6 +96,11 @@
 	case <-timer.C:
 		return errLinkLost
 	}
+	return l.state()
+}
+
+// state returns why the link failed, or nil.
+func (l *link) state() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.failure
--- a/internal/holder/daisygateway/doc.go
+++ b/internal/holder/daisygateway/doc.go
@@ -2,8 +2,9 @@
 //
 // Connections to a server are scarce, each serves one workspace, and opening one
 // costs the server time. The hosts therefore rank themselves for each server and
-// use it through the first of the ranking, a host near the server: its gateway. A
-// gateway shares the server's slots between workspaces by their weight. It queues
+// use it through the first of the ranking, hosts near the server: its gateways. In a
+// large fleet each of them serves a part of the workspaces; in a small one the first
+// serves all. A gateway shares the server's slots between workspaces by their weight. It queues
 // statements itself instead of in the server, where it can order them; a
 // statement that the queue refuses has certainly not run.
 //
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -71,6 +71,14 @@
 	if far {
 		extra = slots
 	}
+	g.setLimit(server, slots, extra)
+}
+
+// setLimit sets a server's slots and how many statements beyond them it is sent.
+func (g *Gateway) setLimit(server string, slots, extra int) {
+	if slots <= 0 {
+		slots = defaultSlots
+	}
 	s := g.server(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -283,9 +283,14 @@
 				return
 			}
 			known[o.Name] = true
-			maxOpen := daisyplacement.ConnectionShare(h.connections(v.Service), h.forwarder.Rank(o.Name))
+			gateways := h.forwarder.Gateways(o.Name)
+			maxOpen := gateways.Connections(h.connections(v.Service), h.options.Settings.Host)
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
+			if gateways.Spread {
+				h.gateway.SetSharedSlots(o.Name, v.Slots)
+				return
+			}
 			regions := h.options.Settings.Regions
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
 		})
