Order what waits at a gateway by priority, slack and age

Cause: within a priority the shortest class went first whatever time was left, waiters for connections were served as they came, a low class could wait without end, and a request was expected to wait for all requests of a hot workspace though shares are fair.

Change: package daisyorder holds the one order: priority, then slack (requests that cannot meet their objective any more go last), then run time as before; and the aging, by which a class of which none was served for 1 s gets the next turn. daisyqueue uses it within the credit that a workspace may be ahead of its share, daisypool within two connections. Requests carry their objective (ObjectiveLeft on the wire, to hosts of protocol 5). A request that waits is refused once twice the expected wait no longer fits, a full queue gives up its last request for one that goes first, and retry times are spread over half the capacity in the order of priority and age. A connection refused with TOOMANY closes the older half of the idle ones and waits instead of failing the request.

--- a/internal/backend/daisypool/doc.go
+++ b/internal/backend/daisypool/doc.go
@@ -5,5 +5,10 @@
 // are reused for sessions of the same workspace. When no more may be opened, the
 // least recently used idle connection of another workspace is closed to make
 // room. Among waiting workspaces, the one with the fewest connections in use is
-// served first.
+// served first. One with up to orderCredit more goes before it if its request does in the
+// order of package daisyorder.
+//
+// If a server refuses a connection since it has too many, as hosts with different states
+// of the fleet use it, the pool closes idle ones, opens none for a while, and the request
+// waits.
 package daisypool
--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -8,16 +8,13 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyorder"
 )
 
 const (
 	// dialTimeout bounds the opening of a connection. It allows three times the
 	// round trip between regions plus the server's own time, and time in a queue.
 	dialTimeout = 700 * time.Millisecond
-	// openRetryDelay is how long no further connection is opened to a server
-	// that has refused one because it has too many.
-	openRetryDelay = 150 * time.Millisecond
 	// excessIdleTimeout is how long an idle connection beyond the host's share
 	// is kept open.
 	excessIdleTimeout = 300 * time.Millisecond
@@ -103,13 +100,13 @@
 }
 
 // Acquire returns a connection to the server for the workspace. It waits until
-// one is available or ctx ends.
-func (p *Pool) Acquire(ctx context.Context, server, workspace string) (*Conn, error) {
+// one is available or ctx ends, before those that the order places after it.
+func (p *Pool) Acquire(ctx context.Context, server, workspace string, o daisyorder.Order) (*Conn, error) {
 	s := p.server(server)
 	if s == nil {
 		return nil, ErrUnknownServer
 	}
-	return s.acquire(ctx, workspace)
+	return s.acquire(ctx, workspace, o)
 }
 
 // Dials returns the number of connections that the pool has tried to open.
@@ -178,6 +175,7 @@
 // channel allows it to open one, unless the server was removed meanwhile.
 type waiter struct {
 	workspace string
+	order     daisyorder.Order
 	ready     chan *Conn
 }
 
@@ -193,6 +191,8 @@
 	idle      []*Conn
 	active    map[string]int // Connections in use, by workspace.
 	waiters   []*waiter
+	progress  daisyorder.Progress
+	refusals  int       // Connections that the server refused in succession, since it has too many.
 	fullUntil time.Time // Until then a connection is opened only if none is open.
 	closed    bool
 }
@@ -219,8 +219,21 @@
 	return s.open < s.share.MaxOpen && (s.open == 0 || !time.Now().Before(s.fullUntil))
 }
 
-// acquire returns an idle connection of the workspace, opens one, or waits.
-func (s *serverPool) acquire(ctx context.Context, workspace string) (*Conn, error) {
+// acquire returns an idle connection of the workspace, opens one, or waits. If the server
+// refuses one, since it has too many, it waits for another.
+func (s *serverPool) acquire(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
+	c, err := s.acquireOnce(ctx, workspace, o)
+	for tooMany(err) && ctx.Err() == nil {
+		again, waitErr := s.awaitTurn(ctx, workspace, o)
+		if errors.Is(waitErr, ErrFull) {
+			return nil, err // The server's refusal says more.
+		}
+		c, err = again, waitErr
+	}
+	return c, err
+}
+
+func (s *serverPool) acquireOnce(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
@@ -235,8 +248,21 @@
 		s.mu.Unlock()
 		return s.dial(ctx, workspace)
 	}
-	w := &waiter{workspace: workspace, ready: make(chan *Conn, 1)}
+	s.mu.Unlock()
+	return s.awaitTurn(ctx, workspace, o)
+}
+
+// awaitTurn waits for a connection among the waiters.
+func (s *serverPool) awaitTurn(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, ErrUnknownServer
+	}
+	w := &waiter{workspace: workspace, order: o, ready: make(chan *Conn, 1)}
 	s.waiters = append(s.waiters, w)
+	s.progress.Add(o, time.Now())
+	s.serveWaiters()
 	s.mu.Unlock()
 	return s.await(ctx, w)
 }
@@ -277,18 +303,9 @@
 }
 
 func (s *serverPool) await(ctx context.Context, w *waiter) (*Conn, error) {
-	var c *Conn
-	select {
-	case c = <-w.ready:
-	case <-ctx.Done():
-		s.mu.Lock()
-		if i := slices.Index(s.waiters, w); i >= 0 {
-			s.waiters = slices.Delete(s.waiters, i, i+1)
-			s.mu.Unlock()
-			return nil, ErrFull
-		}
-		s.mu.Unlock()
-		c = <-w.ready
+	c, err := s.receive(ctx, w)
+	if err != nil {
+		return nil, err
 	}
 	if c != nil {
 		return c, nil
@@ -302,6 +319,34 @@
 	return s.dial(ctx, w.workspace)
 }
 
+// receive returns what is handed to the waiter. It returns ErrFull if ctx ends first.
+func (s *serverPool) receive(ctx context.Context, w *waiter) (*Conn, error) {
+	retry := time.NewTicker(openRetryDelay)
+	defer retry.Stop()
+	for {
+		select {
+		case c := <-w.ready:
+			return c, nil
+		case <-retry.C: // After fullUntil connections may be opened again.
+			s.mu.Lock()
+			s.serveWaiters()
+			s.mu.Unlock()
+		case <-ctx.Done():
+			s.mu.Lock()
+			i := slices.Index(s.waiters, w)
+			if i >= 0 {
+				s.waiters = slices.Delete(s.waiters, i, i+1)
+				s.progress.Remove(w.order, false, time.Now())
+			}
+			s.mu.Unlock()
+			if i >= 0 {
+				return nil, ErrFull
+			}
+			return <-w.ready, nil
+		}
+	}
+}
+
 // dial opens a connection that is already counted in open and in the workspace's
 // active connections.
 func (s *serverPool) dial(ctx context.Context, workspace string) (*Conn, error) {
@@ -311,16 +356,16 @@
 	t.Workspace = workspace
 	s.pool.dials.Add(1)
 	link, err := s.pool.dialer.Dial(ctx, t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err == nil {
+		s.refusals = 0
 		return &Conn{pool: s, link: link, workspace: workspace}, nil
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.open--
 	s.removeActive(workspace)
-	var refused *daisystatement.Failure
-	if errors.As(err, &refused) && refused.Code == daisystatement.CodeTooMany {
-		s.fullUntil = time.Now().Add(openRetryDelay)
+	if tooMany(err) {
+		s.yield(time.Now())
 	}
 	s.serveWaiters()
 	return nil, err
@@ -347,18 +392,14 @@
 	s.serveWaiters()
 }
 
-// serveWaiters hands available connections to waiters: first to those of the
-// workspace with the fewest connections in use, in the order of their arrival.
+// serveWaiters hands available connections to waiters, in the order of firstWaiter.
 func (s *serverPool) serveWaiters() {
 	for len(s.waiters) > 0 && (s.closed || len(s.idle) > 0 || s.mayOpen()) {
-		best := 0
-		for i, w := range s.waiters {
-			if s.active[w.workspace] < s.active[s.waiters[best].workspace] {
-				best = i
-			}
-		}
+		now := time.Now()
+		best := s.firstWaiter(now)
 		w := s.waiters[best]
 		s.waiters = slices.Delete(s.waiters, best, best+1)
+		s.progress.Remove(w.order, true, now)
 		if s.closed {
 			w.ready <- nil
 			continue
--- a/internal/control/daisyplacement/gateways_test.go
+++ b/internal/control/daisyplacement/gateways_test.go
@@ -11,8 +11,6 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
-const domain = "north"
-
 var address = netip.MustParseAddrPort("10.0.0.1:1")
 
 // In a large fleet a service has a few observers near each of its servers; in a small
--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -60,6 +60,7 @@
 	Statement    daisystatement.Statement
 	SendDeadline time.Time // For sending the statement.
 	Deadline     time.Time // For receiving the answer.
+	Objective    time.Time // By when the operation should be answered; zero if there is none.
 	Pin          bool      // Keep the connection for a transaction.
 	Freshness    Freshness // For a read without a known position; zero for other statements.
 }
@@ -72,10 +73,13 @@
 	MaxAge time.Duration // Of the position, when the gateway receives the request; 0 asks for none.
 }
 
-// Expedite brings the deadlines forward by the time for which the request was held up
+// Expedite brings the deadlines and the objective forward by the time for which the request was held up
 // on its way here. The caller gives up at the original ones.
 func (req *Request) Expedite(delay time.Duration) {
 	req.SendDeadline, req.Deadline = req.SendDeadline.Add(-delay), req.Deadline.Add(-delay)
+	if !req.Objective.IsZero() {
+		req.Objective = req.Objective.Add(-delay)
+	}
 }
 
 // QueueClass returns the class under which run times are averaged. Transactions have
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
 const (
@@ -110,6 +111,9 @@
 	if w.silent() {
 		return nil
 	}
+	if call, err := daisycodec.DecodeCall(m, time.Now()); err == nil && call.Action == daisycodec.ActionRun {
+		w.peer.objective.Store(!call.Request.Objective.IsZero())
+	}
 	time.Sleep(time.Duration(w.peer.hold.Load()))
 	select {
 	case w.out <- m:
@@ -134,7 +138,7 @@
 	if w.peer.old {
 		return daisylink.ProtocolFirst
 	}
-	return daisylink.ProtocolPosition
+	return daisylink.ProtocolLoad
 }
 
 func (w *wire) Close() { w.once.Do(func() { close(w.closed) }) }
@@ -155,6 +159,7 @@
 	old       bool          // It speaks the first protocol.
 	delayed   atomic.Bool   // It knows that its messages are held up.
 	epochs    atomic.Uint64 // The epoch of its positions; 0 is 7.
+	objective atomic.Bool   // Whether the last call to it stated an objective.
 	needed    atomic.Int64  // How often a position was needed that it lacked.
 }
 
@@ -449,6 +454,29 @@
 	}
 }
 
+// Guards against an objective that does not reach the gateway, and against one sent to a
+// host of an earlier version, whose decoder refuses the call with the whole link.
+func TestObjectiveReachesGateway(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		old  bool
+	}{{"SameVersion", false}, {"EarlierVersion", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				gateway, other := f.first()
+				gateway.old = test.old
+				req := request(daisystatement.KindRead, "r")
+				req.Objective = time.Now().Add(400 * time.Millisecond)
+				_, _, err := other.forwarder.Run(req)
+				assert.NilError(t, err)
+				assert.Equal(t, gateway.objective.Load(), !test.old)
+			})
+		})
+	}
+}
+
 // The connection pinned for a transaction is closed with the link over which it
 // is used.
 func TestPinnedConnClosesWithLink(t *testing.T) {
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -212,6 +212,9 @@
 	if conn.Protocol() >= daisylink.ProtocolOverload {
 		call.Sent = max(1, daisyclock.Now().Sub(l.opened)) // 0 states nothing.
 	}
+	if conn.Protocol() < daisylink.ProtocolLoad {
+		call.Request.Objective = time.Time{}
+	}
 	if conn.Send(ctx, daisycodec.EncodeCall(call, time.Now())) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
 	}
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyorder"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyqueue"
@@ -34,6 +35,10 @@
 // Gateway runs statement requests on backend servers over its own pool of
 // connections. It is safe for concurrent use.
 type Gateway struct {
+	// OnWait is called with the time for which a request of the class waited at a place
+	// before it was served. It may be nil.
+	OnWait func(place, class string, wait time.Duration)
+
 	pool *daisypool.Pool
 	log  log.Interface
 	wait sync.WaitGroup
@@ -47,7 +52,8 @@
 
 // serverState holds the queue for one server and its measured run times.
 type serverState struct {
-	queue *daisyqueue.Queue
+	queue   *daisyqueue.Queue
+	retries retrySchedule
 
 	mu            sync.Mutex
 	slots         int
@@ -107,15 +113,6 @@
 	}
 }
 
-// expectedWait returns how long a request of the priority and rank would wait if every
-// request queued before it ran.
-func (s *serverState) expectedWait(priority int, rank float64) time.Duration {
-	waiting := s.queue.Waiting(priority, rank)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Duration(waiting) * s.meanRunTime / time.Duration(s.slots)
-}
-
 // observe records how long a statement ran.
 func (s *serverState) observe(req daisyrequest.Request, took time.Duration) {
 	if !req.Pin {
@@ -144,18 +141,6 @@
 	return time.Duration((1-smoothingFactor)*float64(mean) + smoothingFactor*float64(next))
 }
 
-// rank orders requests of a priority by mean run time, the shortest first. Under
-// overload this serves the largest number of requests.
-func (s *serverState) rank(req daisyrequest.Request) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	run, ok := s.classRunTimes[req.QueueClass()]
-	if !ok {
-		run = initialRunTime
-	}
-	return float64(run.Milliseconds())
-}
-
 // Run runs the request. The position that its Freshness asks for must have been added
 // to its statement, and the Freshness be zero. If Pin is set and the statement succeeded, it also returns
 // the pinned connection. After an error that is not daisyrequest.ErrNotSent, it is unknown
@@ -176,17 +161,17 @@
 		return a, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
 	s := g.server(req.Server)
-	rank := s.rank(req)
-	if wait := s.expectedWait(req.Priority, rank); wait > time.Until(req.SendDeadline) {
+	arrived, order := time.Now(), s.order(req)
+	if wait := s.expectedWait(s.slotRequest(req, order)); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
-		return a, nil, daisyrequest.NewOverloadError(wait, false)
+		return a, nil, s.overload(req, wait, 0, false)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
 	defer cancel()
-	c, slot, err := g.obtain(ctx, s, req, rank)
+	c, slot, err := g.obtain(ctx, s, req, order)
 	if errors.Is(err, errQueueTimeout) {
 		g.counters.overloaded.Add(1)
-		return a, nil, daisyrequest.NewOverloadError(s.expectedWait(req.Priority, rank), true)
+		return a, nil, s.overload(req, s.expectedWait(s.slotRequest(req, order)), time.Since(arrived), true)
 	}
 	if err != nil {
 		g.counters.notSent.Add(1)
@@ -208,25 +193,29 @@
 // obtain returns a connection and a slot. If no connection is free, it gives the
 // slot back while it waits for one, so that open transactions, which hold the
 // connections, can go on.
-func (g *Gateway) obtain(ctx context.Context, s *serverState, req daisyrequest.Request, rank float64) (*daisypool.Conn, *daisyqueue.Slot, error) {
-	urgent := req.Statement.Kind == daisystatement.KindStatus
-	slot, err := s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Priority: req.Priority, Rank: rank, Urgent: urgent})
+func (g *Gateway) obtain(ctx context.Context, s *serverState, req daisyrequest.Request, o daisyorder.Order) (*daisypool.Conn, *daisyqueue.Slot, error) {
+	began := time.Now()
+	slot, err := s.queue.AcquireSlot(ctx, s.slotRequest(req, o))
 	if err != nil {
 		return nil, nil, notQueued(err)
 	}
-	if g.pool.Free(req.Server) {
-		c, err := g.pool.Acquire(ctx, req.Server, req.Workspace)
-		if err == nil {
-			return c, slot, nil
-		}
+	g.recordWait(placeQueue, req, began)
+	began = time.Now()
+	free := g.pool.Free(req.Server)
+	if !free {
+		slot.Release()
+	}
+	c, err := g.pool.Acquire(ctx, req.Server, req.Workspace, o)
+	if err != nil && free {
 		slot.Release()
-		return nil, nil, notSent(err)
 	}
-	slot.Release()
-	c, err := g.pool.Acquire(ctx, req.Server, req.Workspace)
 	if err != nil {
 		return nil, nil, notSent(err)
 	}
+	g.recordWait(placeConnection, req, began)
+	if free {
+		return c, slot, nil
+	}
 	slot, err = s.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Urgent: true})
 	if err != nil {
 		c.Release()
@@ -237,7 +226,7 @@
 
 // notQueued classifies a failure to get a slot.
 func notQueued(err error) error {
-	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, daisyqueue.ErrFull) {
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, daisyqueue.ErrFull) || errors.Is(err, daisyqueue.ErrTooLate) {
 		return fmt.Errorf("%w: %w: %w", daisyrequest.ErrNotSent, errQueueTimeout, err)
 	}
 	return fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, err)
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -78,6 +78,8 @@
 		run := shortRun
 		if s.Text == "long" {
 			run = longRun
+		} else if d, err := time.ParseDuration(s.Text); err == nil {
+			run = d
 		}
 		c.backend.work(run)
 	}
--- a/internal/holder/daisyqueue/queue.go
+++ b/internal/holder/daisyqueue/queue.go
@@ -4,30 +4,32 @@
 // divided by its weight. A free slot goes to the waiting workspace that has
 // received the least service, as in start-time fair queueing (Goyal, Vin and
 // Cheng, 1996). An idle workspace accumulates no credit. Within a workspace, the
-// request with the lowest rank goes first.
+// request that is first in the order of package daisyorder goes first: by priority,
+// by slack, by run time.
 //
-// A request of a higher priority goes before those of other workspaces too, as long as
-// its workspace is ahead of the least served one by no more than priorityCredit. So
-// priorities hold while workspaces keep to their shares, and none crowds out others by
-// the priority of its requests.
+// A request of a higher priority or with less slack goes before those of other workspaces
+// too, as long as its workspace is ahead of the least served one by no more than
+// priorityCredit, or hurryCredit if it would miss its objective otherwise. So the order
+// holds while workspaces keep to their shares, and none crowds out others by the priority
+// of its requests.
+//
+// A class of requests of which none was served for daisyorder.MaxClassWait gets the next
+// slot.
 package daisyqueue
 
 import (
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/daisyglade/daisyglade/internal/domain/daisyorder"
 )
 
 // maxWaiting is the maximum number of waiting requests of one workspace.
 const maxWaiting = 512
 
-// priorityCredit is the service that a workspace may receive ahead of the least served
-// one for the priority of its requests, in time for which it holds a slot.
-const priorityCredit = 250 * time.Millisecond
-
 var (
 	// ErrFull is returned at once if too many requests of the workspace are waiting.
 	ErrFull = errors.New("too many requests of the workspace are waiting")
@@ -42,7 +44,8 @@
 	slots       int
 	closed      bool
 	workspaces  map[string]*workspaceState
-	urgent      []*waiter     // Served before all others, in the order of arrival.
+	urgent      []*waiter // Served before all others, in the order of arrival.
+	progress    daisyorder.Progress
 	virtualTime time.Duration // Service of the workspace last chosen as the least served; never decreases.
 }
 
@@ -51,22 +54,34 @@
 	Workspace string
 	Weight    float64 // The workspace's share relative to others; 0 counts as 1.
 	Priority  int     // The highest is 0.
-	Rank      float64 // Orders the requests of a workspace and priority, the lowest first.
 	Urgent    bool    // Served before all requests that are not, since others wait for the requester.
+
+	Class    string        // Requests of a class make progress together.
+	StartBy  time.Time     // Until when the request must start to meet its objective; zero without one.
+	Deadline time.Time     // Until when it may start at all; zero without one.
+	RunTime  time.Duration // Orders requests with the same slack, the shortest first.
+
+	// Hopeless is called at times while the request waits, with the number of requests
+	// that are expected to be served before it. If it returns true, the request fails
+	// with ErrTooLate. It may be nil, and is not called for urgent requests.
+	Hopeless func(ahead int) bool
+}
+
+func (r SlotRequest) order() daisyorder.Order {
+	return daisyorder.Order{Priority: r.Priority, Class: r.Class, StartBy: r.StartBy, Deadline: r.Deadline, RunTime: r.RunTime}
 }
 
 type workspaceState struct {
 	service time.Duration // Service of released slots; raised to the virtual time when the workspace becomes active.
 	weight  float64
 	held    map[*Slot]bool
-	waiting []*waiter // In the order of priority, then of rank, then of arrival.
+	waiting []*waiter // In the order of arrival.
 }
 
 type waiter struct {
 	ready     chan struct{}
 	workspace string
-	priority  int
-	rank      float64
+	order     daisyorder.Order
 	slot      *Slot
 	err       error
 }
@@ -90,36 +105,11 @@
 	return q.slots - q.free
 }
 
-// Acquire waits for a slot with weight 1 and rank 0 until ctx is done.
+// Acquire waits for a slot with weight 1 and the highest priority until ctx is done.
 func (q *Queue) Acquire(ctx context.Context, workspace string) (*Slot, error) {
 	return q.AcquireSlot(ctx, SlotRequest{Workspace: workspace})
 }
 
-// before reports whether w is served before a request of the priority and rank that
-// comes now, within a workspace.
-func (w *waiter) before(priority int, rank float64) bool {
-	return w.priority < priority || w.priority == priority && w.rank <= rank
-}
-
-// AllWaiting returns how many requests are waiting.
-func (q *Queue) AllWaiting() int { return q.Waiting(math.MaxInt, 0) }
-
-// Waiting returns how many waiting requests are urgent or have at most the given
-// priority and rank: an estimate of how many are served before a new request of them.
-func (q *Queue) Waiting(priority int, rank float64) int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	n := len(q.urgent)
-	for _, ws := range q.workspaces {
-		for _, w := range ws.waiting {
-			if w.before(priority, rank) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // SetSlots changes the number of slots. If there are fewer than are held, no slot
 // is handed out until enough are released.
 func (q *Queue) SetSlots(slots int) {
@@ -137,19 +127,23 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case <-w.ready:
+	hopeless := r.Hopeless
+	if r.Urgent {
+		hopeless = nil
+	}
+	if err = q.await(ctx, w, hopeless); err == nil {
 		return w.slot, w.err
-	case <-ctx.Done():
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if w.slot != nil {
 		q.release(w.slot)
-		return nil, ctx.Err()
+		return nil, err
 	}
-	q.cancel(workspace, w)
-	return nil, ctx.Err()
+	if w.err == nil {
+		q.cancel(workspace, w)
+	}
+	return nil, err
 }
 
 func (q *Queue) enqueue(r SlotRequest) (*waiter, error) {
@@ -167,23 +161,20 @@
 	if ws.weight = r.Weight; ws.weight <= 0 {
 		ws.weight = 1
 	}
-	if len(ws.waiting) >= maxWaiting {
+	if len(ws.waiting) >= maxWaiting && !q.displace(ws, r.order()) {
 		return nil, ErrFull
 	}
 	if len(ws.waiting) == 0 && len(ws.held) == 0 {
 		ws.service = max(ws.service, q.virtualTime)
 	}
-	w := &waiter{ready: make(chan struct{}), workspace: workspace, priority: r.Priority, rank: r.Rank}
+	w := &waiter{ready: make(chan struct{}), workspace: workspace, order: r.order()}
 	if r.Urgent {
 		q.urgent = append(q.urgent, w)
 		q.dispatch()
 		return w, nil
 	}
-	at := len(ws.waiting)
-	for at > 0 && !ws.waiting[at-1].before(w.priority, w.rank) {
-		at--
-	}
-	ws.waiting = slices.Insert(ws.waiting, at, w)
+	ws.waiting = append(ws.waiting, w)
+	q.progress.Add(w.order, time.Now())
 	q.dispatch()
 	return w, nil
 }
@@ -198,7 +189,8 @@
 	}
 	for i, other := range ws.waiting {
 		if other == w {
-			ws.waiting = append(ws.waiting[:i], ws.waiting[i+1:]...)
+			ws.waiting = slices.Delete(ws.waiting, i, i+1)
+			q.progress.Remove(w.order, false, time.Now())
 			break
 		}
 	}
@@ -227,38 +219,22 @@
 		q.urgent = q.urgent[1:]
 		return w
 	}
-	ws := q.first(now)
+	if ws, i := q.starved(now); ws != nil {
+		return q.take(ws, i, now)
+	}
+	ws, i := q.first(now)
 	if ws == nil {
 		return nil
 	}
-	w := ws.waiting[0]
-	ws.waiting = ws.waiting[1:]
-	return w
+	return q.take(ws, i, now)
 }
 
-// first returns the workspace whose first request is to be served next: of those within
-// priorityCredit of the least served one, the one with the request of the highest
-// priority and, among equals, with the least service. It returns nil if none is waiting.
-func (q *Queue) first(now time.Time) (best *workspaceState) {
-	_, least := q.leastServed(now)
-	if least == nil {
-		return nil
-	}
-	best = least
-	leastService, bestService := least.serviceAt(now), least.serviceAt(now)
-	for _, ws := range q.workspaces {
-		if len(ws.waiting) == 0 || ws.waiting[0].priority > best.waiting[0].priority {
-			continue
-		}
-		service := ws.serviceAt(now)
-		if service > leastService+ws.weighted(priorityCredit) {
-			continue
-		}
-		if ws.waiting[0].priority < best.waiting[0].priority || service < bestService {
-			best, bestService = ws, service
-		}
-	}
-	return best
+// take removes the workspace's waiter at the index, which is served now.
+func (q *Queue) take(ws *workspaceState, i int, now time.Time) *waiter {
+	w := ws.waiting[i]
+	ws.waiting = slices.Delete(ws.waiting, i, i+1)
+	q.progress.Remove(w.order, true, now)
+	return w
 }
 
 func (q *Queue) leastServed(now time.Time) (string, *workspaceState) {
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -27,10 +27,19 @@
 	}
 	return daisyrequest.Request{
 		Service: p.Service, Workspace: s.workspace, Weight: s.weight, Priority: p.Priority, Class: p.Name,
-		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline,
+		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline, Objective: objective(p, deadline),
 	}
 }
 
+// objective returns by when a statement with the deadline should be answered; zero if the
+// profile states no objective.
+func objective(p daisyspec.Profile, deadline time.Time) (by time.Time) {
+	if p.Latency > 0 {
+		by = deadline.Add(p.Latency - p.Timeout)
+	}
+	return by
+}
+
 // forward runs the request through the forwarder and records whether the server
 // answered. A request that the server's queue would refuse, as it has just refused
 // one like it, is refused here: sending it would cost the gateway host as much as
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -72,6 +72,9 @@
 		w.Service, w.Server, w.Workspace = e.Service, e.Server, e.Workspace
 		w.Weight, w.Priority, w.Class, w.Keep = e.Weight, int64(e.Priority), e.Class, e.Pin
 		w.Hold, w.Limit = int64(e.SendDeadline.Sub(now)), int64(e.Deadline.Sub(now))
+		if !e.Objective.IsZero() {
+			w.ObjectiveLeft = int64(max(1, e.Objective.Sub(now))) // 0 states none.
+		}
 		w.MaxAge, w.Round = int64(e.Freshness.MaxAge), e.Freshness.Epoch
 		w.Statement = fromServerStatement(&e.Statement)
 		for _, name := range slices.Sorted(maps.Keys(e.Values)) {
@@ -102,7 +105,7 @@
 	if w.Statement == nil {
 		return c, errors.New("statement request has no statement")
 	}
-	if err := errors.Join(checkAmounts(w.Weight), checkDurations(w.MaxAge)); err != nil {
+	if err := errors.Join(checkAmounts(w.Weight), checkDurations(w.MaxAge, w.ObjectiveLeft)); err != nil {
 		return c, err
 	}
 	c.Request = daisyrequest.Request{
@@ -111,6 +114,9 @@
 		SendDeadline: now.Add(time.Duration(w.Hold)), Deadline: now.Add(time.Duration(w.Limit)),
 		Statement: toServerStatement(w.Statement), Freshness: daisyrequest.Freshness{Epoch: w.Round, MaxAge: time.Duration(w.MaxAge)},
 	}
+	if w.ObjectiveLeft > 0 {
+		c.Request.Objective = now.Add(time.Duration(w.ObjectiveLeft))
+	}
 	for _, v := range w.Values {
 		if c.Request.Values == nil {
 			c.Request.Values = make(map[string]string, len(w.Values))
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -298,6 +298,10 @@
 	// nanoseconds; 0 if it adds none.
 	MaxAge int64 `json:"MaxAge,omitempty,omitzero"`
 
+	// The time left to the operation's latency objective, in nanoseconds; 0 if it has
+	// none.
+	ObjectiveLeft int64 `json:"ObjectiveLeft,omitempty,omitzero"`
+
 	// The priority; 0 is the highest.
 	Priority int64 `json:"Priority,omitempty,omitzero"`
 
