Order the wait for tokens too, and serve the waits as histograms

Cause: an operation with little time left waited for a token behind others of its priority, and a low class got none while a higher one took all. Nothing showed where requests wait.

Change: operations wait for tokens in the order of daisyorder, with its aging: a class of which all operations are refused after a short wait counts as waiting. The metrics page of an entry host has daisyglade_wait_seconds, a histogram by place (tokens, queue, connection) and profile, of the requests that were served.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -159,7 +159,7 @@
 			metrics := daisymetrics.New()
 			host, err := daisyentryhost.Open(daisyentryhost.Options{
 				Settings: p.settings, Network: daisynet.TCP{}, Dialer: platform.Dialer{Network: daisynet.TCP{}},
-				Codec: platform.NewClientCodec, Parse: platform.ParseDocument, Count: metrics, Log: p.log,
+				Codec: platform.NewClientCodec, Parse: platform.ParseDocument, Count: metrics, OnWait: metrics.RecordWait, Log: p.log,
 			})
 			if err != nil {
 				return err
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -67,7 +67,10 @@
 	Codec    func(net.Conn) daisyfrontend.Codec
 	Parse    func(content []byte) (*daisyspec.Document, error)
 	Count    daisysession.Counter
-	Log      log.Interface
+	// OnWait is called with the time for which a request of the class waited at a place:
+	// for tokens, in a gateway's queue or for a connection. It may be nil.
+	OnWait func(place, class string, wait time.Duration)
+	Log    log.Interface
 }
 
 // EntryHost is a running entry host.
@@ -135,6 +138,7 @@
 	s := &h.options.Settings
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
+	h.gateway.OnWait = h.options.OnWait
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
@@ -164,7 +168,7 @@
 	h.server, err = daisyfrontend.Open(h.ctx, daisyfrontend.Options{
 		Network: o.Network, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
 		Environment: &daisysession.Environment{
-			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, Log: o.Log,
+			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, OnWait: o.OnWait, Log: o.Log,
 		},
 	})
 	return err
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyorder"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 )
 
@@ -51,7 +52,7 @@
 	limits      map[string]daisyquota.WorkspaceLimit // By workspace.
 	buckets     map[string]*daisyquota.HostBucket    // By workspace.
 	lastRequest time.Time                            // When requestTokens was last called.
-	waiting     map[string]map[int]int               // Number of waiting operations, by workspace and priority.
+	waiting     map[string]*waiters                  // By workspace.
 	pending     map[string]pendingRequest            // By workspace.
 	granted     chan struct{}                        // Closed when tokens are granted.
 	refusals    Refusals
@@ -70,7 +71,7 @@
 func New(requestTokens func()) *Controller {
 	return &Controller{
 		requestTokens: requestTokens, hosts: 1, limits: make(map[string]daisyquota.WorkspaceLimit), buckets: make(map[string]*daisyquota.HostBucket),
-		waiting: make(map[string]map[int]int), pending: make(map[string]pendingRequest), granted: make(chan struct{}),
+		waiting: make(map[string]*waiters), pending: make(map[string]pendingRequest), granted: make(chan struct{}),
 	}
 }
 
@@ -109,6 +110,9 @@
 		if _, ok := c.limits[name]; !ok {
 			delete(c.buckets, name)
 			delete(c.pending, name)
+			if c.countAllWaiting(name) == 0 {
+				delete(c.waiting, name)
+			}
 		}
 	}
 }
@@ -118,14 +122,19 @@
 // gets none, returns the time to retry. Waiting operations of a higher
 // priority, which is a lower number, go first.
 func (c *Controller) Admit(workspace string, priority int, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
+	return c.AdmitInOrder(workspace, daisyorder.Order{Priority: priority}, maxWait)
+}
+
+// AdmitInOrder is like Admit. Waiting operations that are first in the order go first.
+func (c *Controller) AdmitInOrder(workspace string, o daisyorder.Order, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
 	arrived := daisyclock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ok, retryAfter = c.take(arrived, workspace, priority, (*daisyquota.HostBucket).Take); ok {
+	if ok, retryAfter = c.take(arrived, workspace, &o, (*daisyquota.HostBucket).Take); ok {
 		return ok, retryAfter
 	}
-	c.countWaiting(workspace, priority, 1)
-	defer c.countWaiting(workspace, priority, -1)
+	c.wait(arrived, workspace, &o)
+	defer func() { c.leave(daisyclock.Now(), workspace, &o, ok) }()
 	if b := c.buckets[workspace]; b != nil && b.OnDemand() {
 		maxWait *= unansweredFactor
 	}
@@ -133,7 +142,7 @@
 	for now := arrived; now.Before(until) && !c.denied(workspace, arrived); now = daisyclock.Now() {
 		c.request(now, workspace)
 		c.awaitGrant(workspace, now, until)
-		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
+		if ok, retryAfter = c.take(daisyclock.Now(), workspace, &o, (*daisyquota.HostBucket).RetryTake); ok {
 			return ok, retryAfter
 		}
 	}
@@ -181,48 +190,14 @@
 	}
 }
 
-// countWaiting adds the change to the number of waiting operations of the workspace
-// and priority. It requires c.mu.
-func (c *Controller) countWaiting(workspace string, priority, change int) {
-	byPriority := c.waiting[workspace]
-	if byPriority == nil {
-		byPriority = make(map[int]int)
-		c.waiting[workspace] = byPriority
-	}
-	if byPriority[priority] += change; byPriority[priority] == 0 {
-		delete(byPriority, priority)
-	}
-	if len(byPriority) == 0 {
-		delete(c.waiting, workspace)
-	}
-}
-
-// countAllWaiting returns the number of waiting operations of the workspace.
-func (c *Controller) countAllWaiting(workspace string) (n int) {
-	for _, count := range c.waiting[workspace] {
-		n += count
-	}
-	return n
-}
-
-// higherPriorityWaits reports whether an operation of a higher priority is waiting.
-func (c *Controller) higherPriorityWaits(workspace string, priority int) bool {
-	for p := range c.waiting[workspace] {
-		if p < priority {
-			return true
-		}
-	}
-	return false
-}
-
-// take takes a token unless an operation of a higher priority waits for one. It
+// take takes a token unless another operation that waits for one goes first. It
 // requires c.mu.
-func (c *Controller) take(now time.Time, workspace string, priority int, take func(*daisyquota.HostBucket, time.Time) (bool, time.Duration)) (bool, time.Duration) {
+func (c *Controller) take(now time.Time, workspace string, o *daisyorder.Order, take func(*daisyquota.HostBucket, time.Time) (bool, time.Duration)) (bool, time.Duration) {
 	b := c.buckets[workspace]
 	if b == nil {
 		return false, time.Second
 	}
-	if c.higherPriorityWaits(workspace, priority) {
+	if c.otherGoesFirst(now, workspace, o) {
 		return false, minRequestInterval
 	}
 	return take(b, now)
--- a/internal/report/daisymetrics/metrics.go
+++ b/internal/report/daisymetrics/metrics.go
@@ -41,12 +41,13 @@
 	mu         sync.Mutex
 	statements map[series]uint64
 	latencies  map[string]*hdrhistogram.Histogram // By profile, in microseconds.
+	waits      map[waitSeries]*waitHistogram
 	gauges     []gauge
 }
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{statements: make(map[series]uint64), latencies: make(map[string]*hdrhistogram.Histogram)}
+	return &Registry{statements: make(map[series]uint64), latencies: make(map[string]*hdrhistogram.Histogram), waits: make(map[waitSeries]*waitHistogram)}
 }
 
 // AddGauge adds a gauge whose value is read when the metrics are served.
@@ -87,6 +88,7 @@
 	for _, s := range all {
 		_, _ = fmt.Fprintf(w, "daisyglade_statements_total{profile=%q,code=%q} %d\n", s.profile, s.code, r.statements[s])
 	}
+	r.writeWaits(w)
 	for profile, h := range r.latencies {
 		for _, q := range percentiles {
 			seconds := (time.Duration(h.ValueAtPercentile(q)) * time.Microsecond).Seconds()
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -7,6 +7,7 @@
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyorder"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyadmission"
 	"github.com/daisyglade/daisyglade/internal/session/daisyfreshness"
@@ -30,6 +31,7 @@
 	Forwarder Forwarder
 	Admission *daisyadmission.Controller
 	Count     Counter
+	OnWait    func(place, class string, wait time.Duration) // Called when an operation has its token; may be nil.
 	Log       log.Interface
 }
 
@@ -194,7 +196,7 @@
 	if p.Public && s.workspace == "" {
 		return p, nil
 	}
-	ok, retryAfter := s.env.Admission.Admit(s.workspace, p.Priority, maxTokenWait)
+	ok, retryAfter := s.takeToken(p)
 	if !ok {
 		quota := s.env.Admission.State(s.workspace)
 		s.env.Log.WithFields(log.Fields{
@@ -206,6 +208,20 @@
 	return p, nil
 }
 
+// placeTokens is the place where operations wait for rate limit tokens, for OnWait.
+const placeTokens = "tokens"
+
+// takeToken takes a token for an operation that has just arrived.
+func (s *Session) takeToken(p daisyspec.Profile) (ok bool, retryAfter time.Duration) {
+	arrived := time.Now()
+	order := daisyorder.Order{Priority: p.Priority, Class: p.Name, StartBy: daisyorder.StartBy(objective(p, arrived.Add(p.Timeout)), 0)}
+	ok, retryAfter = s.env.Admission.AdmitInOrder(s.workspace, order, maxTokenWait)
+	if ok && s.env.OnWait != nil {
+		s.env.OnWait(placeTokens, p.Name, time.Since(arrived))
+	}
+	return ok, retryAfter
+}
+
 // run runs a read or a write.
 func (s *Session) run(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	if st.Kind == daisystatement.KindExecute {
