Give back the place of a client that has left

Cause: a statement kept its place in the queue of a gateway, and was run, though its client had gone; an operation kept waiting for a token.

Change: the connection of a client whose statement takes longer than 50 ms is watched. When the client closes it, the wait for a token, a slot or a connection ends, and the statement is refused as not sent. A gateway on another host is told by a call of action 3, sent to hosts of protocol 5. What was sent to a server goes on. Requests of the burst test are now the same in each run: the race detector found its random source shared.

--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -1,6 +1,7 @@
 package daisyrequest
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"time"
@@ -18,6 +19,9 @@
 	// ErrNoPosition is returned, with ErrNotSent, for a read whose Freshness asks for a
 	// position of the primary, if none is known.
 	ErrNoPosition = errors.New("no recent position of the primary is known")
+	// ErrClientLeft is returned, with ErrNotSent, if the client left while its statement
+	// waited.
+	ErrClientLeft = errors.New("the client has left")
 	// ErrPinnedConnClosed is returned for a pinned connection that was closed; its
 	// transaction is rolled back.
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
@@ -58,11 +62,12 @@
 	Class        string            // Requests of one class have similar run times.
 	Values       map[string]string // The session values that the statement runs with.
 	Statement    daisystatement.Statement
-	SendDeadline time.Time // For sending the statement.
-	Deadline     time.Time // For receiving the answer.
-	Objective    time.Time // By when the operation should be answered; zero if there is none.
-	Pin          bool      // Keep the connection for a transaction.
-	Freshness    Freshness // For a read without a known position; zero for other statements.
+	SendDeadline time.Time       // For sending the statement.
+	Deadline     time.Time       // For receiving the answer.
+	Objective    time.Time       // By when the operation should be answered; zero if there is none.
+	Pin          bool            // Keep the connection for a transaction.
+	Client       context.Context // Ends when the client has left; nil if that is not known. Not sent to other hosts.
+	Freshness    Freshness       // For a read without a known position; zero for other statements.
 }
 
 // Freshness asks the gateway of a replica to add the minimum position that a read
@@ -82,6 +87,15 @@
 	}
 }
 
+// Waiting returns the context for what the request waits for. It ends when the client has
+// left.
+func (req *Request) Waiting() context.Context {
+	if req.Client == nil {
+		return context.Background()
+	}
+	return req.Client
+}
+
 // QueueClass returns the class under which run times are averaged. Transactions have
 // classes of their own, since the run time of all their statements counts.
 func (req *Request) QueueClass() string {
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -220,8 +220,10 @@
 	}
 }
 
-// call sends a call and waits for its reply until the deadline.
-func (l *link) call(call daisycodec.Call, deadline time.Time) (r daisycodec.CallReply, err error) {
+// call sends a call and waits for its reply until the deadline. When client ends, it tells
+// the other host, which refuses the call if it still waits, and goes on waiting: the
+// statement may be running.
+func (l *link) call(client context.Context, call daisycodec.Call, deadline time.Time) (r daisycodec.CallReply, err error) {
 	replies := make(chan daisycodec.CallReply, 1)
 	l.mu.Lock()
 	conn := l.conn
@@ -240,18 +242,26 @@
 	l.send(context.Background(), conn, call)
 	timer := time.NewTimer(time.Until(deadline) + replyMargin)
 	defer timer.Stop()
-	select {
-	case r, ok := <-replies:
-		if !ok {
-			return r, errLinkLost
+	left := client.Done()
+	for {
+		select {
+		case r, ok := <-replies:
+			if !ok {
+				return r, errLinkLost
+			}
+			return r, nil
+		case <-left:
+			left = nil
+			if conn.Protocol() >= daisylink.ProtocolLoad {
+				l.send(context.Background(), conn, daisycodec.Call{ID: call.ID, Action: daisycodec.ActionAbandon})
+			}
+		case <-timer.C:
+			l.mu.Lock()
+			delete(l.pending, call.ID)
+			l.mu.Unlock()
+			l.counters.timedOut.Add(1)
+			return r, context.DeadlineExceeded
 		}
-		return r, nil
-	case <-timer.C:
-		l.mu.Lock()
-		delete(l.pending, call.ID)
-		l.mu.Unlock()
-		l.counters.timedOut.Add(1)
-		return r, context.DeadlineExceeded
 	}
 }
 
@@ -271,7 +281,7 @@
 	if req.Freshness.MaxAge > 0 && l.protocol() < daisylink.ProtocolPosition {
 		return r, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
-	r, err = l.call(daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
+	r, err = l.call(req.Waiting(), daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
 	}
@@ -310,7 +320,7 @@
 
 // Do implements daisyrequest.PinnedConn.
 func (p *remotePinnedConn) Do(req daisyrequest.Request) (daisystatement.Answer, error) {
-	r, err := p.link.call(daisycodec.Call{Action: daisycodec.ActionRun, PinnedConn: p.id, Request: req}, req.Deadline)
+	r, err := p.link.call(context.Background(), daisycodec.Call{Action: daisycodec.ActionRun, PinnedConn: p.id, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
 	}
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -44,9 +44,10 @@
 	conn    Conn
 	wait    sync.WaitGroup
 
-	mu     sync.Mutex
-	lastID uint64
-	pinned map[uint64]daisyrequest.PinnedConn
+	mu      sync.Mutex
+	lastID  uint64
+	pinned  map[uint64]daisyrequest.PinnedConn
+	waiting map[uint64]context.CancelFunc // Ends the wait of the call with the ID.
 }
 
 // Serve runs the statement requests of another host until its link ends, and
@@ -55,7 +56,7 @@
 // from the primary seldom have to ask it. The gateway of a primary learns that
 // position from the answers of the primary.
 func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
-	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn)}
+	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc)}
 	defer s.close()
 	var t transit
 	for {
@@ -82,7 +83,13 @@
 			pinned.Close()
 		}
 	case daisycodec.ActionRun:
-		s.wait.Go(func() { s.reply(ctx, s.run(call)) })
+		abandoned := s.begin(&call)
+		s.wait.Go(func() {
+			defer abandoned()
+			s.reply(ctx, s.run(call))
+		})
+	case daisycodec.ActionAbandon:
+		s.abandon(call.ID)
 	default: // ActionPing.
 		s.reply(ctx, daisycodec.CallReply{ID: call.ID})
 	}
--- a/internal/entry/daisyfrontend/server.go
+++ b/internal/entry/daisyfrontend/server.go
@@ -132,7 +132,8 @@
 		defer s.mu.Unlock()
 		delete(s.sessions, c)
 	}()
-	codec := s.options.Codec(c.conn)
+	watched := &watchedConn{Conn: c.conn}
+	codec := s.options.Codec(watched)
 	_ = c.conn.SetDeadline(time.Now().Add(startupTimeout))
 	database, key, err := codec.ReadStartup()
 	if err != nil {
@@ -155,12 +156,14 @@
 	if codec.WriteStarted() != nil {
 		return
 	}
-	s.serveStatements(c, codec, session)
+	s.serveStatements(c, codec, session, watched)
 }
 
 // serveStatements serves statements until the client disconnects or the session
 // ends.
-func (s *Server) serveStatements(c *client, codec Codec, session *daisysession.Session) {
+func (s *Server) serveStatements(c *client, codec Codec, session *daisysession.Session, watched *watchedConn) {
+	client, leave := context.WithCancel(context.Background())
+	defer leave()
 	for {
 		st, err := s.next(c, codec, session)
 		if errors.Is(err, ErrMalformed) {
@@ -169,7 +172,9 @@
 		if err != nil {
 			return
 		}
-		answer := session.Do(st, time.Now())
+		unwatch := watched.watch(leave)
+		answer := session.DoFor(client, st, time.Now())
+		unwatch()
 		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if codec.WriteAnswer(answer) != nil || session.Ended() {
 			return
--- a/internal/holder/daisygateway/burst_test.go
+++ b/internal/holder/daisygateway/burst_test.go
@@ -132,10 +132,9 @@
 
 // run sends the requests of the given time.
 func (b *burst) run(span time.Duration) {
-	random := rand.New(rand.NewPCG(7, 12))
 	arrive := func(c class, priority int, workspace func() string, rate float64) {
+		random := rand.New(rand.NewPCG(uint64(priority), uint64(rate)))
 		b.wait.Go(func() {
-			random := rand.New(rand.NewPCG(random.Uint64(), 1))
 			for end := time.Now().Add(span); time.Now().Before(end); {
 				time.Sleep(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
 				b.send(c, priority, workspace(), time.Duration((0.5+random.Float64())*float64(c.run)))
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -166,9 +166,12 @@
 		g.counters.overloaded.Add(1)
 		return a, nil, s.overload(req, wait, 0, false)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
+	ctx, cancel := context.WithDeadline(req.Waiting(), req.SendDeadline)
 	defer cancel()
 	c, slot, err := g.obtain(ctx, s, req, order)
+	if err != nil && req.Waiting().Err() != nil {
+		err = fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrClientLeft)
+	}
 	if errors.Is(err, errQueueTimeout) {
 		g.counters.overloaded.Add(1)
 		return a, nil, s.overload(req, s.expectedWait(s.slotRequest(req, order)), time.Since(arrived), true)
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -3,6 +3,7 @@
 package daisyadmission
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -122,11 +123,12 @@
 // gets none, returns the time to retry. Waiting operations of a higher
 // priority, which is a lower number, go first.
 func (c *Controller) Admit(workspace string, priority int, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
-	return c.AdmitInOrder(workspace, daisyorder.Order{Priority: priority}, maxWait)
+	return c.AdmitInOrder(context.Background(), workspace, daisyorder.Order{Priority: priority}, maxWait)
 }
 
-// AdmitInOrder is like Admit. Waiting operations that are first in the order go first.
-func (c *Controller) AdmitInOrder(workspace string, o daisyorder.Order, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
+// AdmitInOrder is like Admit. Waiting operations that are first in the order go first. The
+// wait ends with client, which is done when the client has left.
+func (c *Controller) AdmitInOrder(client context.Context, workspace string, o daisyorder.Order, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
 	arrived := daisyclock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -141,7 +143,10 @@
 	until := arrived.Add(maxWait)
 	for now := arrived; now.Before(until) && !c.denied(workspace, arrived); now = daisyclock.Now() {
 		c.request(now, workspace)
-		c.awaitGrant(workspace, now, until)
+		c.awaitGrant(client, workspace, now, until)
+		if client.Err() != nil {
+			return false, 0
+		}
 		if ok, retryAfter = c.take(daisyclock.Now(), workspace, &o, (*daisyquota.HostBucket).RetryTake); ok {
 			return ok, retryAfter
 		}
@@ -168,7 +173,7 @@
 
 // awaitGrant waits until tokens are granted, the next token may be used or it is time
 // to try again, but no longer than until. It unlocks c.mu while it waits.
-func (c *Controller) awaitGrant(workspace string, now, until time.Time) {
+func (c *Controller) awaitGrant(client context.Context, workspace string, now, until time.Time) {
 	wait := retryInterval
 	if b := c.buckets[workspace]; b != nil && b.OnDemand() {
 		wait = onDemandRetryInterval
@@ -186,6 +191,7 @@
 	defer timer.Stop()
 	select {
 	case <-granted:
+	case <-client.Done():
 	case <-timer.C:
 	}
 }
--- a/internal/limit/daisyadmission/order_test.go
+++ b/internal/limit/daisyadmission/order_test.go
@@ -1,6 +1,7 @@
 package daisyadmission_test
 
 import (
+	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -45,7 +46,7 @@
 		var wait sync.WaitGroup
 		for _, left := range []time.Duration{900 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
 			wait.Go(func() {
-				ok, _ := c.AdmitInOrder("w", daisyorder.Order{Priority: 1, StartBy: time.Now().Add(left)}, time.Second)
+				ok, _ := c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: 1, StartBy: time.Now().Add(left)}, time.Second)
 				assert.Check(t, ok)
 				mu.Lock()
 				defer mu.Unlock()
@@ -73,7 +74,7 @@
 			priority := i % 2
 			wait.Go(func() {
 				for time.Now().Before(end) {
-					ok, _ := c.AdmitInOrder("w", daisyorder.Order{Priority: priority}, 200*time.Millisecond)
+					ok, _ := c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: priority}, 200*time.Millisecond)
 					mu.Lock()
 					if ok {
 						admitted[priority]++
@@ -90,3 +91,21 @@
 		assert.Assert(t, admitted[0] > 10*admitted[1], "%v", admitted)
 	})
 }
+
+// Guards against a client that has left and still takes a token of its workspace.
+func TestClientThatLeftTakesNoToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, stop := grantEvery(100 * time.Millisecond)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(30*time.Millisecond, leave)
+		began := time.Now()
+		ok, _ := c.AdmitInOrder(ctx, "w", daisyorder.Order{}, time.Second)
+		assert.Assert(t, !ok)
+		assert.Equal(t, time.Since(began), 30*time.Millisecond)
+		assert.Equal(t, c.Refusals(), daisyadmission.Refusals{})
+		time.Sleep(80 * time.Millisecond) // The token has come.
+		stop()
+		ok, _ = c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: 2}, time.Millisecond)
+		assert.Assert(t, ok)
+	})
+}
--- a/internal/net/daisylink/link.go
+++ b/internal/net/daisylink/link.go
@@ -65,7 +65,7 @@
 	// Grants of tokens may have After, Denied and RetryAfter, replies to heartbeats
 	// Revision.
 	ProtocolReservation = 4
-	// Calls may have ObjectiveLeft, replies to calls Load, demands and grants of tokens
+	// Calls may have ObjectiveLeft and may be given up, replies to calls Load, demands and grants of tokens
 	// Reserve. Replies to heartbeats may be compressed, and the control state may hold
 	// evacuations and cold servers.
 	ProtocolLoad = 5
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -27,7 +27,7 @@
 	}
 	return daisyrequest.Request{
 		Service: p.Service, Workspace: s.workspace, Weight: s.weight, Priority: p.Priority, Class: p.Name,
-		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline, Objective: objective(p, deadline),
+		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline, Objective: objective(p, deadline), Client: s.client,
 	}
 }
 
@@ -75,7 +75,7 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
-	case errors.Is(err, daisyrequest.ErrNoPosition):
+	case errors.Is(err, daisyrequest.ErrNoPosition), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
 		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
--- a/internal/session/daisysession/retry.go
+++ b/internal/session/daisysession/retry.go
@@ -1,6 +1,9 @@
 package daisysession
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 const (
 	// firstPause is the pause after the first attempt at a statement that was not
@@ -15,14 +18,17 @@
 type retrier struct {
 	pause   time.Duration // Before the next attempt.
 	changed <-chan struct{}
+	client  context.Context
 }
 
 // begin is called before each attempt.
-func (r *retrier) begin(s *Session) { r.changed = s.env.Router.Changed() }
+func (r *retrier) begin(s *Session) {
+	r.changed, r.client = s.env.Router.Changed(), s.clientContext()
+}
 
 // wait pauses before the next attempt, which it begins early if the host's view of
 // the fleet has changed since the last one began. It returns false if the pause
-// would end after until.
+// would end after until, or if the client has left.
 func (r *retrier) wait(until time.Time) bool {
 	r.pause = min(max(2*r.pause, firstPause), maxPause)
 	if time.Until(until) < r.pause {
@@ -31,6 +37,7 @@
 	select {
 	case <-r.changed:
 	case <-time.After(r.pause):
+	case <-r.client.Done():
 	}
-	return true
+	return r.client.Err() == nil
 }
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -1,6 +1,7 @@
 package daisysession
 
 import (
+	"context"
 	"maps"
 	"time"
 
@@ -58,7 +59,8 @@
 	prepared  map[string]prepared
 	lastWrite daisyfreshness.WritePosition
 	tx        *transaction
-	ended     bool // The key or the profile was withdrawn.
+	client    context.Context // Ends when the client has left; nil if that is not known.
+	ended     bool            // The key or the profile was withdrawn.
 }
 
 // Open starts a session for a database with a client's key.
@@ -215,7 +217,7 @@
 func (s *Session) takeToken(p daisyspec.Profile) (ok bool, retryAfter time.Duration) {
 	arrived := time.Now()
 	order := daisyorder.Order{Priority: p.Priority, Class: p.Name, StartBy: daisyorder.StartBy(objective(p, arrived.Add(p.Timeout)), 0)}
-	ok, retryAfter = s.env.Admission.AdmitInOrder(s.workspace, order, maxTokenWait)
+	ok, retryAfter = s.env.Admission.AdmitInOrder(s.clientContext(), s.workspace, order, maxTokenWait)
 	if ok && s.env.OnWait != nil {
 		s.env.OnWait(placeTokens, p.Name, time.Since(arrived))
 	}
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -17,9 +17,10 @@
 
 // Actions.
 const (
-	ActionRun   Action = iota // Run a statement.
-	ActionUnpin               // Roll back and unpin the connection; there is no reply.
-	ActionPing                // Reply only.
+	ActionRun     Action = iota // Run a statement.
+	ActionUnpin                 // Roll back and unpin the connection; there is no reply.
+	ActionPing                  // Reply only.
+	ActionAbandon               // The client of the call with the ID has left; there is no reply of its own.
 )
 
 // Call is a message to a gateway.
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -271,8 +271,8 @@
 
 // A request to run a statement through a gateway.
 type Errand struct {
-	// The requested action: run a statement, close the pinned connection, or only
-	// reply.
+	// The requested action: run a statement, close the pinned connection, only reply,
+	// or give up a call that waits.
 	Act int64 `json:"Act"`
 
 	// The class; statements of one class are expected to take equally long.
