Order calls and replies for a host's link where it is the bottleneck

Cause: the link of a gateway host of 2 Mbit/s carries some 180 statements a second; what waits on it lies in the buffers of the kernel, in the order in which it was written.

It delays nothing while the link has room. Statements of open transactions, pings and answers to clients do not wait. A call that cannot leave in time is refused as not sent. The wait is the place "link" of daisyglade_wait_seconds. Without the setting nothing changes.

On whole hosts with a shaped link it was not measured.

--- a/internal/config/daisynode/settings.go
+++ b/internal/config/daisynode/settings.go
@@ -27,6 +27,7 @@
 	DataFolder      string
 	ToleratedLosses int // How many control hosts may be lost at once with their disks.
 
+	LinkSpeed        float64        // Of the host's network link, in bits a second; 0 if not known.
 	MemoryBytes      int64          // The most memory that the process may use; 0 if not limited.
 	GracePeriod      time.Duration  // Time for a graceful stop.
 	PromotionService netip.AddrPort // The service that carries out promotions.
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
 )
 
 // errNoGateway is returned while the fleet's state has no gateway for a server.
@@ -40,8 +41,12 @@
 	Local    *daisygateway.Gateway
 	Topology daisyplacement.Topology
 	Dial     Dial
-	Delayed  func() bool // Reports whether messages of this host are held up; may be nil.
-	Log      log.Interface
+	Pacer    *daisypacer.Pacer // Orders what this host sends over its link; may be nil.
+	// OnWait is called with the time for which a message of the class waited for this host's
+	// link. It may be nil.
+	OnWait  func(place, class string, wait time.Duration)
+	Delayed func() bool // Reports whether messages of this host are held up; may be nil.
+	Log     log.Interface
 }
 
 // Forwarder forwards statement requests to gateways. It is safe for concurrent
@@ -140,6 +145,7 @@
 	if l == nil || l.hasFailed() && !l.failedRecently() {
 		reopened := l != nil
 		l = newLink(addr, &f.counters, f.options.Delayed)
+		l.pace = f.pace
 		l.reopened = reopened
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -150,17 +151,18 @@
 	gateway   *daisygateway.Gateway
 	pool      *daisypool.Pool
 	forwarder *daisyforwarder.Forwarder
-	down      atomic.Bool   // Refuses connections.
-	silent    atomic.Bool   // Messages to and from it are dropped.
-	frozen    atomic.Bool   // Does not answer dials.
-	hold      atomic.Int64  // How long messages to it are held up, in nanoseconds.
-	leading   uint64        // The epoch in which the server leads; 0 if it does not.
-	recorded  []sample      // Recorded with answers of the primary.
-	old       bool          // It speaks the first protocol.
-	delayed   atomic.Bool   // It knows that its messages are held up.
-	epochs    atomic.Uint64 // The epoch of its positions; 0 is 7.
-	objective atomic.Bool   // Whether the last call to it stated an objective.
-	needed    atomic.Int64  // How often a position was needed that it lacked.
+	pacer     *daisypacer.Pacer // Of the replies that it sends; nil if its link is not full.
+	down      atomic.Bool       // Refuses connections.
+	silent    atomic.Bool       // Messages to and from it are dropped.
+	frozen    atomic.Bool       // Does not answer dials.
+	hold      atomic.Int64      // How long messages to it are held up, in nanoseconds.
+	leading   uint64            // The epoch in which the server leads; 0 if it does not.
+	recorded  []sample          // Recorded with answers of the primary.
+	old       bool              // It speaks the first protocol.
+	delayed   atomic.Bool       // It knows that its messages are held up.
+	epochs    atomic.Uint64     // The epoch of its positions; 0 is 7.
+	objective atomic.Bool       // Whether the last call to it stated an objective.
+	needed    atomic.Int64      // How often a position was needed that it lacked.
 }
 
 // sample is a position that a gateway recorded.
@@ -249,7 +251,9 @@
 			silent := func() bool { return from.silent.Load() || to.silent.Load() }
 			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent, peer: to}
 			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent, peer: from}
-			f.wait.Go(func() { daisyforwarder.Serve(f.ctx, far, to.gateway, to, &log.Logger{Handler: discard.New()}) })
+			f.wait.Go(func() {
+				daisyforwarder.Serve(f.ctx, far, to.gateway, to, daisyforwarder.Pacing{Pacer: to.pacer}, &log.Logger{Handler: discard.New()})
+			})
 			return near, nil
 		}
 		return nil, errors.New("refused")
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -49,9 +49,10 @@
 type link struct {
 	addr     netip.AddrPort
 	counters *counters
-	delayed  func() bool   // Reports whether messages of this host are held up; may be nil.
-	ready    chan struct{} // Closed once the link is open or has failed.
-	reopened bool          // Whether it replaces a link that failed.
+	delayed  func() bool                      // Reports whether messages of this host are held up; may be nil.
+	ready    chan struct{}                    // Closed once the link is open or has failed.
+	pace     func(daisyrequest.Request) error // Waits until this host's link may send the request.
+	reopened bool                             // Whether it replaces a link that failed.
 
 	mu          sync.Mutex
 	opened      time.Time
@@ -281,6 +282,9 @@
 	if req.Freshness.MaxAge > 0 && l.protocol() < daisylink.ProtocolPosition {
 		return r, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
+	if err := l.pace(req); err != nil {
+		return r, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, err)
+	}
 	r, err = l.call(req.Waiting(), daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -42,6 +42,7 @@
 	gateway *daisygateway.Gateway
 	samples Samples
 	conn    Conn
+	pacing  Pacing
 	wait    sync.WaitGroup
 
 	mu      sync.Mutex
@@ -55,8 +56,8 @@
 // latest position of the service's primary that this host knows, so that hosts far
 // from the primary seldom have to ask it. The gateway of a primary learns that
 // position from the answers of the primary.
-func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
-	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc)}
+func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, pacing Pacing, logger log.Interface) {
+	s := &peer{pacing: pacing, gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc)}
 	defer s.close()
 	var t transit
 	for {
@@ -86,7 +87,7 @@
 		abandoned := s.begin(&call)
 		s.wait.Go(func() {
 			defer abandoned()
-			s.reply(ctx, s.run(call))
+			s.replyInOrder(ctx, call, s.run(call))
 		})
 	case daisycodec.ActionAbandon:
 		s.abandon(call.ID)
@@ -196,10 +197,17 @@
 	return daisycodec.FaultOutcomeUnknown, err.Error()
 }
 
+// reply sends a reply without waiting for others.
 func (s *peer) reply(ctx context.Context, r daisycodec.CallReply) {
+	message := daisycodec.EncodeCallReply(r)
+	s.pacing.Pacer.Charge(len(message))
+	s.send(ctx, message)
+}
+
+func (s *peer) send(ctx context.Context, message []byte) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	if s.conn.Send(ctx, daisycodec.EncodeCallReply(r)) != nil {
+	if s.conn.Send(ctx, message) != nil {
 		s.conn.Close()
 	}
 }
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
+	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
 )
@@ -86,6 +87,7 @@
 	dialer    *daisylink.Dialer
 	index     atomic.Pointer[daisyspec.Index]
 	lease     *daisylease.Client
+	pacer     *daisypacer.Pacer
 	pool      *daisypool.Pool
 	gateway   *daisygateway.Gateway
 	forwarder *daisyforwarder.Forwarder
@@ -136,11 +138,13 @@
 // openBackends creates the parts that connect to backend servers.
 func (h *EntryHost) openBackends() {
 	s := &h.options.Settings
+	h.pacer = daisypacer.New(s.LinkSpeed)
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
 	h.gateway.OnWait = h.options.OnWait
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
+		Pacer: h.pacer, OnWait: h.options.OnWait,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -166,7 +170,7 @@
 func (h *EntryHost) openEntry() (err error) {
 	o := &h.options
 	h.server, err = daisyfrontend.Open(h.ctx, daisyfrontend.Options{
-		Network: o.Network, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
+		Network: daisypacer.Network{Network: o.Network, Pacer: h.pacer}, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
 		Environment: &daisysession.Environment{
 			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, OnWait: o.OnWait, Log: o.Log,
 		},
@@ -178,7 +182,7 @@
 func (h *EntryHost) openLinks() error {
 	h.mux.Plain = true
 	h.mux.Handle(daisylink.PathStatement, func(ctx context.Context, c *daisylink.Conn) {
-		daisyforwarder.Serve(ctx, c, h.gateway, h.router, h.options.Log)
+		daisyforwarder.Serve(ctx, c, h.gateway, h.router, daisyforwarder.Pacing{Pacer: h.pacer, OnWait: h.options.OnWait}, h.options.Log)
 	})
 	listener, err := h.options.Network.Listen(h.ctx, h.options.Settings.Link)
 	if err != nil {
@@ -416,7 +420,7 @@
 		errs = append(errs, h.links.Close())
 		h.mux.Wait()
 	}
-	errs = append(errs, h.lease.Close(), h.forwarder.Close(), h.gateway.Close(), h.pool.Close())
+	errs = append(errs, h.lease.Close(), h.pacer.Close(), h.forwarder.Close(), h.gateway.Close(), h.pool.Close())
 	h.wait.Wait()
 	return errors.Join(errs...)
 }
