--- a/internal/net/daisypacer/pacer_test.go
+++ b/internal/net/daisypacer/pacer_test.go
@@ -110,7 +110,7 @@
 		began := time.Now()
 		assert.NilError(t, p.Wait(t.Context(), messageSize, daisyorder.Order{}))
 		assert.Equal(t, time.Since(began), time.Second)
-		var none *daisypacer.Pacer = daisypacer.New(0)
+		none := daisypacer.New(0)
 		none.Charge(1e9)
 		assert.NilError(t, none.Wait(t.Context(), messageSize, daisyorder.Order{}))
 		assert.NilError(t, none.Close())
