Hold back only the workspace that a queue refuses, and sample at all gateways

Cause: a refusal on arrival said that the whole queue was too long, though the wait is estimated for the workspace since shares are fair, and other gateways serve other workspaces; hosts then refused all workspaces. Clients refused on the word of an earlier refusal were all told the same time. The second and third gateway sampled primaries as fall-backs do, though each now serves a part of the workspaces.

Change: a refusal is for the workspace's share if one with nothing waiting would be served, or if the gateways share the server. Held-off clients get times spread up to twice the time left. Spread gateways have rank 0 for the sampler.

--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -94,8 +94,16 @@
 	return (*f.gateways.Load())[server]
 }
 
-// Rank returns the rank of this host among the gateways of a server, or -1.
-func (f *Forwarder) Rank(server string) int { return f.Gateways(server).Rank(f.options.Host) }
+// Rank returns the rank of this host among the gateways of a server, or -1. Gateways over
+// which the requests are spread all have rank 0: each is the first for some workspaces.
+func (f *Forwarder) Rank(server string) int {
+	gateways := f.Gateways(server)
+	rank := gateways.Rank(f.options.Host)
+	if gateways.Spread {
+		return min(rank, 0)
+	}
+	return rank
+}
 
 // Run runs the request at the first gateway, in the order for its workspace, that can
 // send it. Errors are as for daisygateway.Gateway.Run.
--- a/internal/entry/daisyforwarder/spread_test.go
+++ b/internal/entry/daisyforwarder/spread_test.go
@@ -20,6 +20,9 @@
 		from := f.hosts[0]
 		gateways := from.forwarder.Gateways(serverName)
 		assert.Assert(t, gateways.Spread)
+		for _, h := range f.hosts { // All gateways sample the primary as the first does.
+			assert.Equal(t, h.forwarder.Rank(serverName), min(gateways.Rank(h.name), 0))
+		}
 		for i := range 30 {
 			req := request(daisystatement.KindBegin, "begin")
 			req.Workspace = fmt.Sprint("w", i)
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -57,6 +57,7 @@
 
 	mu            sync.Mutex
 	slots         int
+	shared        bool                     // Whether other gateways serve a part of the workspaces.
 	meanRunTime   time.Duration            // Moving average over all statements.
 	classRunTimes map[string]time.Duration // Moving average by class of request.
 }
@@ -77,18 +78,19 @@
 	if far {
 		extra = slots
 	}
-	g.setLimit(server, slots, extra)
+	g.setLimit(server, slots, extra, false)
 }
 
-// setLimit sets a server's slots and how many statements beyond them it is sent.
-func (g *Gateway) setLimit(server string, slots, extra int) {
+// setLimit sets a server's slots, how many statements beyond them it is sent, and whether
+// other gateways serve a part of the workspaces.
+func (g *Gateway) setLimit(server string, slots, extra int, shared bool) {
 	if slots <= 0 {
 		slots = defaultSlots
 	}
 	s := g.server(server)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slots = slots
+	s.slots, s.shared = slots, shared
 	s.queue.SetSlots(slots + extra)
 }
 
@@ -164,7 +166,7 @@
 	arrived, order := time.Now(), s.order(req)
 	if wait := s.expectedWait(s.slotRequest(req, order)); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
-		return a, nil, s.overload(req, wait, 0, false)
+		return a, nil, s.overload(req, wait, 0, s.servesOthers(req, order))
 	}
 	ctx, cancel := context.WithDeadline(req.Waiting(), req.SendDeadline)
 	defer cancel()
--- a/internal/holder/daisygateway/order.go
+++ b/internal/holder/daisygateway/order.go
@@ -55,6 +55,14 @@
 	return s.waitFor(s.queue.Ahead(r))
 }
 
+// servesOthers reports whether a request like it of a workspace of which none waits could be
+// sent in its time, so that only the share of the request's own workspace is used up.
+func (s *serverState) servesOthers(req daisyrequest.Request, o daisyorder.Order) bool {
+	other := s.slotRequest(req, o)
+	other.Workspace = ""
+	return s.expectedWait(other) <= time.Until(req.SendDeadline)
+}
+
 // waitFor returns the time in which the server runs the number of statements.
 func (s *serverState) waitFor(ahead int) time.Duration {
 	s.mu.Lock()
--- a/internal/holder/daisygateway/retry.go
+++ b/internal/holder/daisygateway/retry.go
@@ -30,8 +30,8 @@
 // retryAfter returns when a refused request is to come again: after the expected wait,
 // behind the refused requests of its priority and of higher ones, each of which takes
 // the interval. The time that the request has waited already is taken off, so that the
-// oldest comes first.
-func (r *retrySchedule) retryAfter(now time.Time, priority int, expectedWait, waited, interval time.Duration) time.Duration {
+// oldest comes first. The random number is in [0, 1).
+func (r *retrySchedule) retryAfter(now time.Time, priority int, expectedWait, waited, interval time.Duration, random float64) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.next == nil {
@@ -51,15 +51,17 @@
 	}
 	after := at.Sub(now) - waited
 	if after > maxRetryAfter {
-		return maxRetryAfter/2 + rand.N(maxRetryAfter/2) // The schedule is full.
+		return time.Duration((1 + random) / 2 * float64(maxRetryAfter)) // The schedule is full.
 	}
-	return max(0, after) + rand.N(1+time.Duration(retryJitter*float64(max(0, after))))
+	return time.Duration((1 + retryJitter*random) * float64(max(0, after)))
 }
 
-// overload returns the refusal of a request that the queue cannot take in time.
+// overload returns the refusal of a request that the queue cannot take in time. Where other
+// gateways serve other workspaces, it always tells that those may be served.
 func (s *serverState) overload(req daisyrequest.Request, expectedWait, waited time.Duration, ownShare bool) error {
 	s.mu.Lock()
+	ownShare = ownShare || s.shared
 	interval := time.Duration(float64(s.meanRunTime) / float64(s.slots) / returningShare)
 	s.mu.Unlock()
-	return daisyrequest.NewOverloadError(s.retries.retryAfter(time.Now(), req.Priority, expectedWait, waited, interval), ownShare)
+	return daisyrequest.NewOverloadError(s.retries.retryAfter(time.Now(), req.Priority, expectedWait, waited, interval, rand.Float64()), ownShare)
 }
--- a/internal/holder/daisygateway/shared.go
+++ b/internal/holder/daisygateway/shared.go
@@ -6,5 +6,5 @@
 // that are busy keep at most two run times of statements in the server's own queue.
 // There, other gateways' statements also cover the time that answers are in transit.
 func (g *Gateway) SetSharedSlots(server string, slots int) {
-	g.setLimit(server, slots, 0)
+	g.setLimit(server, slots, 0, true)
 }
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
@@ -47,7 +48,7 @@
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
 	if left := s.env.Router.HeldOff(class); left > 0 {
-		return a, nil, daisyrequest.NewOverloadError(left, false)
+		return a, nil, daisyrequest.NewOverloadError(spread(left, s.env.Router.HeldOffTotal()), false)
 	}
 	sent := daisyclock.Now()
 	s.env.Router.Started(req.Server, s.workspace)
@@ -62,6 +63,14 @@
 	return a, conn, err
 }
 
+// spread returns the time after which the client of the n-th statement that was held off is
+// to return: between left and twice that. Multiples of the golden ratio spread the
+// clients evenly, so that they do not return together when the hold-off ends.
+func spread(left time.Duration, n uint64) time.Duration {
+	_, part := math.Modf(float64(n) * math.Phi)
+	return left + time.Duration(part*float64(left))
+}
+
 // forwardPinned is like forward, but runs the request on a pinned connection.
 func (s *Session) forwardPinned(conn daisyrequest.PinnedConn, req daisyrequest.Request) (daisystatement.Answer, error) {
 	sent := daisyclock.Now()
