Hold the bound on the servers of a host in every fleet

Cause: a property test found a host beyond its bound, with 6 hosts and 34 servers: the last servers found all hosts with room among their own gateways and took a full one.

Change: then the full host hands another server over to a host with room. The servers of a domain are assigned in the order of their names, so that all hosts derive the same.

--- a/internal/control/daisyplacement/bounded.go
+++ b/internal/control/daisyplacement/bounded.go
@@ -30,6 +30,15 @@
 	weight       uint64
 }
 
+// assignment is which hosts of a failure domain are gateways of its servers.
+type assignment struct {
+	servers  []string
+	hosts    []candidate
+	gateways [][]int // Indexes of hosts, by server.
+	load     []int   // Number of servers, by host.
+	bound    int     // The largest load.
+}
+
 // assign returns the gateways of a failure domain's servers, in the order of their
 // weights. The heaviest pairs of server and host are taken first, as long as the
 // server needs gateways and the host is below its bound. The order of the pairs does
@@ -38,17 +47,23 @@
 // others as well.
 func (t Topology) assign(domain string, servers []string, hosts []candidate) map[string][]Gateway {
 	near := slices.DeleteFunc(slices.Clone(hosts), func(h candidate) bool { return h.failureDomain != domain })
-	assigned := make(map[string][]Gateway, len(servers))
-	load := make([]int, len(near))
-	bound := gatewayBound(len(servers), len(near))
+	a := &assignment{
+		servers: servers, hosts: near, gateways: make([][]int, len(servers)), load: make([]int, len(near)),
+		bound: gatewayBound(len(servers), len(near)),
+	}
 	for _, p := range sortedPairs(servers, near) {
-		name := servers[p.server]
-		if len(assigned[name]) < maxGateways && load[p.host] < bound {
-			assigned[name] = append(assigned[name], near[p.host].Gateway)
-			load[p.host]++
+		if len(a.gateways[p.server]) < maxGateways && a.load[p.host] < a.bound {
+			a.add(p.server, p.host)
+		}
+	}
+	assigned := make(map[string][]Gateway, len(servers))
+	for i := range servers {
+		for len(a.gateways[i]) < min(maxGateways, len(near)) {
+			a.exchange(i)
 		}
 	}
-	for _, name := range servers {
+	for i, name := range servers {
+		assigned[name] = a.ranked(i)
 		if len(assigned[name]) < maxGateways {
 			assigned[name] = t.complete(assigned[name], name, domain, hosts)
 		}
@@ -56,6 +71,59 @@
 	return assigned
 }
 
+func (a *assignment) add(server, host int) {
+	a.gateways[server] = append(a.gateways[server], host)
+	a.load[host]++
+}
+
+func (a *assignment) weight(server, host int) uint64 {
+	return Weight(a.servers[server], a.hosts[host].Host)
+}
+
+// exchange gives a server one more gateway if all hosts below the bound are its gateways
+// already: the heaviest other host for it, which hands another server over to the host
+// with the least load. That host has fewer servers, so there is one that it lacks.
+func (a *assignment) exchange(server int) {
+	least, taken := -1, -1
+	for h := range a.hosts {
+		if slices.Contains(a.gateways[server], h) {
+			if least < 0 || cmp.Or(cmp.Compare(a.load[h], a.load[least]), cmp.Compare(a.hosts[h].Host, a.hosts[least].Host)) < 0 {
+				least = h
+			}
+		} else if taken < 0 || a.weight(server, h) > a.weight(server, taken) {
+			taken = h
+		}
+	}
+	a.add(server, taken)
+	if a.load[taken] <= a.bound {
+		return
+	}
+	other := -1
+	for s, hosts := range a.gateways {
+		if s == server || !slices.Contains(hosts, taken) || slices.Contains(hosts, least) {
+			continue
+		}
+		if other < 0 || a.weight(s, least) > a.weight(other, least) {
+			other = s
+		}
+	}
+	a.gateways[other][slices.Index(a.gateways[other], taken)] = least
+	a.load[taken]--
+	a.load[least]++
+}
+
+// ranked returns the gateways of a server in the order of their weights.
+func (a *assignment) ranked(server int) (gateways []Gateway) {
+	hosts := a.gateways[server]
+	slices.SortFunc(hosts, func(x, y int) int {
+		return cmp.Or(cmp.Compare(a.weight(server, y), a.weight(server, x)), cmp.Compare(a.hosts[x].Host, a.hosts[y].Host))
+	})
+	for _, h := range hosts {
+		gateways = append(gateways, a.hosts[h].Gateway)
+	}
+	return gateways
+}
+
 // gatewayBound returns of how many of the servers each of the hosts may be a gateway: its
 // fair share, rounded up, plus one. With the plus one there is nearly always a host with
 // room among those that weigh most for a server.
@@ -83,8 +151,8 @@
 	return pairs
 }
 
-// complete adds the nearest other hosts to a server's gateways. They are chosen without a
-// bound: it applies to the hosts of a domain that has enough of them.
+// complete adds the nearest hosts of other domains to a server's gateways, while its own
+// domain has too few that are up. They are chosen without a bound.
 func (t Topology) complete(gateways []Gateway, server, domain string, hosts []candidate) []Gateway {
 	others := slices.DeleteFunc(slices.Clone(hosts), func(h candidate) bool {
 		return slices.ContainsFunc(gateways, func(g Gateway) bool { return g.Host == h.Host })
--- a/internal/control/daisyplacement/gateways.go
+++ b/internal/control/daisyplacement/gateways.go
@@ -41,6 +41,7 @@
 		}
 	})
 	for domain, names := range servers {
+		slices.Sort(names) // All hosts assign in the same order.
 		for name, ranked := range t.assign(domain, names, hosts) {
 			gateways[name] = Gateways{Ranked: ranked, Spread: true}
 		}
