--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -24,6 +24,8 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
 const (
@@ -110,6 +112,9 @@
 	if w.silent() {
 		return nil
 	}
+	if call, err := daisycodec.DecodeCall(m, time.Now()); err == nil && call.Action == daisycodec.ActionRun {
+		w.peer.objective.Store(!call.Request.Objective.IsZero())
+	}
 	time.Sleep(time.Duration(w.peer.hold.Load()))
 	select {
 	case w.out <- m:
@@ -134,7 +139,7 @@
 	if w.peer.old {
 		return daisylink.ProtocolFirst
 	}
-	return daisylink.ProtocolPosition
+	return daisylink.ProtocolLoad
 }
 
 func (w *wire) Close() { w.once.Do(func() { close(w.closed) }) }
@@ -146,15 +151,18 @@
 	gateway   *daisygateway.Gateway
 	pool      *daisypool.Pool
 	forwarder *daisyforwarder.Forwarder
-	down      atomic.Bool   // Refuses connections.
-	silent    atomic.Bool   // Messages to and from it are dropped.
-	hold      atomic.Int64  // How long messages to it are held up, in nanoseconds.
-	leading   uint64        // The epoch in which the server leads; 0 if it does not.
-	recorded  []sample      // Recorded with answers of the primary.
-	old       bool          // It speaks the first protocol.
-	delayed   atomic.Bool   // It knows that its messages are held up.
-	epochs    atomic.Uint64 // The epoch of its positions; 0 is 7.
-	needed    atomic.Int64  // How often a position was needed that it lacked.
+	pacer     *daisypacer.Pacer // Of the replies that it sends; nil if its link is not full.
+	down      atomic.Bool       // Refuses connections.
+	silent    atomic.Bool       // Messages to and from it are dropped.
+	frozen    atomic.Bool       // Does not answer dials.
+	hold      atomic.Int64      // How long messages to it are held up, in nanoseconds.
+	leading   uint64            // The epoch in which the server leads; 0 if it does not.
+	recorded  []sample          // Recorded with answers of the primary.
+	old       bool              // It speaks the first protocol.
+	delayed   atomic.Bool       // It knows that its messages are held up.
+	epochs    atomic.Uint64     // The epoch of its positions; 0 is 7.
+	objective atomic.Bool       // Whether the last call to it stated an objective.
+	needed    atomic.Int64      // How often a position was needed that it lacked.
 }
 
 // sample is a position that a gateway recorded.
@@ -229,27 +237,33 @@
 }
 
 func (f *fleet) dial(from *host) daisyforwarder.Dial {
-	return func(_ context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
+	return func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 		for _, to := range f.hosts {
 			if to.address != addr || to.down.Load() {
 				continue
 			}
+			if to.frozen.Load() {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			a, b := make(chan []byte, 64), make(chan []byte, 64)
 			closed, once := make(chan struct{}), &sync.Once{}
 			silent := func() bool { return from.silent.Load() || to.silent.Load() }
 			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent, peer: to}
 			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent, peer: from}
-			f.wait.Go(func() { daisyforwarder.Serve(f.ctx, far, to.gateway, to, &log.Logger{Handler: discard.New()}) })
+			f.wait.Go(func() {
+				daisyforwarder.Serve(f.ctx, far, to.gateway, to, daisyforwarder.Pacing{Pacer: to.pacer}, &log.Logger{Handler: discard.New()})
+			})
 			return near, nil
 		}
 		return nil, errors.New("refused")
 	}
 }
 
-// first returns the server's gateway and another host.
+// first returns the server's gateway for the workspace w and another host.
 func (f *fleet) first() (gateway, other *host) {
 	for _, h := range f.hosts {
-		if h.forwarder.Rank(serverName) == 0 {
+		if h.forwarder.Gateways(serverName).Order(serverName, "w")[0].Host == h.name {
 			gateway = h
 		} else if other == nil {
 			other = h
@@ -444,6 +458,29 @@
 	}
 }
 
+// Guards against an objective that does not reach the gateway, and against one sent to a
+// host of an earlier version, whose decoder refuses the call with the whole link.
+func TestObjectiveReachesGateway(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		old  bool
+	}{{"SameVersion", false}, {"EarlierVersion", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				gateway, other := f.first()
+				gateway.old = test.old
+				req := request(daisystatement.KindRead, "r")
+				req.Objective = time.Now().Add(400 * time.Millisecond)
+				_, _, err := other.forwarder.Run(req)
+				assert.NilError(t, err)
+				assert.Equal(t, gateway.objective.Load(), !test.old)
+			})
+		})
+	}
+}
+
 // The connection pinned for a transaction is closed with the link over which it
 // is used.
 func TestPinnedConnClosesWithLink(t *testing.T) {
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -49,8 +49,10 @@
 type link struct {
 	addr     netip.AddrPort
 	counters *counters
-	delayed  func() bool   // Reports whether messages of this host are held up; may be nil.
-	ready    chan struct{} // Closed once the link is open or has failed.
+	delayed  func() bool                      // Reports whether messages of this host are held up; may be nil.
+	ready    chan struct{}                    // Closed once the link is open or has failed.
+	pace     func(daisyrequest.Request) error // Waits until this host's link may send the request.
+	reopened bool                             // Whether it replaces a link that failed.
 
 	mu          sync.Mutex
 	opened      time.Time
@@ -83,6 +85,11 @@
 
 // await waits until the link is open, has failed or the deadline has passed.
 func (l *link) await(deadline time.Time) error {
+	select {
+	case <-l.ready:
+		return l.state()
+	default:
+	}
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
@@ -90,6 +97,11 @@
 	case <-timer.C:
 		return errLinkLost
 	}
+	return l.state()
+}
+
+// state returns why the link failed, or nil.
+func (l *link) state() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.failure
@@ -201,13 +213,18 @@
 	if conn.Protocol() >= daisylink.ProtocolOverload {
 		call.Sent = max(1, daisyclock.Now().Sub(l.opened)) // 0 states nothing.
 	}
+	if conn.Protocol() < daisylink.ProtocolLoad {
+		call.Request.Objective = time.Time{}
+	}
 	if conn.Send(ctx, daisycodec.EncodeCall(call, time.Now())) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
 	}
 }
 
-// call sends a call and waits for its reply until the deadline.
-func (l *link) call(call daisycodec.Call, deadline time.Time) (r daisycodec.CallReply, err error) {
+// call sends a call and waits for its reply until the deadline. When client ends, it tells
+// the other host, which refuses the call if it still waits, and goes on waiting: the
+// statement may be running.
+func (l *link) call(client context.Context, call daisycodec.Call, deadline time.Time) (r daisycodec.CallReply, err error) {
 	replies := make(chan daisycodec.CallReply, 1)
 	l.mu.Lock()
 	conn := l.conn
@@ -226,18 +243,26 @@
 	l.send(context.Background(), conn, call)
 	timer := time.NewTimer(time.Until(deadline) + replyMargin)
 	defer timer.Stop()
-	select {
-	case r, ok := <-replies:
-		if !ok {
-			return r, errLinkLost
+	left := client.Done()
+	for {
+		select {
+		case r, ok := <-replies:
+			if !ok {
+				return r, errLinkLost
+			}
+			return r, nil
+		case <-left:
+			left = nil
+			if conn.Protocol() >= daisylink.ProtocolLoad {
+				l.send(context.Background(), conn, daisycodec.Call{ID: call.ID, Action: daisycodec.ActionAbandon})
+			}
+		case <-timer.C:
+			l.mu.Lock()
+			delete(l.pending, call.ID)
+			l.mu.Unlock()
+			l.counters.timedOut.Add(1)
+			return r, context.DeadlineExceeded
 		}
-		return r, nil
-	case <-timer.C:
-		l.mu.Lock()
-		delete(l.pending, call.ID)
-		l.mu.Unlock()
-		l.counters.timedOut.Add(1)
-		return r, context.DeadlineExceeded
 	}
 }
 
@@ -257,7 +282,10 @@
 	if req.Freshness.MaxAge > 0 && l.protocol() < daisylink.ProtocolPosition {
 		return r, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
-	r, err = l.call(daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
+	if err := l.pace(req); err != nil {
+		return r, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, err)
+	}
+	r, err = l.call(req.Waiting(), daisycodec.Call{Action: daisycodec.ActionRun, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
 	}
@@ -296,7 +324,7 @@
 
 // Do implements daisyrequest.PinnedConn.
 func (p *remotePinnedConn) Do(req daisyrequest.Request) (daisystatement.Answer, error) {
-	r, err := p.link.call(daisycodec.Call{Action: daisycodec.ActionRun, PinnedConn: p.id, Request: req}, req.Deadline)
+	r, err := p.link.call(context.Background(), daisycodec.Call{Action: daisycodec.ActionRun, PinnedConn: p.id, Request: req}, req.Deadline)
 	if err == nil {
 		err = faultError(r)
 	}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
+	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
 )
@@ -67,7 +68,10 @@
 	Codec    func(net.Conn) daisyfrontend.Codec
 	Parse    func(content []byte) (*daisyspec.Document, error)
 	Count    daisysession.Counter
-	Log      log.Interface
+	// OnWait is called with the time for which a request of the class waited at a place:
+	// for tokens, in a gateway's queue or for a connection. It may be nil.
+	OnWait func(place, class string, wait time.Duration)
+	Log    log.Interface
 }
 
 // EntryHost is a running entry host.
@@ -83,6 +87,7 @@
 	dialer    *daisylink.Dialer
 	index     atomic.Pointer[daisyspec.Index]
 	lease     *daisylease.Client
+	pacer     *daisypacer.Pacer
 	pool      *daisypool.Pool
 	gateway   *daisygateway.Gateway
 	forwarder *daisyforwarder.Forwarder
@@ -133,10 +138,13 @@
 // openBackends creates the parts that connect to backend servers.
 func (h *EntryHost) openBackends() {
 	s := &h.options.Settings
+	h.pacer = daisypacer.New(s.LinkSpeed)
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
+	h.gateway.OnWait = h.options.OnWait
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
+		Pacer: h.pacer, OnWait: h.options.OnWait,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -162,9 +170,9 @@
 func (h *EntryHost) openEntry() (err error) {
 	o := &h.options
 	h.server, err = daisyfrontend.Open(h.ctx, daisyfrontend.Options{
-		Network: o.Network, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
+		Network: daisypacer.Network{Network: o.Network, Pacer: h.pacer}, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
 		Environment: &daisysession.Environment{
-			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, Log: o.Log,
+			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, OnWait: o.OnWait, Log: o.Log,
 		},
 	})
 	return err
@@ -174,7 +182,7 @@
 func (h *EntryHost) openLinks() error {
 	h.mux.Plain = true
 	h.mux.Handle(daisylink.PathStatement, func(ctx context.Context, c *daisylink.Conn) {
-		daisyforwarder.Serve(ctx, c, h.gateway, h.router, h.options.Log)
+		daisyforwarder.Serve(ctx, c, h.gateway, h.router, daisyforwarder.Pacing{Pacer: h.pacer, OnWait: h.options.OnWait}, h.options.Log)
 	})
 	listener, err := h.options.Network.Listen(h.ctx, h.options.Settings.Link)
 	if err != nil {
@@ -288,9 +296,14 @@
 				return
 			}
 			known[o.Name] = true
-			maxOpen := daisyplacement.ConnectionShare(h.connections(v.Service), h.forwarder.Rank(o.Name))
+			gateways := h.forwarder.Gateways(o.Name)
+			maxOpen := gateways.Connections(h.connections(v.Service), h.options.Settings.Host)
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
+			if gateways.Spread {
+				h.gateway.SetSharedSlots(o.Name, v.Slots)
+				return
+			}
 			regions := h.options.Settings.Regions
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
 		})
@@ -412,7 +425,7 @@
 		errs = append(errs, h.links.Close())
 		h.mux.Wait()
 	}
-	errs = append(errs, h.lease.Close(), h.forwarder.Close(), h.gateway.Close(), h.pool.Close())
+	errs = append(errs, h.lease.Close(), h.pacer.Close(), h.forwarder.Close(), h.gateway.Close(), h.pool.Close())
 	h.wait.Wait()
 	return errors.Join(errs...)
 }
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
@@ -27,10 +28,19 @@
 	}
 	return daisyrequest.Request{
 		Service: p.Service, Workspace: s.workspace, Weight: s.weight, Priority: p.Priority, Class: p.Name,
-		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline,
+		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline, Objective: objective(p, deadline), Client: s.client,
 	}
 }
 
+// objective returns by when a statement with the deadline should be answered; zero if the
+// profile states no objective.
+func objective(p daisyspec.Profile, deadline time.Time) (by time.Time) {
+	if p.Latency > 0 {
+		by = deadline.Add(p.Latency - p.Timeout)
+	}
+	return by
+}
+
 // forward runs the request through the forwarder and records whether the server
 // answered. A request that the server's queue would refuse, as it has just refused
 // one like it, is refused here: sending it would cost the gateway host as much as
@@ -38,7 +48,7 @@
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
 	if left := s.env.Router.HeldOff(class); left > 0 {
-		return a, nil, daisyrequest.NewOverloadError(left, false)
+		return a, nil, daisyrequest.NewOverloadError(spread(left, s.env.Router.HeldOffTotal()), false)
 	}
 	sent := daisyclock.Now()
 	s.env.Router.Started(req.Server, s.workspace)
@@ -53,6 +63,14 @@
 	return a, conn, err
 }
 
+// spread returns the time after which the client of the n-th statement that was held off is
+// to return: between left and twice that. Multiples of the golden ratio spread the
+// clients evenly, so that they do not return together when the hold-off ends.
+func spread(left time.Duration, n uint64) time.Duration {
+	_, part := math.Modf(float64(n) * math.Phi)
+	return left + time.Duration(part*float64(left))
+}
+
 // forwardPinned is like forward, but runs the request on a pinned connection.
 func (s *Session) forwardPinned(conn daisyrequest.PinnedConn, req daisyrequest.Request) (daisystatement.Answer, error) {
 	sent := daisyclock.Now()
@@ -66,7 +84,7 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
-	case errors.Is(err, daisyrequest.ErrNoPosition):
+	case errors.Is(err, daisyrequest.ErrNoPosition), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
 		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -271,8 +271,8 @@
 
 // A request to run a statement through a gateway.
 type Errand struct {
-	// The requested action: run a statement, close the pinned connection, or only
-	// reply.
+	// The requested action: run a statement, close the pinned connection, only reply,
+	// or give up a call that waits.
 	Act int64 `json:"Act"`
 
 	// The class; statements of one class are expected to take equally long.
@@ -298,6 +298,10 @@
 	// nanoseconds; 0 if it adds none.
 	MaxAge int64 `json:"MaxAge,omitempty,omitzero"`
 
+	// The time left to the operation's latency objective, in nanoseconds; 0 if it has
+	// none.
+	ObjectiveLeft int64 `json:"ObjectiveLeft,omitempty,omitzero"`
+
 	// The priority; 0 is the highest.
 	Priority int64 `json:"Priority,omitempty,omitzero"`
 
