Count the connections that servers refuse as too many

Cause: whether hosts with different states use a server was visible only in single log lines.

Change: DialsRefused in front: load and daisyglade_server_dials_refused_total.

--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -42,6 +42,7 @@
 	cancel context.CancelFunc
 	wait   sync.WaitGroup
 	dials  atomic.Uint64
+	full   atomic.Uint64 // Dials refused since the server had too many connections.
 
 	mu      sync.Mutex
 	servers map[string]*serverPool
--- a/internal/backend/daisypool/pool_test.go
+++ b/internal/backend/daisypool/pool_test.go
@@ -90,6 +90,7 @@
 		assert.NilError(t, err) // An idle connection of another workspace made room.
 		assert.Assert(t, time.Since(began) <= 200*time.Millisecond, "%v", time.Since(began))
 		assert.Equal(t, s.refused, 1)
+		assert.Equal(t, present.DialsRefused(), uint64(1))
 		s.mu.Lock()
 		s.limit = 0 // It stays full: the refusal is the answer.
 		s.mu.Unlock()
--- a/internal/backend/daisypool/refused.go
+++ b/internal/backend/daisypool/refused.go
@@ -22,12 +22,17 @@
 	return errors.As(err, &refused) && refused.Code == daisystatement.CodeTooMany
 }
 
+// DialsRefused returns the number of connections that servers refused since they had too
+// many.
+func (p *Pool) DialsRefused() uint64 { return p.full.Load() }
+
 // yield makes room at a server that has too many connections: it closes the older half of
 // the idle ones and delays the next opening. The newer half keeps serving its
 // workspaces without new connections. It requires s.mu.
 func (s *serverPool) yield(now time.Time) {
 	s.fullUntil = now.Add(min(openRetryDelay<<min(s.refusals, 8), maxOpenRetryDelay))
 	s.refusals++
+	s.pool.full.Add(1)
 	for range (len(s.idle) + 1) / 2 {
 		s.idle[0].link.Close()
 		s.idle = s.idle[1:]
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -195,6 +195,7 @@
 		{"daisyglade_gateway_overloaded_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Overloaded }},
 		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
+		{"daisyglade_server_dials_refused_total", func(l daisyentryhost.Load) uint64 { return l.Refused }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
 		{"daisyglade_held_off_total", func(l daisyentryhost.Load) uint64 { return l.HeldOff }},
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -19,6 +19,7 @@
 	Forwarder daisyforwarder.Counts
 	Gateway   daisygateway.Counts
 	Dials     uint64 // Connections to backend servers that the host tried to open.
+	Refused   uint64 // Of these, refused since the server had too many connections.
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
@@ -28,7 +29,7 @@
 // Load returns the totals so far.
 func (h *EntryHost) Load() Load {
 	return Load{
-		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
+		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
 		Refusals: h.admission.Refusals(),
 	}
@@ -57,19 +58,20 @@
 // fieldsSince returns the differences to earlier totals as log fields.
 func (l Load) fieldsSince(before Load) log.Fields {
 	return log.Fields{
-		"Calls":       l.Forwarder.Calls - before.Forwarder.Calls,
-		"TimedOut":    l.Forwarder.TimedOut - before.Forwarder.TimedOut,
-		"LateReplies": l.Forwarder.LateReplies - before.Forwarder.LateReplies,
-		"LinksFailed": l.Forwarder.LinksFailed - before.Forwarder.LinksFailed,
-		"LinksLost":   l.Forwarder.LinksLost - before.Forwarder.LinksLost,
-		"Requests":    l.Gateway.Requests - before.Gateway.Requests,
-		"Overloaded":  l.Gateway.Overloaded - before.Gateway.Overloaded,
-		"NotSent":     l.Gateway.NotSent - before.Gateway.NotSent,
-		"Dials":       l.Dials - before.Dials,
-		"Checks":      l.Checks - before.Checks,
-		"Unsampled":   l.Unsampled - before.Unsampled,
-		"HeldOff":     l.HeldOff - before.HeldOff,
-		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
-		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
+		"Calls":        l.Forwarder.Calls - before.Forwarder.Calls,
+		"TimedOut":     l.Forwarder.TimedOut - before.Forwarder.TimedOut,
+		"LateReplies":  l.Forwarder.LateReplies - before.Forwarder.LateReplies,
+		"LinksFailed":  l.Forwarder.LinksFailed - before.Forwarder.LinksFailed,
+		"LinksLost":    l.Forwarder.LinksLost - before.Forwarder.LinksLost,
+		"Requests":     l.Gateway.Requests - before.Gateway.Requests,
+		"Overloaded":   l.Gateway.Overloaded - before.Gateway.Overloaded,
+		"NotSent":      l.Gateway.NotSent - before.Gateway.NotSent,
+		"Dials":        l.Dials - before.Dials,
+		"DialsRefused": l.Refused - before.Refused,
+		"Checks":       l.Checks - before.Checks,
+		"Unsampled":    l.Unsampled - before.Unsampled,
+		"HeldOff":      l.HeldOff - before.HeldOff,
+		"OverRate":     l.Refusals.OverRate - before.Refusals.OverRate,
+		"Unanswered":   l.Refusals.Unanswered - before.Refusals.Unanswered,
 	}
 }
