State the load of a server with each answer of its gateway

Hosts choose servers by their own latencies only and learn of a queue at a server from the statements that waited in it. A gateway now states, with each reply and refusal to a host of protocol 5 or later, the expected wait of a request of the class and the mean run time of the class on the server. Nothing uses it yet.

Negative durations are rejected.

--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -51,6 +51,9 @@
 	// with a gateway's answer. The primary of the epoch was asked for it at the
 	// time asked or later. OnPosition may be nil.
 	OnPosition func(service string, epoch uint64, asked time.Time, p daisystatement.Position)
+	// OnLoad is called with each load that a gateway states with its reply to a request.
+	// It may be nil.
+	OnLoad func(req daisyrequest.Request, l daisyrequest.Load)
 
 	options  Options
 	counters counters
@@ -107,7 +110,9 @@
 // error as an unreachable server.
 func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisyrequest.Request) (daisystatement.Answer, daisyrequest.PinnedConn, error) {
 	if g.Host == f.options.Host {
-		return f.options.Local.Run(req)
+		a, pinned, err := f.options.Local.Run(req)
+		f.recordLoad(req, f.options.Local.Load(req))
+		return a, pinned, err
 	}
 	l, err := f.link(g.Address, req.SendDeadline)
 	if err != nil {
@@ -120,9 +125,17 @@
 		// primary was asked no earlier than this.
 		f.OnPosition(req.Service, s.Epoch, sent.Add(-s.Age), s.Position)
 	}
+	f.recordLoad(req, r.Load)
 	return r.Answer, pinned, err
 }
 
+// recordLoad passes on a load that was stated.
+func (f *Forwarder) recordLoad(req daisyrequest.Request, l daisyrequest.Load) {
+	if f.OnLoad != nil && !l.IsZero() {
+		f.OnLoad(req, l)
+	}
+}
+
 // link returns an open link to the host. It opens one if there is none, unless
 // the last one failed less than redialDelay ago.
 func (f *Forwarder) link(addr netip.AddrPort, deadline time.Time) (*link, error) {
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -141,6 +141,9 @@
 		r.RetryAfter, r.OwnShare = overload.RetryAfter, overload.OwnShare
 	}
 	r.Sample.Epoch, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Request.Service)
+	if call.PinnedConn == 0 && s.conn.Protocol() >= daisylink.ProtocolLoad {
+		r.Load = s.gateway.Load(call.Request)
+	}
 	return r
 }
 
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -139,13 +139,17 @@
 // rank orders requests of a priority by mean run time, the shortest first. Under
 // overload this serves the largest number of requests.
 func (s *serverState) rank(req daisyrequest.Request) float64 {
+	return float64(s.runTime(req).Milliseconds())
+}
+
+// runTime returns the mean run time of the request's class.
+func (s *serverState) runTime(req daisyrequest.Request) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run, ok := s.classRunTimes[req.QueueClass()]
-	if !ok {
-		run = initialRunTime
+	if run, ok := s.classRunTimes[req.QueueClass()]; ok {
+		return run
 	}
-	return float64(run.Milliseconds())
+	return initialRunTime
 }
 
 // Run runs the request. The position that its Freshness asks for must have been added
--- /dev/null
+++ b/internal/holder/daisygateway/load.go
@@ -0,0 +1,13 @@
+package daisygateway
+
+import "github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
+
+// Load returns the load of the request's server as a request of its class would meet
+// it now. It is zero if this host is not a gateway of the server.
+func (g *Gateway) Load(req daisyrequest.Request) daisyrequest.Load {
+	if !g.pool.Usable(req.Server) {
+		return daisyrequest.Load{}
+	}
+	s := g.server(req.Server)
+	return daisyrequest.Load{Wait: s.expectedWait(req.Priority, s.rank(req)), Run: s.runTime(req)}
+}
--- a/internal/wire/daisycodec/amount_test.go
+++ b/internal/wire/daisycodec/amount_test.go
@@ -57,6 +57,14 @@
 			_, err := daisycodec.DecodeCallReply(daisycodec.EncodeCallReply(daisycodec.CallReply{Sample: daisycodec.Sample{Epoch: 1, Age: -1}}))
 			return err
 		}},
+		{"LoadWait", func() error {
+			_, err := daisycodec.DecodeCallReply(daisycodec.EncodeCallReply(daisycodec.CallReply{Load: daisyrequest.Load{Wait: -1}}))
+			return err
+		}},
+		{"LoadRun", func() error {
+			_, err := daisycodec.DecodeCallReply(daisycodec.EncodeCallReply(daisycodec.CallReply{Load: daisyrequest.Load{Run: -1}}))
+			return err
+		}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) { assert.Check(t, test.decode() != nil) })
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -54,6 +54,7 @@
 	OwnShare   bool          // With RetryAfter, whether only the workspace's share was used up.
 	Text       string
 	Sample     Sample
+	Load       daisyrequest.Load // Zero if the gateway states none.
 }
 
 // Sample is the latest log position of a service's primary that a gateway knows.
@@ -143,6 +144,9 @@
 	if s := r.Sample; s.Epoch > 0 {
 		w.SampleRound, w.SampleTerm, w.SampleNumber, w.SampleAge = s.Epoch, s.Position.Term, s.Position.Number, int64(s.Age)
 	}
+	if !r.Load.IsZero() {
+		w.Load = &daisywire.Load{Wait: int64(r.Load.Wait), Run: int64(r.Load.Run)}
+	}
 	if f := r.Answer.Failure; f != nil {
 		w.Code, w.Text = int64(f.Code), f.Text
 	}
@@ -172,6 +176,12 @@
 		Epoch: w.SampleRound, Age: time.Duration(w.SampleAge),
 		Position: daisystatement.Position{Term: w.SampleTerm, Number: w.SampleNumber},
 	}
+	if l := w.Load; l != nil {
+		if err := checkDurations(l.Wait, l.Run); err != nil {
+			return r, err
+		}
+		r.Load = daisyrequest.Load{Wait: time.Duration(l.Wait), Run: time.Duration(l.Run)}
+	}
 	if w.Code != 0 {
 		r.Answer.Failure = &daisystatement.Failure{Code: daisystatement.Code(w.Code), Text: w.Text}
 	}
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -341,6 +341,9 @@
 	// The pinned connection; 0 for none.
 	Lane uint64 `json:"Lane,omitempty,omitzero"`
 
+	// Load corresponds to the JSON schema field "Load".
+	Load *Load `json:"Load,omitempty,omitzero"`
+
 	// The number of the server's log position.
 	Number uint64 `json:"Number,omitempty,omitzero"`
 
@@ -518,6 +521,16 @@
 	Workspace string `json:"Workspace"`
 }
 
+// The load of a backend server as its gateway sees it.
+type Load struct {
+	// The mean run time of the class on the server, in nanoseconds.
+	Run int64 `json:"Run,omitempty,omitzero"`
+
+	// The expected wait of a request of the class before it is sent to the server, in
+	// nanoseconds.
+	Wait int64 `json:"Wait,omitempty,omitzero"`
+}
+
 // A backend server of a database group.
 type Member struct {
 	// IP and port.
