Choose servers by the shares of their class

Router.Choose sent each read to the server with the lowest latency, which let gains of tens of milliseconds pay for bytes between regions. It now asks package daisybalance: the load that gateways state and the answers to reads feed it, the desired state's objective gives the class its slack, and the costs of crossing are settings of a process with defaults. What daisyselector decided about a log that lacks the position, refusals and the backoff after failures goes before the shares as it went before the latency; the penalty of the primary is a cost now.

--- a/internal/config/daisynode/settings.go
+++ b/internal/config/daisynode/settings.go
@@ -30,6 +30,11 @@
 	MemoryBytes      int64          // The most memory that the process may use; 0 if not limited.
 	GracePeriod      time.Duration  // Time for a graceful stop.
 	PromotionService netip.AddrPort // The service that carries out promotions.
+
+	// DomainCost and RegionCost are the expected times that a read must gain to leave the
+	// host's failure domain or region; 0 stands for the defaults of daisybalance.
+	DomainCost time.Duration
+	RegionCost time.Duration
 }
 
 // Region returns the region of the host.
@@ -61,6 +66,8 @@
 		return errors.New("no seeds are given")
 	case s.GracePeriod <= 0:
 		return errors.New("the grace period is not positive")
+	case s.DomainCost < 0 || s.RegionCost < 0:
+		return errors.New("a cost of crossing is negative")
 	}
 	return nil
 }
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
 )
@@ -149,7 +150,9 @@
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
 		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
+		Costs:    daisybalance.Costs{Domain: s.DomainCost, Region: s.RegionCost},
 	})
+	h.forwarder.OnLoad = h.router.RecordLoad
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
 }
 
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
 	"github.com/daisyglade/daisyglade/internal/session/daisyfreshness"
 	"github.com/daisyglade/daisyglade/internal/session/daisyselector"
 )
@@ -26,6 +28,9 @@
 	remoteRoundTrip = 25 * time.Millisecond
 )
 
+// roundTrips are the round trips assumed, by distance.
+var roundTrips = []time.Duration{0, regionRoundTrip, remoteRoundTrip}
+
 // Lease reports whether the host's lease is valid, so that it may act on its copy
 // of the fleet's state.
 type Lease interface {
@@ -51,8 +56,10 @@
 	Reach          func(ctx context.Context, server string) error // Returns an error if no connection to the server can be opened.
 	GatewayRank    func(server string) int                        // The rank of this host among the server's gateways; -1 if it is none.
 	Location       Location
-	Regions        map[string]string // The region of each failure domain.
-	OnUnresponsive func()            // Called when a primary can no longer be reached.
+	Regions        map[string]string  // The region of each failure domain.
+	OnUnresponsive func()             // Called when a primary can no longer be reached.
+	Costs          daisybalance.Costs // What it costs to send a read to a server farther away.
+	Rand           daisybalance.Rand  // Source of the choices by share; nil for a random one.
 	// Delayed reports whether messages of this host are held up, so that it says nothing
 	// about a primary if this host cannot reach it; may be nil.
 	Delayed func() bool
@@ -74,6 +81,7 @@
 type Server struct {
 	Name      string
 	Leaving   bool
+	Distance  daisybalance.Distance
 	RoundTrip time.Duration // Assumed round trip to the server.
 }
 
@@ -105,6 +113,7 @@
 	servers        map[string]*daisyselector.Server
 	lastWorkspaces map[string]string       // By server, the workspace that used it last.
 	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
+	balancers      map[balancedClass]*daisybalance.Balancer
 }
 
 // New returns a router of an empty fleet.
@@ -113,6 +122,10 @@
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
 		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1),
+		balancers: make(map[balancedClass]*daisybalance.Balancer),
+	}
+	if o.Rand == nil {
+		r.options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	r.groups.Store(&map[string]Group{})
 	return r
@@ -130,7 +143,8 @@
 			}
 			known[o.Name] = true
 			g := groups[v.Service]
-			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, RoundTrip: r.roundTrip(v.FailureDomain)})
+			d := r.distance(v.FailureDomain)
+			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, Distance: d, RoundTrip: roundTrips[d]})
 			groups[v.Service] = g
 		})
 	})
@@ -145,14 +159,15 @@
 	}
 }
 
-func (r *Router) roundTrip(domain string) time.Duration {
+// distance returns how far the failure domain is.
+func (r *Router) distance(domain string) daisybalance.Distance {
 	switch {
 	case domain == r.options.Location.FailureDomain:
-		return 0
+		return daisybalance.SameDomain
 	case r.options.Regions[domain] == r.options.Location.Region:
-		return regionRoundTrip
+		return daisybalance.SameRegion
 	}
-	return remoteRoundTrip
+	return daisybalance.OtherRegion
 }
 
 // Group returns the servers of a service.
@@ -252,29 +267,23 @@
 	Workspace   string
 	MinPosition daisystatement.Position // The least log position that the server must have.
 	Exclude     []string                // Servers that were tried before.
+	Transaction bool                    // The read begins a transaction.
 }
 
-// Choose returns the server that is expected to be the first to answer a read. It skips
-// servers that are leaving or that were tried before.
+// Choose returns the server that a read goes to. It skips servers that are barred to the
+// read or were tried before.
 func (r *Router) Choose(q Query) (string, bool) {
-	leader := r.primary(q.Profile.Service)
 	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var candidates []daisyselector.Candidate
-	for _, s := range r.Group(q.Profile.Service).Servers {
-		if s.Leaving || contains(q.Exclude, s.Name) {
-			continue
-		}
-		c := r.server(s.Name)
-		c.RoundTrip = s.RoundTrip
-		candidates = append(candidates, daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
-	}
-	best := daisyselector.Best(now, q.MinPosition, candidates)
-	if best < 0 {
+	candidates, _ := r.candidates(now, q)
+	b := r.balancer(q)
+	all := b.Update(now, r.options.Costs, q.class(), candidates)
+	i := b.Pick(now, r.options.Rand, all)
+	if i < 0 {
 		return "", false
 	}
-	return candidates[best].Name, true
+	return all[i].Name, true
 }
 
 // primary returns the leader in the host's view of the fleet. The view may be
@@ -298,7 +307,7 @@
 func (r *Router) ExpectedLatency(server string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.server(server).ExpectedLatency(daisyclock.Now(), false)
+	return r.server(server).ExpectedLatency(daisyclock.Now())
 }
 
 // Started records that a statement of the workspace was sent to the server.
--- a/internal/session/daisyselector/selector.go
+++ b/internal/session/daisyselector/selector.go
@@ -1,5 +1,5 @@
-// Package daisyselector selects the backend server of a service for a read: the
-// one that is expected to answer first.
+// Package daisyselector holds what a host observed of a backend server: how fast it
+// answers, and which recent problem speaks against sending it a read.
 package daisyselector
 
 import (
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
 )
 
 const (
@@ -25,9 +26,6 @@
 	// refusedPause is how long a server is avoided after a statement was refused
 	// because its queue was too long.
 	refusedPause = 60 * time.Millisecond
-	// primaryPenalty is added to the expected latency of the primary. It keeps reads
-	// that a replica can serve away from the primary, whose slots writes need.
-	primaryPenalty = 15 * time.Millisecond
 	// inFlightShare is how much each statement in flight adds to the expected
 	// latency, as a fraction of the average.
 	inFlightShare = 0.5
@@ -38,7 +36,8 @@
 // Server holds the observations of one backend server. The zero value has none. It
 // is not safe for concurrent use.
 type Server struct {
-	RoundTrip time.Duration // Assumed round trip to the server's location.
+	RoundTrip time.Duration     // Assumed round trip to the server's location.
+	View      daisybalance.View // What gateways and answers tell of its load and faults.
 
 	average      time.Duration // Moving average of the latency, without RoundTrip.
 	lastAnswer   time.Time
@@ -118,49 +117,17 @@
 // Avoided reports whether the server is in its backoff after a failure.
 func (s *Server) Avoided(now time.Time) bool { return now.Before(s.avoidUntil) }
 
-// ExpectedLatency returns the time in which the server is expected to answer.
-func (s *Server) ExpectedLatency(now time.Time, primary bool) time.Duration {
+// ExpectedLatency returns the time in which the server is expected to answer, from its
+// answers so far.
+func (s *Server) ExpectedLatency(now time.Time) time.Duration {
 	average := initialEstimate
 	if !s.lastAnswer.IsZero() {
 		age := now.Sub(s.lastAnswer).Seconds() / averageHalfLife.Seconds()
 		weight := math.Exp2(-age)
 		average = time.Duration(weight*float64(s.average) + (1-weight)*float64(initialEstimate))
 	}
-	expected := s.RoundTrip + time.Duration(float64(average)*(1+inFlightShare*float64(s.inFlight)))
-	if primary {
-		expected += primaryPenalty
-	}
-	return expected
-}
-
-// Candidate is a server that may serve a read.
-type Candidate struct {
-	Name    string
-	Server  *Server
-	Primary bool
+	return s.RoundTrip + time.Duration(float64(average)*(1+inFlightShare*float64(s.inFlight)))
 }
 
-// Best returns the index of the best candidate for a read that needs minPosition,
-// or -1 if there is none. It prefers servers without a recent problem; of the
-// problems, a refusal weighs least, a log that had not reached minPosition more,
-// and a failure most. Among equals, the lowest expected latency wins.
-func Best(now time.Time, minPosition daisystatement.Position, candidates []Candidate) int {
-	best, bestRank, bestExpected := -1, 0, time.Duration(0)
-	for i, c := range candidates {
-		rank := 0
-		if now.Before(c.Server.refusedUntil) {
-			rank++
-		}
-		if !c.Primary && c.Server.isMissing(now, minPosition) {
-			rank += 2
-		}
-		if c.Server.Avoided(now) {
-			rank += 4
-		}
-		expected := c.Server.ExpectedLatency(now, c.Primary)
-		if best < 0 || rank < bestRank || rank == bestRank && expected < bestExpected {
-			best, bestRank, bestExpected = i, rank, expected
-		}
-	}
-	return best
-}
+// InFlight returns the number of statements that the server has not answered.
+func (s *Server) InFlight() int { return s.inFlight }
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -44,6 +44,9 @@
 	s.env.Router.Started(req.Server, s.workspace)
 	a, conn, err = s.env.Forwarder.Run(req)
 	s.recordOutcome(req, sent, err)
+	if judges(req.Statement) {
+		s.env.Router.Judge(req, sent, a, err)
+	}
 	if overload := (*daisyrequest.OverloadError)(nil); errors.As(err, &overload) {
 		if !overload.OwnShare {
 			class.Workspace = "" // All workspaces wait in the queue that refused.
@@ -53,6 +56,18 @@
 	return a, conn, err
 }
 
+// judges reports whether the answer to the statement tells how well the server works. A
+// write may fail for what other transactions do.
+func judges(st daisystatement.Statement) bool {
+	switch st.Kind {
+	case daisystatement.KindRead, daisystatement.KindBegin:
+		return true
+	case daisystatement.KindExecute:
+		return st.ReadOnly
+	}
+	return false
+}
+
 // forwardPinned is like forward, but runs the request on a pinned connection.
 func (s *Session) forwardPinned(conn daisyrequest.PinnedConn, req daisyrequest.Request) (daisystatement.Answer, error) {
 	sent := daisyclock.Now()
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -163,7 +163,7 @@
 		freshness = s.freshness(t.profile, known)
 		if known || !t.onLeader && freshness != unknownPosition {
 			t.onLeader, begin.MinPosition = false, minPosition
-			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried})
+			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried, Transaction: true})
 			return server, begin, freshness, ok
 		}
 	}
