Count bytes between hosts by purpose and boundary crossed

Bytes between regions cost money and were known only from the platform's bill. Entry hosts now count the bytes of the messages that they send to gateways and as gateways (statements, positions), and both directions of their links to control hosts, by the boundary crossed: none, domain, region, or unknown for control hosts, which the control state does not list. They also count the reads sent to each distance. The metrics page has all, the line 'front: load' sums.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -204,6 +204,7 @@
 	for _, t := range totals {
 		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
 	}
+	addTraffic(m, h)
 }
 
 func newControl() *cobra.Command {
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -17,6 +17,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 )
 
 // errNoGateway is returned while the fleet's state has no gateway for a server.
@@ -41,7 +42,9 @@
 	Topology daisyplacement.Topology
 	Dial     Dial
 	Delayed  func() bool // Reports whether messages of this host are held up; may be nil.
-	Log      log.Interface
+	// Traffic returns the counter of bytes sent to the host at the address; may be nil.
+	Traffic func(addr netip.AddrPort) daisytraffic.Counter
+	Log     log.Interface
 }
 
 // Forwarder forwards statement requests to gateways. It is safe for concurrent
@@ -143,6 +146,9 @@
 	l := f.links[addr]
 	if l == nil || l.hasFailed() && !l.failedRecently() {
 		l = newLink(addr, &f.counters, f.options.Delayed)
+		if f.options.Traffic != nil {
+			l.traffic = f.options.Traffic(addr)
+		}
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
 	}
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -24,6 +24,7 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 )
 
 const (
@@ -154,7 +155,8 @@
 	old       bool          // It speaks the first protocol.
 	delayed   atomic.Bool   // It knows that its messages are held up.
 	epochs    atomic.Uint64 // The epoch of its positions; 0 is 7.
-	needed    atomic.Int64  // How often a position was needed that it lacked.
+	traffic   daisytraffic.Meter
+	needed    atomic.Int64 // How often a position was needed that it lacked.
 }
 
 // sample is a position that a gateway recorded.
@@ -220,6 +222,7 @@
 		h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 			Host: h.name, Local: h.gateway, Topology: daisyplacement.Topology{Regions: map[string]string{domain: "r"}},
 			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Delayed: h.delayed.Load,
+			Traffic: func(netip.AddrPort) daisytraffic.Counter { return h.traffic.Across(daisytraffic.BoundaryRegion) },
 		})
 	}
 	for _, h := range f.hosts {
@@ -239,7 +242,9 @@
 			silent := func() bool { return from.silent.Load() || to.silent.Load() }
 			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent, peer: to}
 			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent, peer: from}
-			f.wait.Go(func() { daisyforwarder.Serve(f.ctx, far, to.gateway, to, &log.Logger{Handler: discard.New()}) })
+			f.wait.Go(func() {
+				daisyforwarder.Serve(f.ctx, far, to.gateway, to, to.traffic.Across(daisytraffic.BoundaryDomain), &log.Logger{Handler: discard.New()})
+			})
 			return near, nil
 		}
 		return nil, errors.New("refused")
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -49,8 +50,9 @@
 type link struct {
 	addr     netip.AddrPort
 	counters *counters
-	delayed  func() bool   // Reports whether messages of this host are held up; may be nil.
-	ready    chan struct{} // Closed once the link is open or has failed.
+	traffic  daisytraffic.Counter // Counts the bytes of calls.
+	delayed  func() bool          // Reports whether messages of this host are held up; may be nil.
+	ready    chan struct{}        // Closed once the link is open or has failed.
 
 	mu          sync.Mutex
 	opened      time.Time
@@ -201,7 +203,9 @@
 	if conn.Protocol() >= daisylink.ProtocolOverload {
 		call.Sent = max(1, daisyclock.Now().Sub(l.opened)) // 0 states nothing.
 	}
-	if conn.Send(ctx, daisycodec.EncodeCall(call, time.Now())) != nil {
+	message := daisycodec.EncodeCall(call, time.Now())
+	l.traffic.Add(purpose(call), len(message))
+	if conn.Send(ctx, message) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
 	}
 }
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -42,6 +43,7 @@
 	gateway *daisygateway.Gateway
 	samples Samples
 	conn    Conn
+	traffic daisytraffic.Counter
 	wait    sync.WaitGroup
 
 	mu     sync.Mutex
@@ -53,9 +55,9 @@
 // then closes the connections pinned for it. Each answer, also a refusal, carries the
 // latest position of the service's primary that this host knows, so that hosts far
 // from the primary seldom have to ask it. The gateway of a primary learns that
-// position from the answers of the primary.
-func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, logger log.Interface) {
-	s := &peer{gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn)}
+// position from the answers of the primary. The bytes of replies count as traffic.
+func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, traffic daisytraffic.Counter, logger log.Interface) {
+	s := &peer{gateway: g, samples: samples, conn: conn, traffic: traffic, pinned: make(map[uint64]daisyrequest.PinnedConn)}
 	defer s.close()
 	var t transit
 	for {
@@ -82,9 +84,9 @@
 			pinned.Close()
 		}
 	case daisycodec.ActionRun:
-		s.wait.Go(func() { s.reply(ctx, s.run(call)) })
+		s.wait.Go(func() { s.reply(ctx, call, s.run(call)) })
 	default: // ActionPing.
-		s.reply(ctx, daisycodec.CallReply{ID: call.ID})
+		s.reply(ctx, call, daisycodec.CallReply{ID: call.ID})
 	}
 }
 
@@ -192,10 +194,12 @@
 	return daisycodec.FaultOutcomeUnknown, err.Error()
 }
 
-func (s *peer) reply(ctx context.Context, r daisycodec.CallReply) {
+func (s *peer) reply(ctx context.Context, call daisycodec.Call, r daisycodec.CallReply) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	if s.conn.Send(ctx, daisycodec.EncodeCallReply(r)) != nil {
+	message := daisycodec.EncodeCallReply(r)
+	s.traffic.Add(purpose(call), len(message))
+	if s.conn.Send(ctx, message) != nil {
 		s.conn.Close()
 	}
 }
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -32,6 +32,7 @@
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
@@ -91,6 +92,7 @@
 	links     *http.Server
 	admission *daisyadmission.Controller
 	router    *daisyrouter.Router
+	traffic   daisytraffic.Meter
 	server    *daisyfrontend.Server
 }
 
@@ -125,7 +127,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return c, nil
+			return daisylease.Counted(c, h.trafficTo(addr)), nil
 		},
 	})
 	h.admission = daisyadmission.New(h.lease.Wake)
@@ -137,7 +139,7 @@
 	h.pool = daisypool.New(h.options.Dialer)
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
-		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
+		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed, Traffic: h.trafficTo,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -177,7 +179,7 @@
 func (h *EntryHost) openLinks() error {
 	h.mux.Plain = true
 	h.mux.Handle(daisylink.PathStatement, func(ctx context.Context, c *daisylink.Conn) {
-		daisyforwarder.Serve(ctx, c, h.gateway, h.router, h.options.Log)
+		daisyforwarder.Serve(ctx, c, h.gateway, h.router, h.trafficToHost(c.Peer()), h.options.Log)
 	})
 	listener, err := h.options.Network.Listen(h.ctx, h.options.Settings.Link)
 	if err != nil {
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -8,6 +8,9 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyadmission"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 )
 
 // loadLogInterval is the interval at which a host that serves statements logs its
@@ -23,6 +26,8 @@
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
+	Chosen    daisyrouter.Chosen
+	Traffic   daisytraffic.Totals // Bytes sent, and those received from control hosts.
 }
 
 // Load returns the totals so far.
@@ -30,7 +35,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
-		Refusals: h.admission.Refusals(),
+		Refusals: h.admission.Refusals(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
 	}
 }
 
@@ -47,13 +52,19 @@
 			return
 		}
 		now := h.Load()
-		if now != before {
+		if now.worked(before) {
 			h.options.Log.WithFields(now.fieldsSince(before)).Info("front: load")
 		}
 		before = now
 	}
 }
 
+// worked reports whether the host did more than send heartbeats since the earlier totals.
+func (l Load) worked(before Load) bool {
+	l.Traffic, before.Traffic = daisytraffic.Totals{}, daisytraffic.Totals{}
+	return l != before
+}
+
 // fieldsSince returns the differences to earlier totals as log fields.
 func (l Load) fieldsSince(before Load) log.Fields {
 	return log.Fields{
@@ -70,6 +81,11 @@
 		"Unsampled":   l.Unsampled - before.Unsampled,
 		"HeldOff":     l.HeldOff - before.HeldOff,
 		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
+		"SameDomain":  l.Chosen[daisybalance.SameDomain] - before.Chosen[daisybalance.SameDomain],
+		"SameRegion":  l.Chosen[daisybalance.SameRegion] - before.Chosen[daisybalance.SameRegion],
+		"OtherRegion": l.Chosen[daisybalance.OtherRegion] - before.Chosen[daisybalance.OtherRegion],
+		"BytesDomain": l.Traffic.Across(daisytraffic.BoundaryDomain) - before.Traffic.Across(daisytraffic.BoundaryDomain),
+		"BytesRegion": l.Traffic.Across(daisytraffic.BoundaryRegion) - before.Traffic.Across(daisytraffic.BoundaryRegion),
 		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
 	}
 }
--- a/internal/session/daisyrouter/balance.go
+++ b/internal/session/daisyrouter/balance.go
@@ -85,6 +85,16 @@
 	return candidates, barred
 }
 
+// Chosen counts the reads for which a server was chosen, by its distance.
+type Chosen [daisybalance.OtherRegion + 1]uint64
+
+// Chosen returns the counts so far.
+func (r *Router) Chosen() Chosen {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.chosen
+}
+
 // RecordLoad records the load that a gateway stated with its reply to the request.
 func (r *Router) RecordLoad(req daisyrequest.Request, l daisyrequest.Load) {
 	if req.Class == "" {
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -114,6 +114,7 @@
 	lastWorkspaces map[string]string       // By server, the workspace that used it last.
 	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
 	balancers      map[balancedClass]*daisybalance.Balancer
+	chosen         Chosen
 }
 
 // New returns a router of an empty fleet.
@@ -283,6 +284,7 @@
 	if i < 0 {
 		return "", false
 	}
+	r.chosen[all[i].Distance]++
 	return all[i].Name, true
 }
 
