Leave out the extrapolation of a wait

Breaks tried on the tests: unbounded steps fail TestAllMoveAtOnce, TestReturningServer and TestStepInDemand; no slack fails TestWorthLeaving; a full reaction to loads that were only measured fails TestNoLoadStated; an exclusion of all fails TestAtMostHalfAreExcluded and TestSharesAreValid; shares that a returning server has at once fail TestReturningServer; views that do not age fail TestStaleView and TestStepInDemand.

--- a/internal/session/daisybalance/view.go
+++ b/internal/session/daisybalance/view.go
@@ -26,8 +26,6 @@
 	// peakAge is how long the greatest load is remembered: longer than nearly all
 	// statements wait.
 	peakAge = 2 * time.Second
-	// trendInterval is the least interval over which the change of a wait is measured.
-	trendInterval = 300 * time.Millisecond
 	// maxClasses bounds the classes whose loads are kept for a server.
 	maxClasses = 64
 	// faultHalfLife is the time after which a server that gets no requests is believed
@@ -54,7 +52,6 @@
 	at       time.Time
 	measured bool // It was derived from an answer, as the gateway states none.
 	peak     peak
-	trend    trend
 }
 
 // peak is the greatest load stated in the last peakAge. Answers that were sent when it
@@ -70,27 +67,6 @@
 	}
 }
 
-// trend is by how much the wait changes in a second. It is measured over at least
-// trendInterval, so that the noise of a few statements does not count.
-type trend struct {
-	slope float64
-	wait  time.Duration // At the beginning of the present interval.
-	at    time.Time
-}
-
-func (t *trend) add(now time.Time, wait time.Duration) {
-	passed := now.Sub(t.at)
-	switch {
-	case passed > fullAge:
-		t.slope = 0
-	case passed >= trendInterval:
-		t.slope = max(-1, min(1, (wait-t.wait).Seconds()/passed.Seconds()))
-	default:
-		return
-	}
-	t.wait, t.at = wait, now
-}
-
 // average is a moving average that loses weight with time.
 type average struct {
 	value float64
@@ -128,7 +104,6 @@
 	s := v.loads[class]
 	s.load, s.priority, s.at, s.measured = l, priority, now, measured
 	s.peak.add(now, l.Wait+l.Run)
-	s.trend.add(now, l.Wait)
 	v.loads[class] = s
 }
 
@@ -187,8 +162,7 @@
 	e := Expected{Wait: defaultTime - defaultRun, Run: defaultRun, Way: roundTrip + time.Duration(v.excess.aged(now, halfLife))}
 	if s, ok := v.newest(now, class, priority); ok {
 		e.Age, e.Known, e.Measured = now.Sub(s.at), true, s.measured
-		wait := max(0, s.load.Wait+time.Duration(s.trend.slope*float64(min(e.Age, fullAge))))
-		e.Wait, e.Run = blend(weight(e.Age, halfLife), wait, e.Wait), blend(weight(e.Age, runHalfLife), s.load.Run, e.Run)
+		e.Wait, e.Run = blend(weight(e.Age, halfLife), s.load.Wait, e.Wait), blend(weight(e.Age, runHalfLife), s.load.Run, e.Run)
 	}
 	e.Run += time.Duration(inFlightShare * float64(inFlight) * float64(e.Run))
 	return e
