--- a/internal/session/daisybalance/target.go
+++ b/internal/session/daisybalance/target.go
@@ -17,7 +17,7 @@
 	// answer alike, from moving anything.
 	successMargin = 0.05
 	// measuredShare is how much of its share moves from a server whose load is known from
-	// late answers only. With all of it, 100 hosts swung between 0.2 and 0.7 of the reads.
+	// late answers only. With all of it, 100 hosts swung between 0.11 and 0.83 of the reads.
 	measuredShare = 0.5
 )
 
