--- a/internal/entry/daisyforwarder/load_test.go
+++ b/internal/entry/daisyforwarder/load_test.go
@@ -1,6 +1,8 @@
 package daisyforwarder_test
 
 import (
+	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,3 +45,34 @@
 		})
 	}
 }
+
+// Guards against hosts that learn of a queue only from the statements that waited in it:
+// a refusal for load states the load too.
+func TestRefusalStatesLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		_, from := f.first()
+		var stated daisyrequest.Load // With the refusal.
+		from.forwarder.OnLoad = func(req daisyrequest.Request, l daisyrequest.Load) {
+			if req.Statement.Text == "refused" {
+				stated = l
+			}
+		}
+		run := func(text string, sendIn time.Duration) error {
+			req := request(daisystatement.KindRead, text)
+			req.SendDeadline = time.Now().Add(sendIn)
+			_, _, err := from.forwarder.Run(req)
+			return err
+		}
+		var wait sync.WaitGroup
+		for range 100 {
+			wait.Go(func() { _ = run("r1", time.Second) })
+		}
+		time.Sleep(20 * time.Millisecond)
+		overload := (*daisyrequest.OverloadError)(nil)
+		assert.Assert(t, errors.As(run("refused", 30*time.Millisecond), &overload))
+		assert.Assert(t, stated.Wait > 30*time.Millisecond, "%v", stated)
+		wait.Wait()
+	})
+}
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -102,10 +102,7 @@
 // expectedWait returns how long a request of the priority and rank would wait if every
 // request queued before it ran.
 func (s *serverState) expectedWait(priority int, rank float64) time.Duration {
-	waiting := s.queue.Waiting(priority, rank)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return time.Duration(waiting) * s.meanRunTime / time.Duration(s.slots)
+	return s.timeToRun(s.queue.Waiting(priority, rank))
 }
 
 // observe records how long a statement ran.
--- a/internal/holder/daisygateway/load.go
+++ b/internal/holder/daisygateway/load.go
@@ -1,13 +1,28 @@
 package daisygateway
 
-import "github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
+import (
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
+)
 
 // Load returns the load of the request's server as a request of its class would meet
-// it now. It is zero if this host is not a gateway of the server.
+// it now: the wait in the queue and that of the requests before it for a connection. It
+// is zero if this host is not a gateway of the server.
 func (g *Gateway) Load(req daisyrequest.Request) daisyrequest.Load {
 	if !g.pool.Usable(req.Server) {
 		return daisyrequest.Load{}
 	}
 	s := g.server(req.Server)
-	return daisyrequest.Load{Wait: s.expectedWait(req.Priority, s.rank(req)), Run: s.runTime(req)}
+	return daisyrequest.Load{
+		Wait: s.expectedWait(req.Priority, s.rank(req)) + s.timeToRun(g.pool.Waiting(req.Server)),
+		Run:  s.runTime(req),
+	}
+}
+
+// timeToRun returns how long the server takes to run the number of statements.
+func (s *serverState) timeToRun(statements int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(statements) * s.meanRunTime / time.Duration(s.slots)
 }
--- a/internal/session/daisybalance/demand_test.go
+++ b/internal/session/daisybalance/demand_test.go
@@ -140,3 +140,17 @@
 		})
 	}
 }
+
+// Guards against a server that goes up and down and gets its whole share each time that
+// it answers again.
+func TestServerUpAndDown(t *testing.T) {
+	s := newSimulation(100)
+	s.demand = [regions]float64{60, 60, 60}
+	away := 0.0
+	s.run(60*time.Second, func(second int) {
+		s.servers[1].failing = float64(second / 3 % 2)
+		away += s.away[1] / 60
+	})
+	t.Logf("%.2f went elsewhere", away)
+	assert.Check(t, away > 0.4 && away < 0.9, "%.2f", away)
+}
--- a/internal/session/daisybalance/explain.go
+++ b/internal/session/daisybalance/explain.go
@@ -45,7 +45,9 @@
 	case e.Target > 0:
 		return fmt.Sprintf("its share has yet to grow to %.0f%%", 100*e.Target)
 	case e.Cost > cheapest.Cost:
-		return fmt.Sprintf("it costs %v, %s costs %v", e.Cost.Round(time.Millisecond), cheapest.Name, cheapest.Cost.Round(time.Millisecond))
+		return fmt.Sprintf("it costs %v, %s costs %v", rounded(e.Cost), cheapest.Name, rounded(cheapest.Cost))
 	}
 	return "the gain does not pay for the distance"
 }
+
+func rounded(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
