Name hold-offs in the explanation of a route

A host refuses statements itself for a while after a gateway refused one like them, which the explanation did not show. It notes them now, without counting a statement as held off.

--- a/internal/host/daisyentryhost/explain.go
+++ b/internal/host/daisyentryhost/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"fmt"
+	"time"
 
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyroute"
@@ -35,6 +37,7 @@
 		route.Servers[i].Gateways = h.forwarder.GatewayHosts(s.Name)
 	}
 	route.Pick()
+	route.Notes = append(route.Notes, h.holdOffNotes(query, route.Servers)...)
 	return route, nil
 }
 
@@ -70,3 +73,15 @@
 	}
 	return notes
 }
+
+// holdOffNotes returns which servers this host sends no statements of the class, since
+// their queues have just refused one.
+func (h *EntryHost) holdOffNotes(q daisyrouter.Query, servers []daisyroute.Server) (notes []string) {
+	for _, s := range servers {
+		held := daisyrouter.HeldClass{Server: s.Name, Workspace: q.Workspace, Class: q.QueueClass(), Priority: q.Profile.Priority}
+		if left := h.router.HoldOffLeft(held); left > 0 {
+			notes = append(notes, fmt.Sprintf("this host refuses what would go to %s for another %v, since its queue refused one like it", s.Name, left.Round(time.Millisecond)))
+		}
+	}
+	return notes
+}
--- a/internal/session/daisyrouter/balance.go
+++ b/internal/session/daisyrouter/balance.go
@@ -23,8 +23,8 @@
 // maxBalancers bounds the classes whose shares are kept.
 const maxBalancers = 1024
 
-// queueClass returns the class under which gateways average the run times of the read.
-func (q *Query) queueClass() string {
+// QueueClass returns the class under which gateways average the run times of the read.
+func (q *Query) QueueClass() string {
 	req := daisyrequest.Request{Class: q.Profile.Name, Pin: q.Transaction}
 	return req.QueueClass()
 }
@@ -33,7 +33,7 @@
 
 // balancer returns the shares of the read's class. It requires r.mu.
 func (r *Router) balancer(q Query) *daisybalance.Balancer {
-	key := balancedClass{service: q.Profile.Service, class: q.queueClass()}
+	key := balancedClass{service: q.Profile.Service, class: q.QueueClass()}
 	b := r.balancers[key]
 	if b == nil {
 		if len(r.balancers) >= maxBalancers {
@@ -78,7 +78,7 @@
 		primary := s.Name == leader
 		candidates = append(candidates, daisybalance.Candidate{
 			Name: s.Name, Distance: s.Distance, Primary: primary, Success: observed.View.Success(now),
-			Expected: observed.View.Expect(now, q.queueClass(), q.Profile.Priority, trip, observed.InFlight()),
+			Expected: observed.View.Expect(now, q.QueueClass(), q.Profile.Priority, trip, observed.InFlight()),
 			Problem:  int(observed.Problem(now, q.MinPosition, primary)), Tried: contains(q.Exclude, s.Name),
 		})
 	}
--- a/internal/session/daisyrouter/holdoff.go
+++ b/internal/session/daisyrouter/holdoff.go
@@ -45,6 +45,14 @@
 // HeldOff returns for how long statements of the class are not to be sent to the
 // server, or 0, and counts those that are not.
 func (r *Router) HeldOff(s HeldClass) (left time.Duration) {
+	if left = r.HoldOffLeft(s); left > 0 {
+		r.heldOff.Add(1)
+	}
+	return left
+}
+
+// HoldOffLeft is like HeldOff for no statement.
+func (r *Router) HoldOffLeft(s HeldClass) (left time.Duration) {
 	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -53,9 +61,6 @@
 			left = max(left, until.Sub(now))
 		}
 	}
-	if left > 0 {
-		r.heldOff.Add(1)
-	}
 	return left
 }
 
