--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -18,6 +18,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 )
 
 // errNoGateway is returned while the fleet's state has no gateway for a server.
@@ -46,6 +47,8 @@
 	// link. It may be nil.
 	OnWait  func(place, class string, wait time.Duration)
 	Delayed func() bool // Reports whether messages of this host are held up; may be nil.
+	// Traffic returns the counter of bytes sent to the host at the address; may be nil.
+	Traffic func(addr netip.AddrPort) daisytraffic.Counter
 	Log     log.Interface
 }
 
@@ -56,6 +59,9 @@
 	// with a gateway's answer. The primary of the epoch was asked for it at the
 	// time asked or later. OnPosition may be nil.
 	OnPosition func(service string, epoch uint64, asked time.Time, p daisystatement.Position)
+	// OnLoad is called with each load that a gateway states with its reply to a request.
+	// It may be nil.
+	OnLoad func(req daisyrequest.Request, l daisyrequest.Load)
 
 	options  Options
 	counters counters
@@ -105,6 +111,15 @@
 	return rank
 }
 
+// GatewayHosts returns the names of the server's gateways, in the order in which requests
+// of the workspace try them.
+func (f *Forwarder) GatewayHosts(server, workspace string) (hosts []string) {
+	for _, g := range f.Gateways(server).Order(server, workspace) {
+		hosts = append(hosts, g.Host)
+	}
+	return hosts
+}
+
 // Run runs the request at the first gateway, in the order for its workspace, that can
 // send it. Errors are as for daisygateway.Gateway.Run.
 func (f *Forwarder) Run(req daisyrequest.Request) (a daisystatement.Answer, pinned daisyrequest.PinnedConn, err error) {
@@ -127,7 +142,9 @@
 // to it is opened again.
 func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisyrequest.Request, last bool) (daisystatement.Answer, daisyrequest.PinnedConn, error) {
 	if g.Host == f.options.Host {
-		return f.options.Local.Run(req)
+		a, pinned, err := f.options.Local.Run(req)
+		f.recordLoad(req, f.options.Local.Load(req))
+		return a, pinned, err
 	}
 	l, err := f.link(g.Address, req.SendDeadline, last)
 	if err != nil {
@@ -140,9 +157,17 @@
 		// primary was asked no earlier than this.
 		f.OnPosition(req.Service, s.Epoch, sent.Add(-s.Age), s.Position)
 	}
+	f.recordLoad(req, r.Load)
 	return r.Answer, pinned, err
 }
 
+// recordLoad passes on a load that was stated.
+func (f *Forwarder) recordLoad(req daisyrequest.Request, l daisyrequest.Load) {
+	if f.OnLoad != nil && !l.IsZero() {
+		f.OnLoad(req, l)
+	}
+}
+
 // link returns an open link to the host. It opens one if there is none, unless
 // the last one failed less than redialDelay ago. While a link that failed is opened again,
 // it returns an error at once unless wait is set: a frozen host answers no dial, and
@@ -155,6 +180,9 @@
 		l = newLink(addr, &f.counters, f.options.Delayed)
 		l.pace = f.pace
 		l.reopened = reopened
+		if f.options.Traffic != nil {
+			l.traffic = f.options.Traffic(addr)
+		}
 		f.links[addr] = l
 		f.wait.Go(func() { l.serve(f.ctx, f.options.Dial, f.options.Log) })
 	}
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -25,6 +25,7 @@
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -163,6 +164,7 @@
 	epochs    atomic.Uint64     // The epoch of its positions; 0 is 7.
 	objective atomic.Bool       // Whether the last call to it stated an objective.
 	needed    atomic.Int64      // How often a position was needed that it lacked.
+	traffic   daisytraffic.Meter
 }
 
 // sample is a position that a gateway recorded.
@@ -228,6 +230,7 @@
 		h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 			Host: h.name, Local: h.gateway, Topology: daisyplacement.Topology{Regions: map[string]string{domain: "r"}},
 			Dial: f.dial(h), Log: &log.Logger{Handler: discard.New(), Level: log.FatalLevel}, Delayed: h.delayed.Load,
+			Traffic: func(netip.AddrPort) daisytraffic.Counter { return h.traffic.Across(daisytraffic.BoundaryRegion) },
 		})
 	}
 	for _, h := range f.hosts {
@@ -252,7 +255,7 @@
 			near := &wire{in: a, out: b, closed: closed, once: once, silent: silent, peer: to}
 			far := &wire{in: b, out: a, closed: closed, once: once, silent: silent, peer: from}
 			f.wait.Go(func() {
-				daisyforwarder.Serve(f.ctx, far, to.gateway, to, daisyforwarder.Pacing{Pacer: to.pacer}, &log.Logger{Handler: discard.New()})
+				daisyforwarder.Serve(f.ctx, far, to.gateway, to, daisyforwarder.Pacing{Pacer: to.pacer}, to.traffic.Across(daisytraffic.BoundaryDomain), &log.Logger{Handler: discard.New()})
 			})
 			return near, nil
 		}
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -53,6 +54,7 @@
 	ready    chan struct{}                    // Closed once the link is open or has failed.
 	pace     func(daisyrequest.Request) error // Waits until this host's link may send the request.
 	reopened bool                             // Whether it replaces a link that failed.
+	traffic  daisytraffic.Counter             // Counts the bytes of calls.
 
 	mu          sync.Mutex
 	opened      time.Time
@@ -216,7 +218,9 @@
 	if conn.Protocol() < daisylink.ProtocolLoad {
 		call.Request.Objective = time.Time{}
 	}
-	if conn.Send(ctx, daisycodec.EncodeCall(call, time.Now())) != nil {
+	message := daisycodec.EncodeCall(call, time.Now())
+	l.traffic.Add(purpose(call), len(message))
+	if conn.Send(ctx, message) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
 	}
 }
--- a/internal/entry/daisyforwarder/pacing.go
+++ b/internal/entry/daisyforwarder/pacing.go
@@ -65,7 +65,7 @@
 // its caller may have given up.
 func (s *peer) replyInOrder(ctx context.Context, call daisycodec.Call, r daisycodec.CallReply) {
 	if call.PinnedConn != 0 {
-		s.reply(ctx, r)
+		s.reply(ctx, call, r)
 		return
 	}
 	message := daisycodec.EncodeCallReply(r)
@@ -74,5 +74,5 @@
 	if s.pacing.wait(waitCtx, &call.Request, len(message)) != nil {
 		s.pacing.Pacer.Charge(len(message))
 	}
-	s.send(ctx, message)
+	s.send(ctx, call, message)
 }
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -43,6 +44,7 @@
 	samples Samples
 	conn    Conn
 	pacing  Pacing
+	traffic daisytraffic.Counter
 	wait    sync.WaitGroup
 
 	mu      sync.Mutex
@@ -55,9 +57,12 @@
 // then closes the connections pinned for it. Each answer, also a refusal, carries the
 // latest position of the service's primary that this host knows, so that hosts far
 // from the primary seldom have to ask it. The gateway of a primary learns that
-// position from the answers of the primary.
-func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, pacing Pacing, logger log.Interface) {
-	s := &peer{pacing: pacing, gateway: g, samples: samples, conn: conn, pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc)}
+// position from the answers of the primary. The bytes of replies count as traffic.
+func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, pacing Pacing, traffic daisytraffic.Counter, logger log.Interface) {
+	s := &peer{
+		pacing: pacing, gateway: g, samples: samples, conn: conn, traffic: traffic,
+		pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc),
+	}
 	defer s.close()
 	var t transit
 	for {
@@ -92,7 +97,7 @@
 	case daisycodec.ActionAbandon:
 		s.abandon(call.ID)
 	default: // ActionPing.
-		s.reply(ctx, daisycodec.CallReply{ID: call.ID})
+		s.reply(ctx, call, daisycodec.CallReply{ID: call.ID})
 	}
 }
 
@@ -149,6 +154,9 @@
 		r.RetryAfter, r.OwnShare = overload.RetryAfter, overload.OwnShare
 	}
 	r.Sample.Epoch, r.Sample.Position, r.Sample.Age = s.samples.Sample(call.Request.Service)
+	if call.PinnedConn == 0 && s.conn.Protocol() >= daisylink.ProtocolLoad {
+		r.Load = s.gateway.Load(call.Request)
+	}
 	return r
 }
 
@@ -198,15 +206,16 @@
 }
 
 // reply sends a reply without waiting for others.
-func (s *peer) reply(ctx context.Context, r daisycodec.CallReply) {
+func (s *peer) reply(ctx context.Context, call daisycodec.Call, r daisycodec.CallReply) {
 	message := daisycodec.EncodeCallReply(r)
 	s.pacing.Pacer.Charge(len(message))
-	s.send(ctx, message)
+	s.send(ctx, call, message)
 }
 
-func (s *peer) send(ctx context.Context, message []byte) {
+func (s *peer) send(ctx context.Context, call daisycodec.Call, message []byte) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
+	s.traffic.Add(purpose(call), len(message))
 	if s.conn.Send(ctx, message) != nil {
 		s.conn.Close()
 	}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -33,6 +33,8 @@
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
 	"github.com/daisyglade/daisyglade/internal/net/daisypacer"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 	"github.com/daisyglade/daisyglade/internal/session/daisysession"
 )
@@ -95,6 +97,7 @@
 	links     *http.Server
 	admission *daisyadmission.Controller
 	router    *daisyrouter.Router
+	traffic   daisytraffic.Meter
 	server    *daisyfrontend.Server
 }
 
@@ -129,7 +132,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return c, nil
+			return daisylease.Counted(c, h.trafficTo(addr)), nil
 		},
 	})
 	h.admission = daisyadmission.New(h.lease.Wake)
@@ -144,7 +147,7 @@
 	h.gateway.OnWait = h.options.OnWait
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
 		Host: s.Host, Local: h.gateway, Topology: daisyplacement.Topology{Regions: s.Regions}, Log: h.options.Log, Delayed: h.lease.Delayed,
-		Pacer: h.pacer, OnWait: h.options.OnWait,
+		Pacer: h.pacer, OnWait: h.options.OnWait, Traffic: h.trafficTo,
 		Dial: func(ctx context.Context, addr netip.AddrPort) (daisyforwarder.Conn, error) {
 			c, err := h.dial(ctx, addr, daisylink.PathStatement)
 			if err != nil {
@@ -157,7 +160,9 @@
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
 		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
+		Costs:    daisybalance.Costs{Domain: s.DomainCost, Region: s.RegionCost},
 	})
+	h.forwarder.OnLoad = h.router.RecordLoad
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
 }
 
@@ -182,7 +187,8 @@
 func (h *EntryHost) openLinks() error {
 	h.mux.Plain = true
 	h.mux.Handle(daisylink.PathStatement, func(ctx context.Context, c *daisylink.Conn) {
-		daisyforwarder.Serve(ctx, c, h.gateway, h.router, daisyforwarder.Pacing{Pacer: h.pacer, OnWait: h.options.OnWait}, h.options.Log)
+		pacing := daisyforwarder.Pacing{Pacer: h.pacer, OnWait: h.options.OnWait}
+		daisyforwarder.Serve(ctx, c, h.gateway, h.router, pacing, h.trafficToHost(c.Peer()), h.options.Log)
 	})
 	listener, err := h.options.Network.Listen(h.ctx, h.options.Settings.Link)
 	if err != nil {
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -8,6 +8,9 @@
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyadmission"
+	"github.com/daisyglade/daisyglade/internal/net/daisytraffic"
+	"github.com/daisyglade/daisyglade/internal/session/daisybalance"
+	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 )
 
 // loadLogInterval is the interval at which a host that serves statements logs its
@@ -25,6 +28,8 @@
 	Refusals  daisyadmission.Refusals
 	Controls  uint64 // Links to control hosts that the host tried to open.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
+	Chosen    daisyrouter.Chosen
+	Traffic   daisytraffic.Totals // Bytes sent, and those received from control hosts.
 }
 
 // Load returns the totals so far.
@@ -32,7 +37,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
-		Refusals: h.admission.Refusals(), Controls: h.lease.Dials(),
+		Refusals: h.admission.Refusals(), Controls: h.lease.Dials(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
 	}
 }
 
@@ -49,13 +54,19 @@
 			return
 		}
 		now := h.Load()
-		if now != before {
+		if now.worked(before) {
 			h.options.Log.WithFields(now.fieldsSince(before)).Info("front: load")
 		}
 		before = now
 	}
 }
 
+// worked reports whether the host did more than send heartbeats since the earlier totals.
+func (l Load) worked(before Load) bool {
+	l.Traffic, before.Traffic = daisytraffic.Totals{}, daisytraffic.Totals{}
+	return l != before
+}
+
 // fieldsSince returns the differences to earlier totals as log fields.
 func (l Load) fieldsSince(before Load) log.Fields {
 	return log.Fields{
@@ -75,5 +86,10 @@
 		"Controls":     l.Controls - before.Controls,
 		"OverRate":     l.Refusals.OverRate - before.Refusals.OverRate,
 		"Unanswered":   l.Refusals.Unanswered - before.Refusals.Unanswered,
+		"SameDomain":   l.Chosen[daisybalance.SameDomain] - before.Chosen[daisybalance.SameDomain],
+		"SameRegion":   l.Chosen[daisybalance.SameRegion] - before.Chosen[daisybalance.SameRegion],
+		"OtherRegion":  l.Chosen[daisybalance.OtherRegion] - before.Chosen[daisybalance.OtherRegion],
+		"BytesDomain":  l.Traffic.Across(daisytraffic.BoundaryDomain) - before.Traffic.Across(daisytraffic.BoundaryDomain),
+		"BytesRegion":  l.Traffic.Across(daisytraffic.BoundaryRegion) - before.Traffic.Across(daisytraffic.BoundaryRegion),
 	}
 }
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -158,12 +158,12 @@
 func (t *transaction) target(sendBy time.Time, tried []string) (server string, begin daisystatement.Statement, freshness daisyrequest.Freshness, ok bool) {
 	s := t.session
 	begin = daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindBegin, ReadOnly: t.readOnly}
-	if t.readOnly && t.profile.Freshness != daisyspec.FreshPrimary {
+	if t.profile.UsesReplicas(t.readOnly) {
 		minPosition, known := s.minPosition(t.profile, t.began)
 		freshness = s.freshness(t.profile, known)
 		if known || !t.onLeader && freshness != unknownPosition {
 			t.onLeader, begin.MinPosition = false, minPosition
-			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried})
+			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried, Transaction: true})
 			return server, begin, freshness, ok
 		}
 	}
