--- a/internal/entry/daisyforwarder/spread_test.go
+++ b/internal/entry/daisyforwarder/spread_test.go
@@ -80,3 +80,26 @@
 		assert.Assert(t, gateway.gateway.Counts().Requests > before)
 	})
 }
+
+// Guards against an objective that does not reach the gateway, and against one sent to a
+// host of an earlier version, whose decoder refuses the call with the whole link.
+func TestObjectiveReachesGateway(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		old  bool
+	}{{"SameVersion", false}, {"EarlierVersion", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t, 2)
+				defer f.close()
+				gateway, other := f.first()
+				gateway.old = test.old
+				req := request(daisystatement.KindRead, "r")
+				req.Objective = time.Now().Add(400 * time.Millisecond)
+				_, _, err := other.forwarder.Run(req)
+				assert.NilError(t, err)
+				assert.Equal(t, gateway.objective.Load(), !test.old)
+			})
+		})
+	}
+}
