Hold evacuations in the control state

An operator will order that a failure domain's backend servers get no more work. The order has to survive restarts, lost disks and changes of leader, so it is an object of the control state, named after the failure domain, which exists while the order holds.

Decoders refuse messages with objects that they do not know, so hosts that speak a protocol before 5 are sent the state without these objects, encoded for each of them. Later hosts share encoded messages as before. Control hosts send each other whole log entries: all must run this version before an evacuation is ordered.

--- a/internal/cluster/daisycoordinator/coordinator.go
+++ b/internal/cluster/daisycoordinator/coordinator.go
@@ -241,7 +241,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	state := &replication{coordinator: c, link: link}
+	state := &replication{coordinator: c, link: link, legacy: link.Protocol() < daisylink.ProtocolLoad}
 	wait.Go(func() { c.push(ctx, link, state) })
 	defer cancel()
 	for {
@@ -307,7 +307,7 @@
 	}
 	c.view.Read(func(s *daisyfleet.State) {
 		if state.sent = s.Revision(); state.sent != held {
-			delta := s.Delta(held)
+			delta := legacyDelta(s.Delta(held))
 			a.reply.Delta = &delta
 		}
 	})
--- a/internal/cluster/daisycoordinator/replication.go
+++ b/internal/cluster/daisycoordinator/replication.go
@@ -27,6 +27,7 @@
 type replication struct {
 	coordinator *Coordinator
 	link        sender
+	legacy      bool // The host speaks a protocol before daisylink.ProtocolLoad.
 
 	mu     sync.Mutex // Held while messages are sent, so that deltas stay in order.
 	sent   uint64     // The revision that the host has once it has received all that was sent; 0 if unknown.
@@ -41,7 +42,7 @@
 	if held < r.sent && now.Sub(r.sentAt) < resendDelay {
 		from = r.sent
 	}
-	messages, to := r.coordinator.deltaMessages(from)
+	messages, to := r.messages(from)
 	r.sent = max(to, held)
 	for _, m := range messages {
 		r.sentAt = now
@@ -52,6 +53,14 @@
 	return nil
 }
 
+// messages returns the messages that lead from a revision to the present one.
+func (r *replication) messages(from uint64) (messages [][]byte, to uint64) {
+	if r.legacy {
+		return r.coordinator.legacyMessages(from)
+	}
+	return r.coordinator.deltaMessages(from)
+}
+
 // answer sends what the host lacks and then the reply to its heartbeat. The reply names
 // the revision that the host must have for the lease.
 func (r *replication) answer(ctx context.Context, held uint64, reply daisyheartbeat.Reply) error {
--- a/internal/domain/daisyfleet/value.go
+++ b/internal/domain/daisyfleet/value.go
@@ -21,6 +21,7 @@
 	KindDocument   Kind = "Document"
 	KindServer     Kind = "Server"
 	KindLeadership Kind = "Primacy"
+	KindEvacuation Kind = "Evacuation"
 )
 
 // Acknowledge states what a write waits for before it is acknowledged.
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -380,6 +380,13 @@
 	Text string `json:"Text,omitempty,omitzero"`
 }
 
+// An order that the backend servers of the failure domain that the object is named
+// after get no more work.
+type Evacuation struct {
+	// When it was ordered, in nanoseconds since 1970.
+	At int64 `json:"At"`
+}
+
 // A decision on a change.
 type Event struct {
 	// When the change was proposed, in nanoseconds since 1970.
@@ -544,6 +551,9 @@
 	// Document corresponds to the JSON schema field "Document".
 	Document *Document `json:"Document,omitempty,omitzero"`
 
+	// Evacuation corresponds to the JSON schema field "Evacuation".
+	Evacuation *Evacuation `json:"Evacuation,omitempty,omitzero"`
+
 	// Host corresponds to the JSON schema field "Host".
 	Host *Host `json:"Host,omitempty,omitzero"`
 
