Move primaries and gateways out of evacuated failure domains

A primary in an evacuated failure domain is replaced once another server elsewhere is staying, announces itself and answers probes. Without the last condition a service whose other servers are down would begin one succession after another that promotes the same server.

A promotion chooses no evacuated server while another announces itself, with one exception: if a replica in an evacuated domain has received more than all others, only it may have the last acknowledged writes. It leads until the others have caught up.

Hosts in an evacuated domain rank last among the gateways of servers elsewhere. The servers of their own domain keep their gateways, since these get no work anyway and are to be in order when the servers return.

--- a/internal/control/daisyplacement/gateways.go
+++ b/internal/control/daisyplacement/gateways.go
@@ -17,6 +17,10 @@
 // that the server stays in use until the fleet's state has changed.
 var connectionShares = [maxGateways]float64{0.8, 0.15, 0.05}
 
+// evacuatedDistance is added to the distance of a host whose failure domain is
+// evacuated. It exceeds all distances.
+const evacuatedDistance = 3
+
 // Gateway is a host through which a backend server is used.
 type Gateway struct {
 	Host    string
@@ -60,19 +64,22 @@
 type candidate struct {
 	Gateway
 	failureDomain string
+	evacuated     bool // Its failure domain is.
 }
 
 func gatewayCandidates(s *daisyfleet.State) (hosts []candidate) {
 	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
 		if h, ok := o.Value.(daisyfleet.Host); ok && h.Up && !h.Leaving {
-			hosts = append(hosts, candidate{Gateway{Host: o.Name, Address: h.Address}, h.FailureDomain})
+			hosts = append(hosts, candidate{Gateway{Host: o.Name, Address: h.Address}, h.FailureDomain, s.Evacuated(h.FailureDomain)})
 		}
 	})
 	return hosts
 }
 
 // rank returns the gateways of the server in the failure domain, in order. The nearest
-// hosts come first, in the order of their weights.
+// hosts come first, in the order of their weights. Hosts of evacuated failure domains
+// come last, except for the servers of their own domain: these get no work, and keep
+// their gateways for when they return.
 func (t Topology) rank(server, domain string, hosts []candidate) (gateways []Gateway) {
 	type ranked struct {
 		Gateway
@@ -85,6 +92,9 @@
 	var best []ranked // Sorted.
 	for _, h := range hosts {
 		r := ranked{h.Gateway, t.distance(domain, h.failureDomain), Weight(server, h.Host)}
+		if h.evacuated && h.failureDomain != domain {
+			r.distance += evacuatedDistance
+		}
 		at, _ := slices.BinarySearchFunc(best, r, compare)
 		if at == maxGateways {
 			continue
--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -28,7 +28,8 @@
 	number  uint64 // Index of the last log entry received.
 	down    bool
 	leaving bool
-	refuses bool // Promotions are refused.
+	domain  string // Failure domain.
+	refuses bool   // Promotions are refused.
 }
 
 // host is a simulated entry host.
@@ -100,7 +101,7 @@
 		}
 		w.leader.Announce(w.now, daisypromotion.Announcement{
 			ID: s.id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+i)),
-			Started: time.Unix(900, 0), Sequence: w.sequence, Leaving: s.leaving, Role: s.role,
+			Started: time.Unix(900, 0), Sequence: w.sequence, Leaving: s.leaving, Role: s.role, FailureDomain: s.domain,
 		})
 	}
 }
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -133,18 +133,21 @@
 	if listed && server.Leaving && l.replaceable(now, s, service, leadership.Server) {
 		return next, fmt.Sprintf("primary %s of %s is leaving", leadership.Server, service)
 	}
+	if reason := l.evacuationReason(now, s, service, leadership.Server); reason != "" {
+		return next, reason
+	}
 	if reason := l.lossReason(now, s, service, leadership, listed); reason != "" {
 		return next, fmt.Sprintf("primary %s of %s is lost: %s", leadership.Server, service, reason)
 	}
 	return daisyfleet.Leadership{}, ""
 }
 
-// replaceable reports whether the service has another server that is not leaving
-// and announces itself.
+// replaceable reports whether the service has another server that is neither leaving
+// nor evacuated and announces itself.
 func (l *Leader) replaceable(now time.Time, s *daisyfleet.State, service, primary string) bool {
 	return slices.ContainsFunc(members(s, service), func(m member) bool {
 		known, ok := l.servers[m.name]
-		return m.name != primary && !m.server.Leaving && ok && now.Sub(known.seenAt) < announcementTimeout
+		return m.name != primary && !m.server.Leaving && !isEvacuated(s, m) && ok && now.Sub(known.seenAt) < announcementTimeout
 	})
 }
 
@@ -276,6 +279,7 @@
 			eligible = append(eligible, m)
 		}
 	}
+	eligible = l.withoutEvacuated(now, s, service, leadership.Previous, ongoing, eligible)
 	waited := now.Sub(ongoing.recalledAt)
 	if len(eligible) == 0 || unanswered > 0 && waited < gatherTimeout {
 		return member{}, false
