Send no work to servers in evacuated failure domains

The router leaves evacuated servers out of its choice, of the sampler of positions and of the checks of primaries. A write waits for a primary elsewhere, but not longer than the control leader takes to begin a succession (1 s): a primary that still leads then has no fit successor, and what only it can run is refused at once as not run, with a time to retry. So is everything while no server of a service is outside evacuated domains.

The gateway refuses statements for evacuated servers as not sent, also those that wait in its queue or for a connection, and aborts reads and uncommitted transactions 0.8 s after it learned of the order. A COMMIT, or a write outside a transaction, that was sent is awaited. The session aborts a transaction's statement by itself after 0.9 s, in case the gateway is another host with an older state.

A server that returns is a candidate for a share of the reads that grows over 2 s, unless no other server can serve them.

TestNoStatementBeginsOnEvacuatedServer is a property test of sessions, router, gateway and pool; it fails without either of the gateway's two checks before sending. The tests of open transactions fail without the abort in the session and without the gateway's interruption.

--- a/internal/backend/daisypool/conn.go
+++ b/internal/backend/daisypool/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
@@ -53,6 +54,7 @@
 	idleSince   time.Time
 	broken      bool
 	outstanding int // Number of statements without an answer yet.
+	interrupted atomic.Bool
 }
 
 // Server returns the name of the server.
@@ -108,10 +110,18 @@
 // MarkBroken makes Release close the connection.
 func (c *Conn) MarkBroken() { c.broken = true }
 
+// Interrupt closes the connection to the server, so that a statement in progress fails.
+// Unlike the other methods it may be called concurrently. The connection must still be
+// released.
+func (c *Conn) Interrupt() {
+	c.interrupted.Store(true)
+	c.link.Close()
+}
+
 // Release returns the connection to the pool. It closes a connection that is
 // broken or has answers outstanding.
 func (c *Conn) Release() {
-	if c.outstanding > 0 {
+	if c.outstanding > 0 || c.interrupted.Load() {
 		c.broken = true
 	}
 	c.pool.release(c)
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -47,7 +47,8 @@
 
 // serverState holds the queue for one server and its measured run times.
 type serverState struct {
-	queue *daisyqueue.Queue
+	queue      *daisyqueue.Queue
+	evacuation *evacuation
 
 	mu            sync.Mutex
 	slots         int
@@ -83,7 +84,10 @@
 	defer g.mu.Unlock()
 	s := g.servers[server]
 	if s == nil {
-		s = &serverState{queue: daisyqueue.New(defaultSlots + extraSlots), slots: defaultSlots, meanRunTime: initialRunTime, classRunTimes: make(map[string]time.Duration)}
+		s = &serverState{
+			queue: daisyqueue.New(defaultSlots + extraSlots), evacuation: newEvacuation(),
+			slots: defaultSlots, meanRunTime: initialRunTime, classRunTimes: make(map[string]time.Duration),
+		}
 		g.servers[server] = s
 	}
 	return s
@@ -168,14 +172,23 @@
 		return a, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
 	s := g.server(req.Server)
+	base := s.evacuation.context()
+	if base.Err() != nil {
+		g.counters.evacuated.Add(1)
+		return a, nil, errEvacuated
+	}
 	rank := s.rank(req)
 	if wait := s.expectedWait(req.Priority, rank); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
 		return a, nil, daisyrequest.NewOverloadError(wait, false)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), req.SendDeadline)
+	ctx, cancel := context.WithDeadline(base, req.SendDeadline)
 	defer cancel()
 	c, slot, err := g.obtain(ctx, s, req, rank)
+	if err != nil && s.evacuation.active() {
+		g.counters.evacuated.Add(1)
+		return a, nil, errEvacuated
+	}
 	if errors.Is(err, errQueueTimeout) {
 		g.counters.overloaded.Add(1)
 		return a, nil, daisyrequest.NewOverloadError(s.expectedWait(req.Priority, rank), true)
@@ -189,7 +202,11 @@
 	if err == nil && req.Pin && a.Failure == nil {
 		return a, &localPinnedConn{gateway: g, server: s, conn: c, class: req.QueueClass()}, nil
 	}
+	s.evacuation.end(c)
 	c.Release()
+	if errors.Is(err, daisyrequest.ErrEvacuated) {
+		g.counters.evacuated.Add(1)
+	}
 	return a, nil, err
 }
 
@@ -250,9 +267,15 @@
 // run sets the session values on the connection, prepares the statement to be
 // executed if the connection lacks it, and runs the statement.
 func run(s *serverState, c *daisypool.Conn, req daisyrequest.Request) (a daisystatement.Answer, err error) {
+	if err := s.evacuation.begin(c, &req); err != nil {
+		return a, err
+	}
 	if err := align(c, req); err != nil {
 		return a, err
 	}
+	if err := s.evacuation.begin(c, &req); err != nil { // The server may have been evacuated meanwhile.
+		return a, err
+	}
 	sent := time.Now()
 	statements := withPrepare(c, req.Statement)
 	if err := c.Send(statements); err != nil {
--- a/internal/holder/daisygateway/pinned.go
+++ b/internal/holder/daisygateway/pinned.go
@@ -28,7 +28,7 @@
 	if p.conn == nil {
 		return a, daisyrequest.ErrPinnedConnClosed
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	ctx, cancel := context.WithDeadline(p.server.evacuation.context(), req.Deadline)
 	defer cancel()
 	slot, err := p.server.queue.AcquireSlot(ctx, daisyqueue.SlotRequest{Workspace: req.Workspace, Weight: req.Weight, Urgent: true})
 	if err != nil {
@@ -52,6 +52,7 @@
 
 func (p *localPinnedConn) end() {
 	p.server.observeClass(p.class, p.runTime)
+	p.server.evacuation.end(p.conn)
 	p.conn.Release()
 	p.conn = nil
 	p.gateway.active.Add(-1)
@@ -68,6 +69,7 @@
 	p.gateway.wait.Go(func() {
 		defer p.gateway.active.Add(-1)
 		defer c.Release()
+		defer p.server.evacuation.end(c)
 		if err := c.Send([]daisystatement.Statement{systemStatement(daisystatement.KindRollback)}); err != nil {
 			return
 		}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -287,6 +287,7 @@
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
 			regions := h.options.Settings.Regions
+			h.gateway.SetEvacuated(o.Name, s.Evacuated(v.FailureDomain))
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
 		})
 	})
--- a/internal/session/daisyrouter/check.go
+++ b/internal/session/daisyrouter/check.go
@@ -31,7 +31,8 @@
 // primariesToCheck returns the primaries that failed, leave statements unanswered
 // or could not be reached at the last attempt, and marks them as being checked. A
 // check opens a connection instead of waiting for an answer: an overloaded primary
-// answers late, and replacing it would add to the load.
+// answers late, and replacing it would add to the load. Evacuated primaries are not
+// checked: hosts do not use them.
 func (r *Router) primariesToCheck() []primaryCheck {
 	now := daisyclock.Now()
 	r.mu.Lock()
@@ -39,7 +40,7 @@
 	var checks []primaryCheck
 	for name, s := range r.services {
 		l, ok := r.Leader(name)
-		if !ok || s.checking || !r.observes(name) || now.Sub(s.checked) < s.nextCheck(now) {
+		if !ok || s.checking || r.evacuations.has(l.Server) || !r.observes(name) || now.Sub(s.checked) < s.nextCheck(now) {
 			continue
 		}
 		server := r.server(l.Server)
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -105,6 +105,7 @@
 	servers        map[string]*daisyselector.Server
 	lastWorkspaces map[string]string       // By server, the workspace that used it last.
 	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
+	evacuations    evacuations
 }
 
 // New returns a router of an empty fleet.
@@ -112,7 +113,7 @@
 	r := &Router{
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
-		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1),
+		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1), evacuations: newEvacuations(),
 	}
 	r.groups.Store(&map[string]Group{})
 	return r
@@ -121,24 +122,25 @@
 // Refresh updates the servers from the fleet's state.
 func (r *Router) Refresh() {
 	groups := make(map[string]Group)
-	known := make(map[string]bool)
+	known := make(map[string]bool) // By server, whether its failure domain is evacuated.
 	r.options.View.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindServer, func(o daisyfleet.Object) {
 			v, ok := o.Value.(daisyfleet.Server)
 			if !ok {
 				return
 			}
-			known[o.Name] = true
+			known[o.Name] = s.Evacuated(v.FailureDomain)
 			g := groups[v.Service]
 			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, RoundTrip: r.roundTrip(v.FailureDomain)})
 			groups[v.Service] = g
 		})
 	})
-	r.groups.Store(&groups)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.evacuations.update(daisyclock.Now(), known)
+	r.groups.Store(&groups)
 	for name := range r.servers {
-		if !known[name] {
+		if _, ok := known[name]; !ok {
 			delete(r.servers, name)
 			delete(r.lastWorkspaces, name)
 		}
@@ -255,20 +257,29 @@
 }
 
 // Choose returns the server that is expected to be the first to answer a read. It skips
-// servers that are leaving or that were tried before.
+// servers that are leaving, evacuated or were tried before. A server that has just
+// returned from an evacuation is skipped for a part of the reads that others can serve.
 func (r *Router) Choose(q Query) (string, bool) {
 	leader := r.primary(q.Profile.Service)
 	now := daisyclock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var candidates []daisyselector.Candidate
+	var candidates, returning []daisyselector.Candidate
 	for _, s := range r.Group(q.Profile.Service).Servers {
-		if s.Leaving || contains(q.Exclude, s.Name) {
+		if s.Leaving || r.evacuations.has(s.Name) || contains(q.Exclude, s.Name) {
 			continue
 		}
 		c := r.server(s.Name)
 		c.RoundTrip = s.RoundTrip
-		candidates = append(candidates, daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
+		candidate := daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader}
+		if r.evacuations.offered(now, s.Name) {
+			candidates = append(candidates, candidate)
+		} else {
+			returning = append(returning, candidate)
+		}
+	}
+	if len(candidates) == 0 {
+		candidates = returning
 	}
 	best := daisyselector.Best(now, q.MinPosition, candidates)
 	if best < 0 {
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -68,7 +68,7 @@
 	for name, s := range r.services {
 		l, ok := r.Leader(name)
 		rank := r.gatewayRank(name)
-		if !ok || s.sampling || rank < 0 || now.Sub(s.used) > usageWindow {
+		if !ok || s.sampling || r.evacuations.has(l.Server) || rank < 0 || now.Sub(s.used) > usageWindow {
 			continue
 		}
 		limit := fallbackSampleAge
@@ -116,7 +116,7 @@
 	r.mu.Lock()
 	workspace := r.lastWorkspaces[l.Server]
 	r.mu.Unlock()
-	if !ok || workspace == "" {
+	if !ok || workspace == "" || r.Evacuated(l.Server) {
 		return
 	}
 	sentAt := daisyclock.Now()
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -48,13 +48,16 @@
 var errNoLeader = errors.New("the service has no primary")
 
 // awaitLeader waits until the service has a primary that the host may use, but no
-// longer than until.
+// longer than until. It does not wait for the end of an evacuation.
 func (s *Session) awaitLeader(service string, until time.Time) (daisyrouter.Leader, error) {
 	for {
 		changed := s.env.Router.Changed()
-		if l, ok := s.env.Router.Leader(service); ok {
+		if l, ok := s.env.Router.Leader(service); ok && !s.env.Router.Evacuated(l.Server) {
 			return l, nil
 		}
+		if s.env.Router.Unservable(service, true) {
+			return daisyrouter.Leader{}, daisyrequest.NewEvacuationError()
+		}
 		left := time.Until(until)
 		if left <= 0 {
 			return daisyrouter.Leader{}, errNoLeader
@@ -67,14 +70,16 @@
 }
 
 // refusal returns the answer to a statement that was not sent since the server's
-// queue is too long, if err is that. It is final: the client is told when to
-// return, and the hosts add no attempts of their own to an overload.
+// queue is too long or evacuations leave it no server, if err is that. It is final: the
+// client is told when to return, and the hosts add no attempts of their own.
 func refusal(state daisystatement.State, err error) (a daisystatement.Answer, ok bool) {
-	var overload *daisyrequest.OverloadError
-	if !errors.As(err, &overload) {
-		return a, false
+	if overload := (*daisyrequest.OverloadError)(nil); errors.As(err, &overload) {
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
+	}
+	if evacuation := (*daisyrequest.EvacuationError)(nil); errors.As(err, &evacuation) {
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", evacuation), true
 	}
-	return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
+	return a, false
 }
 
 // direct runs a statement on the primary. It retries a statement that was
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -50,6 +50,7 @@
 	refuse      func(s daisystatement.Statement) daisystatement.Code // Returns the code with which the statement is refused without being run.
 	runs        []run
 	commits     int
+	links       []*link // All that were opened.
 }
 
 func (s *server) ran(kind daisystatement.Kind) []run {
@@ -213,7 +214,11 @@
 	if s.unreachable {
 		return nil, errors.New("unreachable")
 	}
-	return &link{server: s}, nil
+	l := &link{server: s}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links = append(s.links, l)
+	return l, nil
 }
 
 func (f *fleet) Reach(_ context.Context, addr netip.AddrPort) error {
@@ -293,7 +298,10 @@
 func (f *fleet) put(k daisyfleet.Kind, name string, v daisyfleet.Value) {
 	err := f.view.Update(func(s *daisyfleet.State) error {
 		id := daisyfleet.ID{Kind: k, Name: name}
-		o, _ := s.Get(id)
+		o, ok := s.Get(id)
+		if !ok {
+			o.Revision = 0 // A deleted object is created anew.
+		}
 		f.applied++
 		out := s.Apply(f.applied, daisyfleet.Change{Operations: []daisyfleet.Operation{{ID: id, ExpectedRevision: o.Revision, Value: v}}})
 		if !out.Accepted {
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -36,6 +36,9 @@
 	var retrying retrier
 	for {
 		retrying.begin(s)
+		if refused, ok := s.refuseUnservable(p.Service, false, daisystatement.StateIdle); ok {
+			return refused
+		}
 		minPosition, known := s.minPosition(p, arrived)
 		st.MinPosition = minPosition
 		a, retry, err := s.race(p, st, s.freshness(p, known), arrived)
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -37,6 +37,9 @@
 // a request that it serves.
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
+	if s.env.Router.Evacuated(req.Server) {
+		return a, nil, errEvacuated
+	}
 	if left := s.env.Router.HeldOff(class); left > 0 {
 		return a, nil, daisyrequest.NewOverloadError(left, false)
 	}
@@ -55,6 +58,9 @@
 
 // forwardPinned is like forward, but runs the request on a pinned connection.
 func (s *Session) forwardPinned(conn daisyrequest.PinnedConn, req daisyrequest.Request) (daisystatement.Answer, error) {
+	if s.env.Router.Evacuated(req.Server) {
+		return daisystatement.Answer{}, errEvacuated
+	}
 	sent := daisyclock.Now()
 	s.env.Router.Started(req.Server, s.workspace)
 	a, err := conn.Do(req)
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -78,7 +78,7 @@
 	if !s.reads(st) {
 		t.wrote = true
 	}
-	a, err := s.forwardPinned(t.conn, t.request(st, deadline))
+	a, err := t.forwardAbortable(t.request(st, deadline))
 	if err != nil {
 		return t.abort("the transaction was lost before its commit: " + err.Error())
 	}
@@ -140,6 +140,10 @@
 			}
 			continue
 		}
+		if refused, ok := t.session.refuseUnservable(t.profile.Service, t.onLeader, daisystatement.StateFailed); ok {
+			t.failed, t.failureReported = true, true
+			return refused, false
+		}
 		if overloaded || !retry.wait(sendBy) {
 			break
 		}
