--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -167,6 +169,7 @@
 			metrics.AddGauge("daisyglade_sessions", func() float64 { return float64(host.Sessions()) })
 			metrics.AddGauge("daisyglade_desired_version", func() float64 { version, _ := host.Status(); return float64(version) })
 			metrics.AddGauge("daisyglade_lease_valid", func() float64 { _, valid := host.Status(); return boolGauge(valid) })
+			addEvacuations(metrics, p.settings.Regions, host.Evacuations)
 			addLoad(metrics, host)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Ready, platform.NewReadyHandler(host.Ready)),
@@ -180,6 +183,15 @@
 	}
 }
 
+// addEvacuations adds a gauge for each failure domain: whether it is evacuated.
+func addEvacuations(m *daisymetrics.Registry, domains map[string]string, evacuated func() []string) {
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		m.AddGauge(fmt.Sprintf("daisyglade_evacuated{domain=%q}", domain), func() float64 {
+			return boolGauge(slices.Contains(evacuated(), domain))
+		})
+	}
+}
+
 // addLoad adds the totals of an entry host's load to the metrics.
 func addLoad(m *daisymetrics.Registry, h *daisyentryhost.EntryHost) {
 	totals := []struct {
@@ -194,6 +206,7 @@
 		{"daisyglade_gateway_requests_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Requests }},
 		{"daisyglade_gateway_overloaded_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Overloaded }},
 		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
+		{"daisyglade_gateway_evacuated_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Evacuated }},
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
@@ -228,6 +241,7 @@
 			}
 			metrics := daisymetrics.New()
 			metrics.AddGauge("daisyglade_leads", func() float64 { return boolGauge(host.Leads()) })
+			addEvacuations(metrics, p.settings.Regions, host.Evacuations)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Control, platform.NewControlHandler(host, p.settings.Control, p.log)),
 				p.serveMetrics(c.Context(), metrics),
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +79,7 @@
 	cancel      context.CancelFunc
 	wait        sync.WaitGroup
 	leaving     atomic.Bool
+	evacuations atomic.Pointer[[]string] // The evacuated failure domains that the parts below know.
 
 	view      *daisyfleet.View
 	dialer    *daisylink.Dialer
@@ -233,14 +235,20 @@
 type loggedState struct {
 	leaseValid  bool
 	leaderships map[string]daisyfleet.Leadership
+	evacuations []string
 }
 
-// logChanges writes a log line for each change of the lease or of a primary.
+// logChanges writes a log line for each change of the lease, of the evacuated failure
+// domains or of a primary.
 func (h *EntryHost) logChanges(logged *loggedState) {
 	if valid := h.lease.Valid(); valid != logged.leaseValid {
 		logged.leaseValid = valid
 		h.options.Log.WithFields(log.Fields{"Valid": valid, "Revision": h.view.Revision()}).Info("front: lease changed")
 	}
+	if domains := h.Evacuations(); !slices.Equal(domains, logged.evacuations) {
+		logged.evacuations = domains
+		h.options.Log.WithField("Domains", domains).Info("front: evacuated failure domains changed")
+	}
 	h.view.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindLeadership, func(o daisyfleet.Object) {
 			leadership, ok := o.Value.(daisyfleet.Leadership)
@@ -257,6 +265,8 @@
 
 // refresh updates the parts of the host from the control state.
 func (h *EntryHost) refresh() {
+	evacuations := h.view.Evacuations() // Read first, since the state may change meanwhile.
+	defer h.evacuations.Store(&evacuations)
 	if d, ok := h.view.Document(); ok {
 		if current := h.index.Load(); current == nil || current.Version != d.Version {
 			h.applyDocument(d)
@@ -347,6 +357,14 @@
 	return version, h.lease.Valid()
 }
 
+// Evacuations returns the names of the evacuated failure domains that this host obeys.
+func (h *EntryHost) Evacuations() (domains []string) {
+	if obeyed := h.evacuations.Load(); obeyed != nil {
+		domains = *obeyed
+	}
+	return domains
+}
+
 // Sessions returns the number of connected clients.
 func (h *EntryHost) Sessions() int { return h.server.Sessions() }
 
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -65,6 +65,7 @@
 		"Requests":    l.Gateway.Requests - before.Gateway.Requests,
 		"Overloaded":  l.Gateway.Overloaded - before.Gateway.Overloaded,
 		"NotSent":     l.Gateway.NotSent - before.Gateway.NotSent,
+		"Evacuated":   l.Gateway.Evacuated - before.Gateway.Evacuated,
 		"Dials":       l.Dials - before.Dials,
 		"Checks":      l.Checks - before.Checks,
 		"Unsampled":   l.Unsampled - before.Unsampled,
