Test what a gateway cuts off, and drop tests that overlap

The stand-in links of the session's tests fail a receive once they are closed, as connections do, so that the tests see what the gateway interrupts. The new test of a read fails without the interruption; those of a COMMIT and of a write underway fail if the gateway may abort them.

--- a/internal/session/daisyrouter/evacuation_test.go
+++ b/internal/session/daisyrouter/evacuation_test.go
@@ -131,19 +131,3 @@
 		assert.Equal(t, total, 20)
 	})
 }
-
-// Guards against hosts that wait for a primary which the control leader does not
-// replace, and against refusals while it does.
-func TestPrimaryOfEvacuatedDomain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		r := newZonedRouter(t)
-		r.put(daisyfleet.KindEvacuation, "z1", daisyfleet.Evacuation{})
-		assert.Assert(t, !r.Unservable(serviceName, true))
-		time.Sleep(2 * time.Second)
-		assert.Assert(t, r.Unservable(serviceName, true))
-		r.put(daisyfleet.KindLeadership, serviceName, daisyfleet.Leadership{Epoch: 2, Previous: "m1", Term: 1})
-		assert.Assert(t, !r.Unservable(serviceName, true))
-		r.put(daisyfleet.KindLeadership, serviceName, daisyfleet.Leadership{Epoch: 2, Server: "m2", Previous: "m1", Term: 2})
-		assert.Assert(t, !r.Unservable(serviceName, true))
-	})
-}
--- a/internal/session/daisysession/evacuation_test.go
+++ b/internal/session/daisysession/evacuation_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// Guards against a read that goes on in an evacuated failure domain: it is cut off and
+// tried elsewhere, here in vain.
+func TestReadOnEvacuatedPrimaryEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newZonedFleet(t)
+		defer f.close()
+		f.addProfile(slowProfile())
+		f.servers["m1"].work = 3 * time.Second
+		answer := make(chan daisystatement.Answer, 1)
+		go func() { answer <- do(f.session("slow"), statement(daisystatement.KindRead, "r")) }()
+		time.Sleep(100 * time.Millisecond)
+		ordered := time.Now()
+		f.orderAll(0, true)
+		assert.Equal(t, code(<-answer), daisystatement.CodeBusy)
+		assert.Assert(t, time.Since(ordered) <= 1100*time.Millisecond, "answered after %v", time.Since(ordered))
+	})
+}
+
 // Guards against an idle transaction that keeps its connection to an evacuated server
 // until its client returns.
 func TestIdleTransactionOnEvacuatedServerEnds(t *testing.T) {
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -76,10 +76,15 @@
 	answers  []daisystatement.Answer
 	lost     bool
 	closed   atomic.Bool
+	done     chan struct{} // Closed with the link.
 }
 
 func (l *link) Alive() bool { return !l.closed.Load() }
-func (l *link) Close()      { l.closed.Store(true) }
+func (l *link) Close() {
+	if !l.closed.Swap(true) {
+		close(l.done)
+	}
+}
 
 func (l *link) Send(statements []daisystatement.Statement) error {
 	if l.server.unreachable {
@@ -167,12 +172,15 @@
 }
 
 func (l *link) Receive(deadline time.Time) (daisystatement.Answer, error) {
-	left := time.Until(deadline)
-	if l.server.work > left {
-		time.Sleep(left)
+	left, work := time.Until(deadline), l.server.work
+	select {
+	case <-time.After(min(left, work)):
+	case <-l.done:
+		return daisystatement.Answer{}, io.ErrClosedPipe
+	}
+	if work > left {
 		return daisystatement.Answer{}, os.ErrDeadlineExceeded
 	}
-	time.Sleep(l.server.work)
 	if l.lost {
 		return daisystatement.Answer{}, io.ErrUnexpectedEOF
 	}
@@ -214,7 +222,7 @@
 	if s.unreachable {
 		return nil, errors.New("unreachable")
 	}
-	l := &link{server: s}
+	l := &link{server: s, done: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.links = append(s.links, l)
