Make the command evacuate independent of the asked host's state

The command left out its change if the host that it asked showed the order as asked. That host may have an older state, so a repeated command could report an order that had been withdrawn meanwhile. It now always sends the change against the revision that it read, and tries again if that is old.

A test of reads under load through an order and its withdrawal is added: none fails or takes more than 0.5 s, and none runs on the evacuated server.

--- a/internal/command/daisycli/evacuate.go
+++ b/internal/command/daisycli/evacuate.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/http"
 	"time"
 
@@ -41,31 +40,23 @@
 	return c
 }
 
-// evacuate orders the evacuation of the failure domain, or withdraws it. An order that
-// holds already, or does not exist, is left as it is.
+// evacuate orders the evacuation of the failure domain, or withdraws it. It sends the
+// change even if the host that is asked shows that nothing is to be done, since that host
+// may have an older state; against an older revision the change is refused.
 func (o *operator) evacuate(c *cobra.Command, domain string, undo bool) error {
 	var objects []daisywire.Object
 	if err := o.call(c.Context(), http.MethodGet, "/v1/objects/"+string(daisyfleet.KindEvacuation), nil, &objects); err != nil {
 		return err
 	}
-	ordered := false
 	o.against = 0
 	for _, object := range objects {
 		if object.Name == domain {
-			ordered, o.against = true, object.Revision
+			o.against = object.Revision
 		}
 	}
 	object := daisywire.Object{Kind: string(daisyfleet.KindEvacuation), Name: domain, Deleted: undo}
 	if !undo {
 		object.Evacuation = &daisywire.Evacuation{At: time.Now().UnixNano()}
 	}
-	if ordered != undo {
-		state := "ordered"
-		if undo {
-			state = "not ordered"
-		}
-		_, err := fmt.Fprintf(c.OutOrStdout(), "Evacuation %s is %s\n", domain, state)
-		return err
-	}
 	return o.change(c, object)
 }
--- a/internal/session/daisysession/evacuation_test.go
+++ b/internal/session/daisysession/evacuation_test.go
@@ -1,7 +1,9 @@
 package daisysession_test
 
 import (
+	"context"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -237,3 +239,39 @@
 		assert.Equal(t, len(f.servers["m1"].ran(daisystatement.KindWrite)), 0)
 	})
 }
+
+// Guards against an evacuation, or a withdrawal, that refuses or delays reads which the
+// other server can run: none fails or is late under load.
+func TestReadsUnderLoadDuringEvacuation(t *testing.T) {
+	const clients, reads = 10, 60
+	synctest.Test(t, func(t *testing.T) {
+		f := newZonedFleet(t)
+		defer f.close()
+		do(f.session("strict"), statement(daisystatement.KindRead, "warm")) // Brings a position of the primary.
+		ctx, cancel := context.WithCancel(t.Context())
+		var sampler, wait sync.WaitGroup
+		sampler.Go(func() { f.router.Run(ctx) })
+		for range clients {
+			wait.Go(func() {
+				s := f.session("loose")
+				defer s.Close()
+				for range reads {
+					began := time.Now()
+					assert.Check(t, do(s, statement(daisystatement.KindRead, "r")).Failure == nil)
+					assert.Check(t, time.Since(began) < 500*time.Millisecond, "answered after %v", time.Since(began))
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		f.orderAll(1, true)
+		during := len(f.servers["m2"].ran(daisystatement.KindRead))
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(f.servers["m2"].ran(daisystatement.KindRead)), during)
+		f.orderAll(1, false)
+		wait.Wait()
+		assert.Assert(t, len(f.servers["m2"].ran(daisystatement.KindRead)) > during)
+		cancel()
+		sampler.Wait()
+	})
+}
