--- a/internal/cluster/daisycoordinator/coordinator.go
+++ b/internal/cluster/daisycoordinator/coordinator.go
@@ -96,7 +96,7 @@
 // and then a delta with the later changes.
 type fullState struct {
 	revision uint64
-	message  deltaMessage
+	message  []byte
 }
 
 // maxFullStateAge is the maximum age of the cached full state, in revisions.
@@ -227,11 +227,11 @@
 
 // refreshFullState encodes the full state if the cached one is too old; c.mu is held.
 func (c *Coordinator) refreshFullState(s *daisyfleet.State) {
-	if c.fullState.message.plain != nil && s.Revision()-c.fullState.revision <= maxFullStateAge {
+	if c.fullState.message != nil && s.Revision()-c.fullState.revision <= maxFullStateAge {
 		return
 	}
 	delta := s.Delta(0)
-	c.fullState = fullState{revision: delta.To, message: newDeltaMessage(&delta)}
+	c.fullState = fullState{revision: delta.To, message: encodeDelta(&delta)}
 }
 
 // answer is the answer to a heartbeat.
@@ -298,7 +298,7 @@
 	defer cancel()
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	state := &replication{coordinator: c, link: link}
+	state := &replication{coordinator: c, link: link, legacy: link.Protocol() < daisylink.ProtocolLoad}
 	wait.Go(func() { c.push(ctx, link, state) })
 	defer cancel()
 	for {
@@ -371,7 +371,7 @@
 	}
 	c.view.Read(func(s *daisyfleet.State) {
 		if state.sent = s.Revision(); state.sent != held {
-			delta := s.Delta(held)
+			delta := legacyDelta(s.Delta(held))
 			a.reply.Delta = &delta
 		}
 	})
--- a/internal/cluster/daisycoordinator/replication.go
+++ b/internal/cluster/daisycoordinator/replication.go
@@ -8,7 +8,6 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
-	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -20,27 +19,12 @@
 // sender sends messages to one host.
 type sender interface {
 	Send(ctx context.Context, message []byte) error
-	// Protocol returns the protocol of the host, one of daisylink's.
-	Protocol() int
 }
 
-// deltaMessage is an encoded delta. It is compressed once for all hosts that
-// understand that.
-type deltaMessage struct {
-	plain, compressed []byte
-}
-
-func newDeltaMessage(d *daisyfleet.Delta) deltaMessage {
-	plain := daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: d})
-	return deltaMessage{plain: plain, compressed: daisycodec.Compress(plain)}
-}
-
-// encodedFor returns the message for a host of the protocol.
-func (m deltaMessage) encodedFor(protocol int) []byte {
-	if protocol >= daisylink.ProtocolLoad {
-		return m.compressed
-	}
-	return m.plain
+// encodeDelta returns the message that carries the delta to hosts of
+// daisylink.ProtocolLoad or later. It is compressed once for all of them.
+func encodeDelta(d *daisyfleet.Delta) []byte {
+	return daisycodec.Compress(daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Delta: d}))
 }
 
 // replication brings the state of one host up to date over one link. Messages arrive
@@ -49,6 +33,7 @@
 type replication struct {
 	coordinator *Coordinator
 	link        sender
+	legacy      bool // The host speaks a protocol before daisylink.ProtocolLoad.
 
 	mu     sync.Mutex // Held while messages are sent, so that deltas stay in order.
 	sent   uint64     // The revision that the host has once it has received all that was sent; 0 if unknown.
@@ -63,17 +48,25 @@
 	if held < r.sent && now.Sub(r.sentAt) < resendDelay {
 		from = r.sent
 	}
-	messages, to := r.coordinator.deltaMessages(from)
+	messages, to := r.messages(from)
 	r.sent = max(to, held)
 	for _, m := range messages {
 		r.sentAt = now
-		if err := r.link.Send(ctx, m.encodedFor(r.link.Protocol())); err != nil {
+		if err := r.link.Send(ctx, m); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// messages returns the messages that lead from a revision to the present one.
+func (r *replication) messages(from uint64) (messages [][]byte, to uint64) {
+	if r.legacy {
+		return r.coordinator.legacyMessages(from)
+	}
+	return r.coordinator.deltaMessages(from)
+}
+
 // answer sends what the host lacks and then the reply to its heartbeat. The reply names
 // the revision that the host must have for the lease.
 func (r *replication) answer(ctx context.Context, held uint64, reply daisyheartbeat.Reply) error {
@@ -102,12 +95,12 @@
 type deltaCache struct {
 	mu       sync.Mutex
 	to       uint64
-	messages map[uint64]deltaMessage
+	messages map[uint64][]byte
 }
 
 // deltaMessages returns the encoded messages that lead from a revision to the present
 // one, and that revision. From revision 0 they begin with the full state.
-func (c *Coordinator) deltaMessages(from uint64) (messages []deltaMessage, to uint64) {
+func (c *Coordinator) deltaMessages(from uint64) (messages [][]byte, to uint64) {
 	c.mu.Lock()
 	c.view.Read(func(s *daisyfleet.State) {
 		to = s.Revision()
@@ -125,22 +118,22 @@
 }
 
 // delta returns the encoded delta from the revision to the present one.
-func (c *Coordinator) delta(from uint64) (message deltaMessage, to uint64) {
+func (c *Coordinator) delta(from uint64) (message []byte, to uint64) {
 	c.deltas.mu.Lock()
 	defer c.deltas.mu.Unlock()
 	var delta daisyfleet.Delta
 	c.view.Read(func(s *daisyfleet.State) {
 		to = s.Revision()
-		if to == c.deltas.to && c.deltas.messages[from].plain != nil {
+		if to == c.deltas.to && c.deltas.messages[from] != nil {
 			return
 		}
 		delta = s.Delta(from)
 	})
 	if to != c.deltas.to || c.deltas.messages == nil {
-		c.deltas.to, c.deltas.messages = to, make(map[uint64]deltaMessage)
+		c.deltas.to, c.deltas.messages = to, make(map[uint64][]byte)
 	}
-	if c.deltas.messages[from].plain == nil {
-		c.deltas.messages[from] = newDeltaMessage(&delta)
+	if c.deltas.messages[from] == nil {
+		c.deltas.messages[from] = encodeDelta(&delta)
 	}
 	return c.deltas.messages[from], to
 }
--- a/internal/cluster/daisycoordinator/replication_test.go
+++ b/internal/cluster/daisycoordinator/replication_test.go
@@ -11,7 +11,6 @@
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
-	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -36,8 +35,6 @@
 	return nil
 }
 
-func (l *recordingLink) Protocol() int { return daisylink.ProtocolLoad }
-
 // putDocument stores a desired state of some size that does not compress.
 func putDocument(t *testing.T, v *daisyfleet.View, version uint64) {
 	content := make([]byte, 15_000)
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
 	"os"
@@ -172,6 +174,7 @@
 			metrics.AddGauge("daisyglade_sessions", func() float64 { return float64(host.Sessions()) })
 			metrics.AddGauge("daisyglade_desired_version", func() float64 { version, _ := host.Status(); return float64(version) })
 			metrics.AddGauge("daisyglade_lease_valid", func() float64 { _, valid := host.Status(); return boolGauge(valid) })
+			addEvacuations(metrics, p.settings.Regions, host.Evacuations)
 			addLoad(metrics, host)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Ready, platform.NewReadyHandler(host.Ready)),
@@ -185,6 +188,15 @@
 	}
 }
 
+// addEvacuations adds a gauge for each failure domain: whether it is evacuated.
+func addEvacuations(m *daisymetrics.Registry, domains map[string]string, evacuated func() []string) {
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		m.AddGauge(fmt.Sprintf("daisyglade_evacuated{domain=%q}", domain), func() float64 {
+			return boolGauge(slices.Contains(evacuated(), domain))
+		})
+	}
+}
+
 // addLoad adds the totals of an entry host's load to the metrics.
 func addLoad(m *daisymetrics.Registry, h *daisyentryhost.EntryHost) {
 	totals := []struct {
@@ -199,6 +211,7 @@
 		{"daisyglade_gateway_requests_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Requests }},
 		{"daisyglade_gateway_overloaded_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Overloaded }},
 		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
+		{"daisyglade_gateway_evacuated_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Evacuated }},
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
 		{"daisyglade_server_dials_refused_total", func(l daisyentryhost.Load) uint64 { return l.Refused }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
@@ -238,6 +251,7 @@
 			metrics.AddGauge("daisyglade_leads", func() float64 { return boolGauge(host.Leads()) })
 			metrics.AddGauge("daisyglade_control_links", func() float64 { open, _ := host.Links(); return float64(open) })
 			metrics.AddGauge("daisyglade_control_links_total", func() float64 { _, opened := host.Links(); return float64(opened) })
+			addEvacuations(metrics, p.settings.Regions, host.Evacuations)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Control, platform.NewControlHandler(host, p.settings.Control, p.log)),
 				p.serveMetrics(c.Context(), metrics, nil),
--- a/internal/control/daisyplacement/fingerprint.go
+++ b/internal/control/daisyplacement/fingerprint.go
@@ -14,7 +14,7 @@
 func Fingerprint(s *daisyfleet.State) (sum uint64) {
 	s.Each(daisyfleet.KindHost, func(o daisyfleet.Object) {
 		if h, ok := o.Value.(daisyfleet.Host); ok {
-			sum += hashOf("host", o.Name, h.FailureDomain, h.Address.String(), fmt.Sprint(h.Up && !h.Leaving))
+			sum += hashOf("host", o.Name, h.FailureDomain, h.Address.String(), fmt.Sprint(h.Up && !h.Leaving, s.Evacuated(h.FailureDomain)))
 		}
 	})
 	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,7 @@
 	cancel      context.CancelFunc
 	wait        sync.WaitGroup
 	leaving     atomic.Bool
+	evacuations atomic.Pointer[[]string] // The evacuated failure domains that the parts below know.
 
 	view      *daisyfleet.View
 	dialer    *daisylink.Dialer
@@ -231,7 +233,7 @@
 // logUntilChange logs changes of the lease and of primaries until the control
 // state changes. It returns false if the host is closed.
 func (h *EntryHost) logUntilChange(changed <-chan struct{}, tick <-chan time.Time, logged *loggedState) bool {
-	h.logPrimaries(logged)
+	h.logState(logged)
 	for {
 		h.logLease(logged)
 		select {
@@ -248,6 +250,7 @@
 type loggedState struct {
 	leaseValid  bool
 	leaderships map[string]daisyfleet.Leadership
+	evacuations []string
 }
 
 // logLease writes a log line if the lease has expired or become valid.
@@ -258,8 +261,13 @@
 	}
 }
 
-// logPrimaries writes a log line for each change of a primary.
-func (h *EntryHost) logPrimaries(logged *loggedState) {
+// logState writes a log line for each change of the evacuated failure domains or of a
+// primary.
+func (h *EntryHost) logState(logged *loggedState) {
+	if domains := h.Evacuations(); !slices.Equal(domains, logged.evacuations) {
+		logged.evacuations = domains
+		h.options.Log.WithField("Domains", domains).Info("front: evacuated failure domains changed")
+	}
 	h.view.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindLeadership, func(o daisyfleet.Object) {
 			leadership, ok := o.Value.(daisyfleet.Leadership)
@@ -276,6 +284,8 @@
 
 // refresh updates the parts of the host from the control state.
 func (h *EntryHost) refresh() {
+	evacuations := h.view.Evacuations() // Read first, since the state may change meanwhile.
+	defer h.evacuations.Store(&evacuations)
 	if d, ok := h.view.Document(); ok {
 		if current := h.index.Load(); current == nil || current.Version != d.Version {
 			h.applyDocument(d)
@@ -311,6 +321,7 @@
 				return
 			}
 			regions := h.options.Settings.Regions
+			h.gateway.SetEvacuated(o.Name, s.Evacuated(v.FailureDomain))
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
 		})
 	})
@@ -370,6 +381,14 @@
 	return version, h.lease.Valid()
 }
 
+// Evacuations returns the names of the evacuated failure domains that this host obeys.
+func (h *EntryHost) Evacuations() (domains []string) {
+	if obeyed := h.evacuations.Load(); obeyed != nil {
+		domains = *obeyed
+	}
+	return domains
+}
+
 // Sessions returns the number of connected clients.
 func (h *EntryHost) Sessions() int { return h.server.Sessions() }
 
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -78,6 +78,7 @@
 		"Requests":     l.Gateway.Requests - before.Gateway.Requests,
 		"Overloaded":   l.Gateway.Overloaded - before.Gateway.Overloaded,
 		"NotSent":      l.Gateway.NotSent - before.Gateway.NotSent,
+		"Evacuated":    l.Gateway.Evacuated - before.Gateway.Evacuated,
 		"Dials":        l.Dials - before.Dials,
 		"DialsRefused": l.Refused - before.Refused,
 		"Checks":       l.Checks - before.Checks,
--- a/internal/session/daisyrouter/balance.go
+++ b/internal/session/daisyrouter/balance.go
@@ -48,8 +48,11 @@
 // barred returns why no read like q may go to the server, whatever its load is, or an
 // empty string if it may.
 func (r *Router) barred(_ Query, s Server) string {
-	if s.Leaving {
+	switch {
+	case s.Leaving:
 		return "it is leaving"
+	case r.evacuations.has(s.Name):
+		return "its failure domain is evacuated"
 	}
 	return ""
 }
@@ -64,11 +67,17 @@
 // that may not. It requires r.mu.
 func (r *Router) candidates(now time.Time, q Query) (candidates []daisybalance.Candidate, barred []barredServer) {
 	leader := r.primary(q.Profile.Service)
-	for _, s := range r.Group(q.Profile.Service).Servers {
+	servers := r.Group(q.Profile.Service).Servers
+	returning := r.returning(now, q, servers)
+	for _, s := range servers {
 		if reason := r.barred(q, s); reason != "" {
 			barred = append(barred, barredServer{Server: s, reason: reason})
 			continue
 		}
+		if returning[s.Name] {
+			barred = append(barred, barredServer{Server: s, reason: "it has just returned from an evacuation and gets a part of the reads"})
+			continue
+		}
 		observed := r.server(s.Name)
 		observed.RoundTrip = s.RoundTrip
 		trip := s.RoundTrip
@@ -85,6 +94,28 @@
 	return candidates, barred
 }
 
+// returning returns the servers that have just returned from an evacuation and are not
+// offered this read: none if no other server could serve it. It requires r.mu.
+func (r *Router) returning(now time.Time, q Query, servers []Server) map[string]bool {
+	if len(r.evacuations.returns) == 0 {
+		return nil
+	}
+	returning, others := make(map[string]bool), false
+	for _, s := range servers {
+		switch {
+		case r.barred(q, s) != "" || contains(q.Exclude, s.Name):
+		case r.evacuations.offered(now, s.Name):
+			others = true
+		default:
+			returning[s.Name] = true
+		}
+	}
+	if !others {
+		return nil
+	}
+	return returning
+}
+
 // Chosen counts the reads for which a server was chosen, by its distance.
 type Chosen [daisybalance.OtherRegion + 1]uint64
 
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -115,6 +115,7 @@
 	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
 	balancers      map[balancedClass]*daisybalance.Balancer
 	chosen         Chosen
+	evacuations    evacuations
 }
 
 // New returns a router of an empty fleet.
@@ -122,7 +123,7 @@
 	r := &Router{
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
-		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1),
+		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1), evacuations: newEvacuations(),
 		balancers: make(map[balancedClass]*daisybalance.Balancer),
 	}
 	if o.Rand == nil {
@@ -135,25 +136,26 @@
 // Refresh updates the servers from the fleet's state.
 func (r *Router) Refresh() {
 	groups := make(map[string]Group)
-	known := make(map[string]bool)
+	known := make(map[string]bool) // By server, whether its failure domain is evacuated.
 	r.options.View.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindServer, func(o daisyfleet.Object) {
 			v, ok := o.Value.(daisyfleet.Server)
 			if !ok {
 				return
 			}
-			known[o.Name] = true
+			known[o.Name] = s.Evacuated(v.FailureDomain)
 			g := groups[v.Service]
 			d := r.distance(v.FailureDomain)
 			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, Distance: d, RoundTrip: roundTrips[d]})
 			groups[v.Service] = g
 		})
 	})
-	r.groups.Store(&groups)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.evacuations.update(daisyclock.Now(), known)
+	r.groups.Store(&groups)
 	for name := range r.servers {
-		if !known[name] {
+		if _, ok := known[name]; !ok {
 			delete(r.servers, name)
 			delete(r.lastWorkspaces, name)
 		}
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -50,6 +50,7 @@
 	refuse      func(s daisystatement.Statement) daisystatement.Code // Returns the code with which the statement is refused without being run.
 	runs        []run
 	commits     int
+	links       []*link // All that were opened.
 }
 
 func (s *server) ran(kind daisystatement.Kind) []run {
@@ -75,10 +76,15 @@
 	answers  []daisystatement.Answer
 	lost     bool
 	closed   atomic.Bool
+	done     chan struct{} // Closed with the link.
 }
 
 func (l *link) Alive() bool { return !l.closed.Load() }
-func (l *link) Close()      { l.closed.Store(true) }
+func (l *link) Close() {
+	if !l.closed.Swap(true) {
+		close(l.done)
+	}
+}
 
 func (l *link) Send(statements []daisystatement.Statement) error {
 	if l.server.unreachable {
@@ -166,12 +172,15 @@
 }
 
 func (l *link) Receive(deadline time.Time) (daisystatement.Answer, error) {
-	left := time.Until(deadline)
-	if l.server.work > left {
-		time.Sleep(left)
+	left, work := time.Until(deadline), l.server.work
+	select {
+	case <-time.After(min(left, work)):
+	case <-l.done:
+		return daisystatement.Answer{}, io.ErrClosedPipe
+	}
+	if work > left {
 		return daisystatement.Answer{}, os.ErrDeadlineExceeded
 	}
-	time.Sleep(l.server.work)
 	if l.lost {
 		return daisystatement.Answer{}, io.ErrUnexpectedEOF
 	}
@@ -213,7 +222,11 @@
 	if s.unreachable {
 		return nil, errors.New("unreachable")
 	}
-	return &link{server: s}, nil
+	l := &link{server: s, done: make(chan struct{})}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.links = append(s.links, l)
+	return l, nil
 }
 
 func (f *fleet) Reach(_ context.Context, addr netip.AddrPort) error {
@@ -293,7 +306,10 @@
 func (f *fleet) put(k daisyfleet.Kind, name string, v daisyfleet.Value) {
 	err := f.view.Update(func(s *daisyfleet.State) error {
 		id := daisyfleet.ID{Kind: k, Name: name}
-		o, _ := s.Get(id)
+		o, ok := s.Get(id)
+		if !ok {
+			o.Revision = 0 // A deleted object is created anew.
+		}
 		f.applied++
 		out := s.Apply(f.applied, daisyfleet.Change{Operations: []daisyfleet.Operation{{ID: id, ExpectedRevision: o.Revision, Value: v}}})
 		if !out.Accepted {
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -47,6 +47,9 @@
 // a request that it serves.
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
+	if s.env.Router.Evacuated(req.Server) {
+		return a, nil, errEvacuated
+	}
 	if left := s.env.Router.HeldOff(class); left > 0 {
 		return a, nil, daisyrequest.NewOverloadError(spread(left, s.env.Router.HeldOffTotal()), false)
 	}
@@ -88,6 +91,9 @@
 
 // forwardPinned is like forward, but runs the request on a pinned connection.
 func (s *Session) forwardPinned(conn daisyrequest.PinnedConn, req daisyrequest.Request) (daisystatement.Answer, error) {
+	if s.env.Router.Evacuated(req.Server) {
+		return daisystatement.Answer{}, errEvacuated
+	}
 	sent := daisyclock.Now()
 	s.env.Router.Started(req.Server, s.workspace)
 	a, err := conn.Do(req)
