Keep statements in the home regions of their profile and workspace

Profiles and workspaces may name home regions. daisyspec decides whether a region is allowed, the router leaves out servers elsewhere, every request is checked once more before it is forwarded, and the forwarder uses no gateway elsewhere but this host. What has no place is refused at once as not run; a transaction is aborted when its home regions change. Positions of a primary are asked for over the connection of a workspace that may use it.

--- a/internal/config/daisyspec/document.go
+++ b/internal/config/daisyspec/document.go
@@ -32,6 +32,7 @@
 	Latency   time.Duration // The objective for a whole operation.
 	Priority  int           // 0 is the highest.
 	Public    bool          // No key is needed.
+	Regions   []string      // Home regions; empty sets no restriction.
 }
 
 // Service is a replicated database group.
@@ -39,6 +40,7 @@
 	Name         string
 	Connections  int // To each server, from all hosts together.
 	SyncReplicas int // Replicas that hold a write before it is acknowledged.
+	Cold         Cold
 }
 
 // Workspace is a tenant with its keys and its rate limit over all hosts.
@@ -46,8 +48,9 @@
 	Name     string
 	Keys     []string
 	Priority int
-	Rate     float64 // Operations per second.
-	Burst    float64 // Operations at once.
+	Rate     float64  // Operations per second.
+	Burst    float64  // Operations at once.
+	Regions  []string // Home regions; empty sets no restriction.
 }
 
 // Document is one version of the desired state.
@@ -67,6 +70,9 @@
 			return fmt.Errorf("service %q is given twice", s.Name)
 		}
 		services[s.Name] = true
+		if err := s.Cold.check(s.Name); err != nil {
+			return err
+		}
 	}
 	if err := d.checkProfiles(services); err != nil {
 		return err
@@ -92,6 +98,9 @@
 			return fmt.Errorf("profiles %q and %q have the same database and path", names[at], p.Name)
 		}
 		names[at] = p.Name
+		if err := checkRegions("profile", p.Name, p.Regions); err != nil {
+			return err
+		}
 	}
 	return nil
 }
@@ -109,6 +118,9 @@
 			return fmt.Errorf("workspace %q has a negative rate or burst", w.Name)
 		}
 		names[w.Name] = true
+		if err := checkRegions("workspace", w.Name, w.Regions); err != nil {
+			return err
+		}
 		for _, k := range w.Keys {
 			if owner, taken := owners[k]; taken && owner != w.Name {
 				return fmt.Errorf("workspaces %q and %q share a key", owner, w.Name)
--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -62,6 +62,7 @@
 	Deadline     time.Time // For receiving the answer.
 	Pin          bool      // Keep the connection for a transaction.
 	Freshness    Freshness // For a read without a known position; zero for other statements.
+	Home         Home      // Where the statement may be sent; nil sets no restriction. It stays within the host.
 }
 
 // Freshness asks the gateway of a replica to add the minimum position that a read
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -58,6 +58,7 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	gateways atomic.Pointer[map[string][]daisyplacement.Gateway] // By server.
+	regions  atomic.Pointer[map[string]string]                   // By host.
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -68,12 +69,15 @@
 	f := &Forwarder{options: o, links: make(map[netip.AddrPort]*link)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.gateways.Store(&map[string][]daisyplacement.Gateway{})
+	f.regions.Store(&map[string]string{})
 	return f
 }
 
 // Refresh sets the gateways from the fleet's state.
 func (f *Forwarder) Refresh(s *daisyfleet.State) {
 	next := f.options.Topology.Gateways(s)
+	regions := hostRegions(f.options.Topology, s)
+	f.regions.Store(&regions)
 	f.gateways.Store(&next)
 }
 
@@ -95,6 +99,12 @@
 		if time.Until(req.SendDeadline) <= 0 {
 			break
 		}
+		if !f.mayUse(g, &req) {
+			if errors.Is(err, errNoGateway) {
+				err = errNoGatewayAtHome(&req)
+			}
+			continue
+		}
 		a, pinned, err = f.runAt(g, req)
 		if !errors.Is(err, daisyrequest.ErrUnreachable) {
 			return a, pinned, err
--- a/internal/host/daisycontrolhost/orders.go
+++ b/internal/host/daisycontrolhost/orders.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -59,6 +61,7 @@
 	if !ok || o.Revision == d.revision && hosts == d.hosts {
 		return
 	}
+	changed := o.Revision != d.revision
 	d.revision, d.hosts = o.Revision, hosts
 	current, _ := o.Value.(daisyfleet.Document)
 	document, err := d.host.parse(current)
@@ -66,9 +69,20 @@
 		d.host.options.Log.WithError(err).Error("core: accepted desired state is unreadable; the previous one stays in force")
 		return
 	}
+	if changed {
+		d.host.warnUnknownRegions(document)
+	}
 	d.SetDesired(now, s, desired(document))
 }
 
+// warnUnknownRegions logs the home regions that no failure domain has.
+func (c *ControlHost) warnUnknownRegions(d *daisyspec.Document) {
+	known := slices.Collect(maps.Values(c.options.Settings.Regions))
+	if unknown := d.UnknownRegions(known); len(unknown) > 0 {
+		c.options.Log.WithFields(log.Fields{"Version": d.Version, "Regions": unknown}).Warn("core: home regions have no failure domain; they allow nothing")
+	}
+}
+
 // desired returns the part of the document that the leader's decisions depend on.
 func desired(d *daisyspec.Document) daisypromotion.Desired {
 	next := daisypromotion.Desired{SyncReplicas: make(map[string]int)}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -147,7 +147,7 @@
 	})
 	h.router = daisyrouter.New(daisyrouter.Options{
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
-		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions,
+		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions, Index: h.index.Load,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -51,8 +51,9 @@
 	Reach          func(ctx context.Context, server string) error // Returns an error if no connection to the server can be opened.
 	GatewayRank    func(server string) int                        // The rank of this host among the server's gateways; -1 if it is none.
 	Location       Location
-	Regions        map[string]string // The region of each failure domain.
-	OnUnresponsive func()            // Called when a primary can no longer be reached.
+	Regions        map[string]string       // The region of each failure domain.
+	Index          func() *daisyspec.Index // Returns the index of the current desired state, nil before the first; may be nil.
+	OnUnresponsive func()                  // Called when a primary can no longer be reached.
 	// Delayed reports whether messages of this host are held up, so that it says nothing
 	// about a primary if this host cannot reach it; may be nil.
 	Delayed func() bool
@@ -75,6 +76,7 @@
 	Name      string
 	Leaving   bool
 	RoundTrip time.Duration // Assumed round trip to the server.
+	Region    string
 }
 
 // service is the router's state of one service.
@@ -97,6 +99,7 @@
 	checks    atomic.Uint64
 	unsampled atomic.Uint64
 	heldOff   atomic.Uint64
+	notAtHome atomic.Uint64
 
 	wake chan struct{} // Receives when a service is to be sampled at once.
 
@@ -130,7 +133,9 @@
 			}
 			known[o.Name] = true
 			g := groups[v.Service]
-			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, RoundTrip: r.roundTrip(v.FailureDomain)})
+			g.Servers = append(g.Servers, Server{
+				Name: o.Name, Leaving: v.Leaving, RoundTrip: r.roundTrip(v.FailureDomain), Region: r.options.Regions[v.FailureDomain],
+			})
 			groups[v.Service] = g
 		})
 	})
@@ -252,6 +257,7 @@
 	Workspace   string
 	MinPosition daisystatement.Position // The least log position that the server must have.
 	Exclude     []string                // Servers that were tried before.
+	Home        daisyspec.Home          // Where the read may run.
 }
 
 // Choose returns the server that is expected to be the first to answer a read. It skips
@@ -263,7 +269,7 @@
 	defer r.mu.Unlock()
 	var candidates []daisyselector.Candidate
 	for _, s := range r.Group(q.Profile.Service).Servers {
-		if s.Leaving || contains(q.Exclude, s.Name) {
+		if s.Leaving || contains(q.Exclude, s.Name) || !q.Home.Allows(s.Region) {
 			continue
 		}
 		c := r.server(s.Name)
--- a/internal/session/daisyrouter/sampler.go
+++ b/internal/session/daisyrouter/sampler.go
@@ -114,7 +114,7 @@
 	}()
 	l, ok := r.Leader(name)
 	r.mu.Lock()
-	workspace := r.lastWorkspaces[l.Server]
+	workspace := r.sampleWorkspace(name, l.Server)
 	r.mu.Unlock()
 	if !ok || workspace == "" {
 		return
@@ -125,6 +125,7 @@
 	a, _, err := r.options.Forwarder.Run(daisyrequest.Request{
 		Service: name, Server: l.Server, Workspace: workspace, SendDeadline: limit, Deadline: limit,
 		Statement: daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindStatus},
+		Home:      r.sampleHome(workspace),
 	})
 	switch {
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -67,14 +67,24 @@
 }
 
 // refusal returns the answer to a statement that was not sent since the server's
-// queue is too long, if err is that. It is final: the client is told when to
-// return, and the hosts add no attempts of their own to an overload.
+// queue is too long or the home regions have no place for it, if err is that. It is
+// final: the client is told when to return, and the hosts add no attempts of their own
+// to an overload.
 func refusal(state daisystatement.State, err error) (a daisystatement.Answer, ok bool) {
 	var overload *daisyrequest.OverloadError
-	if !errors.As(err, &overload) {
-		return a, false
+	var home *daisyrequest.HomeError
+	switch {
+	case errors.As(err, &home):
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", home), true
+	case errors.As(err, &overload):
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
 	}
-	return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
+	return a, false
+}
+
+func isHomeError(err error) bool {
+	var home *daisyrequest.HomeError
+	return errors.As(err, &home)
 }
 
 // direct runs a statement on the primary. It retries a statement that was
@@ -86,6 +96,9 @@
 	var retry retrier
 	for {
 		retry.begin(s)
+		if refused, ok := s.checkHome(p, false); !ok {
+			return refused, true
+		}
 		a, err, sent := s.tryDirect(p, st, arrived)
 		if refused, ok := refusal(daisystatement.StateIdle, err); ok {
 			return refused, true
@@ -95,6 +108,11 @@
 			return a, false
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err), false
+		}
+		if refused, ok := s.checkHome(p, true); !ok {
+			return refused, true
+		}
+		switch {
 		case retry.wait(sendBy):
 		case err != nil:
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err), false
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -36,6 +36,9 @@
 	var retrying retrier
 	for {
 		retrying.begin(s)
+		if refused, ok := s.checkHome(p, false); !ok {
+			return refused
+		}
 		minPosition, known := s.minPosition(p, arrived)
 		st.MinPosition = minPosition
 		a, retry, err := s.race(p, st, s.freshness(p, known), arrived)
@@ -45,7 +48,7 @@
 				return a
 			}
 			// The refusal may have brought a sample, so that replicas may serve.
-			if _, known = s.minPosition(p, arrived); !known {
+			if _, known = s.minPosition(p, arrived); !known && !s.awaitsPosition(p) {
 				return a
 			}
 			retry = true
@@ -56,6 +59,9 @@
 		if a.Failure != nil {
 			last = a
 		}
+		if refused, ok := s.checkHome(p, true); !ok {
+			return refused
+		}
 		if !retrying.wait(sendBy) {
 			return last
 		}
@@ -107,7 +113,7 @@
 	var tried []string
 	inFlight, overloaded := 0, false
 	launch := func() time.Duration {
-		server, ok := s.env.Router.Choose(daisyrouter.Query{Profile: p, Workspace: s.workspace, MinPosition: st.MinPosition, Exclude: tried})
+		server, ok := s.env.Router.Choose(daisyrouter.Query{Profile: p, Workspace: s.workspace, MinPosition: st.MinPosition, Exclude: tried, Home: s.home(p)})
 		if !ok || len(tried) == readAttempts {
 			return 0
 		}
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -25,10 +25,14 @@
 		definition := s.prepared[st.Name]
 		st.Shape, st.ReadOnly = definition.shape, definition.readOnly
 	}
-	return daisyrequest.Request{
+	req := daisyrequest.Request{
 		Service: p.Service, Workspace: s.workspace, Weight: s.weight, Priority: p.Priority, Class: p.Name,
 		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline,
 	}
+	if home := s.home(p); home.Restricted() {
+		req.Home = home
+	}
+	return req
 }
 
 // forward runs the request through the forwarder and records whether the server
@@ -36,6 +40,9 @@
 // one like it, is refused here: sending it would cost the gateway host as much as
 // a request that it serves.
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
+	if err := s.env.Router.CheckRequest(req); err != nil {
+		return a, nil, err
+	}
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
 	if left := s.env.Router.HeldOff(class); left > 0 {
 		return a, nil, daisyrequest.NewOverloadError(left, false)
@@ -66,7 +73,7 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
-	case errors.Is(err, daisyrequest.ErrNoPosition):
+	case errors.Is(err, daisyrequest.ErrNoPosition), isHomeError(err):
 		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -57,6 +57,8 @@
 	lastWrite daisyfreshness.WritePosition
 	tx        *transaction
 	ended     bool // The key or the profile was withdrawn.
+	// homeRegions are the workspace's, from the last desired state that had its key.
+	homeRegions []string
 }
 
 // Open starts a session for a database with a client's key.
@@ -83,7 +85,7 @@
 	if !ok && !p.Public {
 		return p, failure(daisystatement.CodeDenied, "the key opens no workspace")
 	}
-	s.workspace, s.weight = w.Name, w.Rate
+	s.workspace, s.weight, s.homeRegions = w.Name, w.Rate, w.Regions
 	return p, nil
 }
 
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -25,7 +25,8 @@
 	onLeader        bool               // It is begun on the leader, not on a replica.
 	wrote           bool
 	failed          bool
-	failureReported bool // The client has received the failure.
+	failureReported bool           // The client has received the failure.
+	home            daisyspec.Home // The home regions when it was begun on its server.
 }
 
 // code returns the code for a statement in a failed transaction: CodeAborted for
@@ -102,6 +103,9 @@
 			return a, false
 		}
 	}
+	if !t.home.Equal(t.session.home(t.profile)) {
+		return t.abort("the home regions have changed"), false
+	}
 	if !t.readOnly && !t.session.env.Router.Leads(t.profile.Service, t.leader) {
 		return t.abort("the primary is being replaced"), false
 	}
@@ -117,12 +121,21 @@
 	var retry retrier
 	retry.begin(t.session)
 	for {
+		if home, ok := t.session.checkHome(t.profile, len(tried) > 0); !ok {
+			why = home.Failure.Text
+			break
+		}
 		server, begin, freshness, found := t.target(sendBy, tried)
 		if found && !slices.Contains(tried, server) {
 			a, err := t.tryOpen(server, begin, freshness, sendBy)
 			if err == nil && a.Failure == nil {
 				return refused, true
 			}
+			if errors.Is(err, daisyrequest.ErrNoPosition) && t.session.awaitsPosition(t.profile) {
+				why = err.Error()
+				tried = append(tried, server)
+				continue
+			}
 			if errors.Is(err, daisyrequest.ErrNoPosition) {
 				t.onLeader = true // No host near has a position, so only the primary is fresh enough.
 				continue
@@ -163,7 +176,7 @@
 		freshness = s.freshness(t.profile, known)
 		if known || !t.onLeader && freshness != unknownPosition {
 			t.onLeader, begin.MinPosition = false, minPosition
-			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried})
+			server, ok = s.env.Router.Choose(daisyrouter.Query{Profile: t.profile, Workspace: s.workspace, MinPosition: minPosition, Exclude: tried, Home: s.home(t.profile)})
 			return server, begin, freshness, ok
 		}
 	}
@@ -175,7 +188,7 @@
 // tryOpen begins the transaction on the server once.
 func (t *transaction) tryOpen(server string, begin daisystatement.Statement, freshness daisyrequest.Freshness, sendBy time.Time) (a daisystatement.Answer, err error) {
 	s := t.session
-	sentAt := daisyclock.Now()
+	sentAt, home := daisyclock.Now(), s.home(t.profile)
 	if t.onLeader && !s.env.Router.Leads(t.profile.Service, t.leader) {
 		return a, errNoLeader
 	}
@@ -197,7 +210,7 @@
 	if t.onLeader {
 		s.env.Router.RecordPosition(t.profile.Service, t.leader, sentAt, a.Position)
 	}
-	t.conn, t.server = conn, server
+	t.conn, t.server, t.home = conn, server, home
 	return a, nil
 }
 
