Limit what cold servers get at their gateways

Services may state for how long a server is cold and how many requests a second a cold one may get. The leader marks servers as cold from their announcements, or when an evacuation is withdrawn; gateways keep a token bucket each, refuse what is over it as not sent and tell with each answer what is left, by which routers avoid the server.

--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -76,6 +76,7 @@
 	pools        map[string]*daisyquota.Pool // By workspace.
 
 	syncReplicas map[string]int // By service.
+	cold         coldServers
 }
 
 // NewLeader returns a Leader for one term as control leader.
@@ -86,6 +87,7 @@
 		servers: make(map[string]*announcedServer), departed: make(map[string]announcedServer),
 		probes: make(map[string]*probeState), observations: make(map[string]map[string]unreachableReport),
 		successions: make(map[string]*succession), pools: make(map[string]*daisyquota.Pool),
+		cold: coldServers{seen: make(map[string]time.Time)},
 	}
 }
 
@@ -158,6 +160,7 @@
 // their announcements.
 func (l *Leader) dueServers(now time.Time, s *daisyfleet.State) []daisyfleet.Change {
 	var changes []daisyfleet.Change
+	l.cold.observe(now, s)
 	for id, known := range l.servers {
 		if now.Sub(known.seenAt) > announcementTTL {
 			delete(l.servers, id)
@@ -168,6 +171,7 @@
 		next := daisyfleet.Server{
 			Service: known.Service, Address: known.Address, FailureDomain: known.FailureDomain,
 			Started: known.Started, Leaving: known.Leaving, Slots: known.Slots,
+			Cold: l.cold.isCold(known, ok && stored.Cold),
 		}
 		if ok && stored == next {
 			continue
--- a/internal/control/daisypromotion/tokens.go
+++ b/internal/control/daisypromotion/tokens.go
@@ -14,6 +14,8 @@
 	// SyncReplicas is the number of replicas that must hold a write before it is
 	// acknowledged, by service.
 	SyncReplicas map[string]int
+	// ColdLimited has the services whose cold servers' requests are limited.
+	ColdLimited map[string]bool
 }
 
 // SetDesired sets the desired state. The rate limits are shared among all hosts
@@ -21,7 +23,7 @@
 func (l *Leader) SetDesired(now time.Time, s *daisyfleet.State, d Desired) {
 	hosts := 0
 	s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
-	l.syncReplicas = d.SyncReplicas
+	l.syncReplicas, l.cold.limited = d.SyncReplicas, d.ColdLimited
 	known := make(map[string]bool)
 	for _, limit := range d.Limits {
 		known[limit.Workspace] = true
--- a/internal/control/daisypromotion/types.go
+++ b/internal/control/daisypromotion/types.go
@@ -26,7 +26,8 @@
 	Sequence      uint64    // Increases with each announcement of a process.
 	Leaving       bool      // The server asked to get no new work.
 	Role          Role
-	Slots         int // Number of statements that it runs concurrently; 0 if unknown.
+	Slots         int           // Number of statements that it runs concurrently; 0 if unknown.
+	ColdLeft      time.Duration // For how much longer its caches are cold.
 }
 
 // Status is a server's answer to a probe.
--- a/internal/domain/daisyfleet/service.go
+++ b/internal/domain/daisyfleet/service.go
@@ -36,6 +36,7 @@
 	Started       time.Time // When its process started, to the millisecond.
 	Leaving       bool      // The server asked to get no new work.
 	Slots         int       // Number of statements that it runs concurrently; 0 if unknown.
+	Cold          bool      // Its caches are empty, so that it gets requests at a limited rate.
 }
 
 // Kind implements Value.
--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -18,6 +18,9 @@
 	// ErrNoPosition is returned, with ErrNotSent, for a read whose Freshness asks for a
 	// position of the primary, if none is known.
 	ErrNoPosition = errors.New("no recent position of the primary is known")
+	// ErrOverBudget is returned, with ErrNotSent, if the server is cold and gets no more
+	// requests at the moment.
+	ErrOverBudget = errors.New("the requests of the cold backend server are limited; retry in 200ms")
 	// ErrPinnedConnClosed is returned for a pinned connection that was closed; its
 	// transaction is rolled back.
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -51,6 +51,9 @@
 	// with a gateway's answer. The primary of the epoch was asked for it at the
 	// time asked or later. OnPosition may be nil.
 	OnPosition func(service string, epoch uint64, asked time.Time, p daisystatement.Position)
+	// OnCold is called with what each answer of a gateway tells of the budget of a cold
+	// server, as daisygateway.Gateway.Cold. OnCold may be nil.
+	OnCold func(server string, left float64, cold bool)
 
 	options  Options
 	counters counters
@@ -117,7 +120,9 @@
 // error as an unreachable server.
 func (f *Forwarder) runAt(g daisyplacement.Gateway, req daisyrequest.Request) (daisystatement.Answer, daisyrequest.PinnedConn, error) {
 	if g.Host == f.options.Host {
-		return f.options.Local.Run(req)
+		a, pinned, err := f.options.Local.Run(req)
+		f.reportLocalCold(req.Server)
+		return a, pinned, err
 	}
 	l, err := f.link(g.Address, req.SendDeadline)
 	if err != nil {
@@ -130,6 +135,7 @@
 		// primary was asked no earlier than this.
 		f.OnPosition(req.Service, s.Epoch, sent.Add(-s.Age), s.Position)
 	}
+	f.reportCold(req.Server, r, err)
 	return r.Answer, pinned, err
 }
 
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -273,6 +273,9 @@
 	case daisycodec.FaultNone:
 		return nil
 	case daisycodec.FaultNotSent:
+		if r.OverBudget {
+			return fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrOverBudget)
+		}
 		if r.RetryAfter > 0 {
 			return daisyrequest.NewOverloadError(r.RetryAfter, r.OwnShare)
 		}
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -137,6 +137,7 @@
 		r.PinnedConn = s.keepPinned(call.PinnedConn, pinned)
 	}
 	r.Fault, r.Text = fault(err)
+	s.addCold(&r, call.Request.Server, err)
 	if overload := (*daisyrequest.OverloadError)(nil); s.conn.Protocol() >= daisylink.ProtocolOverload && errors.As(err, &overload) {
 		r.RetryAfter, r.OwnShare = overload.RetryAfter, overload.OwnShare
 	}
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -48,6 +48,7 @@
 // serverState holds the queue for one server and its measured run times.
 type serverState struct {
 	queue *daisyqueue.Queue
+	cold  coldBudget
 
 	mu            sync.Mutex
 	slots         int
@@ -168,6 +169,11 @@
 		return a, nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrNoPosition)
 	}
 	s := g.server(req.Server)
+	urgent := req.Statement.Kind == daisystatement.KindStatus
+	if !urgent && !s.cold.admits() {
+		g.counters.overBudget.Add(1)
+		return a, nil, errOverBudget()
+	}
 	rank := s.rank(req)
 	if wait := s.expectedWait(req.Priority, rank); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
@@ -185,6 +191,16 @@
 		return a, nil, err
 	}
 	defer slot.Release()
+	if urgent {
+		err = s.cold.await(ctx)
+	} else if !s.cold.take() {
+		err = errOverBudget()
+	}
+	if err != nil {
+		g.counters.overBudget.Add(1)
+		c.Release()
+		return a, nil, err
+	}
 	a, err = run(s, c, req)
 	if err == nil && req.Pin && a.Failure == nil {
 		return a, &localPinnedConn{gateway: g, server: s, conn: c, class: req.QueueClass()}, nil
--- a/internal/holder/daisygateway/pinned.go
+++ b/internal/holder/daisygateway/pinned.go
@@ -35,6 +35,9 @@
 		return a, notQueued(err)
 	}
 	defer slot.Release()
+	if err := p.server.cold.await(ctx); err != nil {
+		return a, err
+	}
 	req.Pin = true
 	began := time.Now()
 	a, err = run(p.server, p.conn, req)
@@ -68,6 +71,12 @@
 	p.gateway.wait.Go(func() {
 		defer p.gateway.active.Add(-1)
 		defer c.Release()
+		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
+		defer cancel()
+		if p.server.cold.await(ctx) != nil {
+			c.MarkBroken()
+			return
+		}
 		if err := c.Send([]daisystatement.Statement{systemStatement(daisystatement.KindRollback)}); err != nil {
 			return
 		}
--- a/internal/host/daisycontrolhost/orders.go
+++ b/internal/host/daisycontrolhost/orders.go
@@ -85,12 +85,13 @@
 
 // desired returns the part of the document that the leader's decisions depend on.
 func desired(d *daisyspec.Document) daisypromotion.Desired {
-	next := daisypromotion.Desired{SyncReplicas: make(map[string]int)}
+	next := daisypromotion.Desired{SyncReplicas: make(map[string]int), ColdLimited: make(map[string]bool)}
 	for _, w := range d.Workspaces {
 		next.Limits = append(next.Limits, daisyquota.WorkspaceLimit{Workspace: w.Name, Rate: w.Rate, Burst: w.Burst})
 	}
 	for _, s := range d.Services {
 		next.SyncReplicas[s.Name] = s.SyncReplicas
+		next.ColdLimited[s.Name] = s.Cold.Limited()
 	}
 	return next
 }
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -151,6 +151,7 @@
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
 	})
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
+	h.forwarder.OnCold = h.router.RecordCold
 }
 
 // dial opens a link to another host.
@@ -283,11 +284,13 @@
 				return
 			}
 			known[o.Name] = true
-			maxOpen := daisyplacement.ConnectionShare(h.connections(v.Service), h.forwarder.Rank(o.Name))
+			service, rank := h.service(v.Service), h.forwarder.Rank(o.Name)
+			maxOpen := daisyplacement.ConnectionShare(service.Connections, rank)
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
 			regions := h.options.Settings.Regions
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
+			h.gateway.SetCold(o.Name, daisygateway.ColdLimit{Rate: service.Cold.Rate, Duration: service.Cold.Duration, Cold: v.Cold, Started: v.Started, Rank: rank})
 		})
 	})
 	for _, name := range h.pool.ServerNames() {
@@ -298,14 +301,13 @@
 	}
 }
 
-// connections returns the connection limit of each server of the service.
-func (h *EntryHost) connections(service string) int {
-	index := h.index.Load()
-	if index == nil {
-		return 0
+// service returns the named service of the desired state, the zero value if there is
+// none.
+func (h *EntryHost) service(name string) (v daisyspec.Service) {
+	if index := h.index.Load(); index != nil {
+		v, _ = index.Service(name)
 	}
-	v, _ := index.Service(service)
-	return v.Connections
+	return v
 }
 
 // applyDocument puts a desired state in force on this host.
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -22,6 +22,7 @@
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
+	NotAtHome uint64 // Refusals for want of a place in the home regions.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
 
@@ -29,7 +30,7 @@
 func (h *EntryHost) Load() Load {
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
-		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
+		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(), NotAtHome: h.router.NotAtHome(),
 		Refusals: h.admission.Refusals(),
 	}
 }
@@ -68,6 +69,8 @@
 		"Dials":       l.Dials - before.Dials,
 		"Checks":      l.Checks - before.Checks,
 		"Unsampled":   l.Unsampled - before.Unsampled,
+		"OverBudget":  l.Gateway.OverBudget - before.Gateway.OverBudget,
+		"NotAtHome":   l.NotAtHome - before.NotAtHome,
 		"HeldOff":     l.HeldOff - before.HeldOff,
 		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
 		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -77,6 +77,7 @@
 	Leaving   bool
 	RoundTrip time.Duration // Assumed round trip to the server.
 	Region    string
+	Cold      bool // The control state says that its caches are empty.
 }
 
 // service is the router's state of one service.
@@ -108,6 +109,7 @@
 	servers        map[string]*daisyselector.Server
 	lastWorkspaces map[string]string       // By server, the workspace that used it last.
 	holdOffs       map[HeldClass]time.Time // The ends of the hold-offs.
+	coldReports    map[string]coldReport   // By server.
 }
 
 // New returns a router of an empty fleet.
@@ -115,7 +117,7 @@
 	r := &Router{
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
-		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1),
+		holdOffs: make(map[HeldClass]time.Time), coldReports: make(map[string]coldReport), wake: make(chan struct{}, 1),
 	}
 	r.groups.Store(&map[string]Group{})
 	return r
@@ -135,6 +137,7 @@
 			g := groups[v.Service]
 			g.Servers = append(g.Servers, Server{
 				Name: o.Name, Leaving: v.Leaving, RoundTrip: r.roundTrip(v.FailureDomain), Region: r.options.Regions[v.FailureDomain],
+				Cold: v.Cold,
 			})
 			groups[v.Service] = g
 		})
@@ -146,6 +149,7 @@
 		if !known[name] {
 			delete(r.servers, name)
 			delete(r.lastWorkspaces, name)
+			delete(r.coldReports, name)
 		}
 	}
 }
@@ -274,7 +278,7 @@
 		}
 		c := r.server(s.Name)
 		c.RoundTrip = s.RoundTrip
-		candidates = append(candidates, daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader})
+		candidates = append(candidates, daisyselector.Candidate{Name: s.Name, Server: c, Primary: s.Name == leader, Penalty: r.coldPenalty(now, s)})
 	}
 	best := daisyselector.Best(now, q.MinPosition, candidates)
 	if best < 0 {
--- a/internal/session/daisyselector/selector.go
+++ b/internal/session/daisyselector/selector.go
@@ -138,6 +138,7 @@
 	Name    string
 	Server  *Server
 	Primary bool
+	Penalty time.Duration // Added to the expected latency.
 }
 
 // Best returns the index of the best candidate for a read that needs minPosition,
@@ -157,7 +158,7 @@
 		if c.Server.Avoided(now) {
 			rank += 4
 		}
-		expected := c.Server.ExpectedLatency(now, c.Primary)
+		expected := c.Server.ExpectedLatency(now, c.Primary) + c.Penalty
 		if best < 0 || rank < bestRank || rank == bestRank && expected < bestExpected {
 			best, bestRank, bestExpected = i, rank, expected
 		}
--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -52,10 +52,18 @@
 	Fault      Fault
 	RetryAfter time.Duration // With FaultNotSent, set if the server's queue is too long.
 	OwnShare   bool          // With RetryAfter, whether only the workspace's share was used up.
+	OverBudget bool          // With FaultNotSent, whether the budget of a cold server is used up.
+	Cold       Cold
 	Text       string
 	Sample     Sample
 }
 
+// Cold tells how a gateway limits the requests of a cold server.
+type Cold struct {
+	Limited    bool    // The server is treated as cold; else the rest is 0.
+	BudgetLeft float64 // The share of the gateway's budget that is left, from 0 to 1.
+}
+
 // Sample is the latest log position of a service's primary that a gateway knows.
 type Sample struct {
 	Epoch    uint64 // Of the primary; 0 if there is no sample.
@@ -143,6 +151,7 @@
 	if s := r.Sample; s.Epoch > 0 {
 		w.SampleRound, w.SampleTerm, w.SampleNumber, w.SampleAge = s.Epoch, s.Position.Term, s.Position.Number, int64(s.Age)
 	}
+	w.OverBudget, w.Cold, w.BudgetLeft = r.OverBudget, r.Cold.Limited, r.Cold.BudgetLeft
 	if f := r.Answer.Failure; f != nil {
 		w.Code, w.Text = int64(f.Code), f.Text
 	}
@@ -160,7 +169,7 @@
 	if w == nil {
 		return r, ErrKind
 	}
-	if err := checkDurations(w.RetryAfter, w.SampleAge); err != nil {
+	if err := errors.Join(checkDurations(w.RetryAfter, w.SampleAge), checkAmounts(w.BudgetLeft)); err != nil {
 		return r, err
 	}
 	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), OwnShare: w.OwnShare, Text: w.Text}
@@ -168,6 +177,7 @@
 		Rows: w.Rows, Signature: w.Signature, State: daisystatement.State(w.State),
 		Position: daisystatement.Position{Term: w.Term, Number: w.Number},
 	}
+	r.OverBudget, r.Cold = w.OverBudget, Cold{Limited: w.Cold, BudgetLeft: w.BudgetLeft}
 	r.Sample = Sample{
 		Epoch: w.SampleRound, Age: time.Duration(w.SampleAge),
 		Position: daisystatement.Position{Term: w.SampleTerm, Number: w.SampleNumber},
--- a/internal/wire/daisycodec/service.go
+++ b/internal/wire/daisycodec/service.go
@@ -18,7 +18,7 @@
 	case daisyfleet.Server:
 		w.Server = &daisywire.Server{
 			Service: v.Service, Address: v.Address.String(), FailureDomain: v.FailureDomain,
-			Born: v.Started.UnixMilli(), Leaving: v.Leaving, Slots: int64(v.Slots),
+			Born: v.Started.UnixMilli(), Leaving: v.Leaving, Slots: int64(v.Slots), Cold: v.Cold,
 		}
 	case daisyfleet.Leadership:
 		w.Primacy = &daisywire.Primacy{Round: v.Epoch, Server: v.Server, Term: v.Term, Previous: v.Previous}
@@ -50,6 +50,6 @@
 	addr, err := netip.ParseAddrPort(w.Address)
 	return daisyfleet.Server{
 		Service: w.Service, Address: addr, FailureDomain: w.FailureDomain,
-		Started: time.UnixMilli(w.Born).UTC(), Leaving: w.Leaving, Slots: int(w.Slots),
+		Started: time.UnixMilli(w.Born).UTC(), Leaving: w.Leaving, Slots: int(w.Slots), Cold: w.Cold,
 	}, err
 }
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -329,9 +329,16 @@
 
 // The reply to a statement request.
 type ErrandAnswer struct {
+	// With Cold, the share of the gateway's budget of requests that is left, from 0
+	// to 1.
+	BudgetLeft float64 `json:"BudgetLeft,omitempty,omitzero"`
+
 	// The code of the failure; 0 for a success.
 	Code int64 `json:"Code,omitempty,omitzero"`
 
+	// Whether the gateway treats the server as cold.
+	Cold bool `json:"Cold,omitempty,omitzero"`
+
 	// Why the server did not reply; 0 if it did.
 	Fault int64 `json:"Fault,omitempty,omitzero"`
 
@@ -344,6 +351,10 @@
 	// The number of the server's log position.
 	Number uint64 `json:"Number,omitempty,omitzero"`
 
+	// Whether the statement was not sent since the budget of a cold server is used
+	// up.
+	OverBudget bool `json:"OverBudget,omitempty,omitzero"`
+
 	// With RetryAfter, whether only the workspace's share of the server was used up.
 	OwnShare bool `json:"OwnShare,omitempty,omitzero"`
 
@@ -800,6 +811,9 @@
 	// When the server's process started, in Unix milliseconds.
 	Born int64 `json:"Born"`
 
+	// Whether the server's caches are empty, so that its requests are limited.
+	Cold bool `json:"Cold,omitempty,omitzero"`
+
 	// The failure domain in which it runs.
 	FailureDomain string `json:"FailureDomain,omitempty,omitzero"`
 
