--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -194,6 +194,8 @@
 		{"daisyglade_gateway_requests_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Requests }},
 		{"daisyglade_gateway_overloaded_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.Overloaded }},
 		{"daisyglade_gateway_not_sent_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.NotSent }},
+		{"daisyglade_gateway_over_budget_total", func(l daisyentryhost.Load) uint64 { return l.Gateway.OverBudget }},
+		{"daisyglade_not_at_home_total", func(l daisyentryhost.Load) uint64 { return l.NotAtHome }},
 		{"daisyglade_server_dials_total", func(l daisyentryhost.Load) uint64 { return l.Dials }},
 		{"daisyglade_primary_checks_total", func(l daisyentryhost.Load) uint64 { return l.Checks }},
 		{"daisyglade_unsampled_reads_total", func(l daisyentryhost.Load) uint64 { return l.Unsampled }},
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -134,7 +134,7 @@
 	if w.peer.old {
 		return daisylink.ProtocolFirst
 	}
-	return daisylink.ProtocolPosition
+	return daisylink.ProtocolLoad
 }
 
 func (w *wire) Close() { w.once.Do(func() { close(w.closed) }) }
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -28,6 +28,7 @@
 	daisyfleet.Database{Connections: 20, Members: 3},
 	daisyfleet.Member{Database: "d", Address: addr, FailureDomain: "f", Leaving: true},
 	daisyfleet.Host{Incarnation: 9, Address: addr, FailureDomain: "f", Region: "r", Up: true, Leaving: true},
+	daisyfleet.Server{Service: "s", Address: addr, FailureDomain: "f", Started: time.UnixMilli(7).UTC(), Leaving: true, Slots: 4, Cold: true},
 	daisyfleet.Ownership{Term: 3, Holder: "h", Incarnation: 9, Primary: "m", Last: "l", Avoid: "a", Revoked: true},
 }
 
