Do not refuse at first use what a new gateway has no share for yet

A host that becomes the second or third gateway waits 4 s for its share. Treating a server that it has known for long as cold at first use meant that it refused everything meanwhile, also from warm servers. It now limits at first use only with a share. A server whose start time is not known counts as new. Two rows of TestColdWithoutControlState cover the first, one the second; all pass, with the race detector too.

--- a/internal/holder/daisygateway/cold.go
+++ b/internal/holder/daisygateway/cold.go
@@ -26,7 +26,7 @@
 	Rate     float64       // Requests per second from all hosts together; 0 sets no limit.
 	Duration time.Duration // For how long the server is cold after its start.
 	Cold     bool          // The control state says that it is cold.
-	Started  time.Time     // When the server's process started, by the clock of its machine.
+	Started  time.Time     // When the server's process started, by the clock of its machine; zero if unknown.
 	Rank     int           // The rank of this host among the server's gateways; -1 if it is none.
 }
 
@@ -69,17 +69,24 @@
 // limited reports whether the server is treated as cold. The control state may say so late;
 // a server is therefore cold, whatever the state says, while this host has not known it
 // for longer than it is cold after a start, unless it has run for longer by its start
-// time, and just after the first request of this host. It requires b.mu.
+// time, and just after the first request of this host. A host that waits for a share, as
+// it has become a gateway a moment ago, would refuse everything then; it does not limit a
+// server at first use that it has known for long. It requires b.mu.
 func (b *coldBudget) limited(now time.Time) bool {
 	switch {
 	case b.limit.Rate <= 0:
 		return false
 	case b.limit.Cold:
 		return true
-	case now.Sub(b.known) < b.limit.Duration && now.Sub(b.limit.Started) < b.limit.Duration+clockTolerance:
+	case now.Sub(b.known) < b.limit.Duration && !b.limit.startedBefore(now.Add(-b.limit.Duration-clockTolerance)):
 		return true
 	}
-	return b.used.IsZero() || now.Sub(b.used) < firstUse
+	return b.bucket.shareAt(now) > 0 && (b.used.IsZero() || now.Sub(b.used) < firstUse)
+}
+
+// startedBefore reports whether the server is known to have started before the time.
+func (l *ColdLimit) startedBefore(t time.Time) bool {
+	return !l.Started.IsZero() && l.Started.Before(t)
 }
 
 // admits reports whether a new request would be let through now.
--- a/internal/holder/daisygateway/cold_test.go
+++ b/internal/holder/daisygateway/cold_test.go
@@ -146,7 +146,10 @@
 		{"New", daisygateway.ColdLimit{Rate: 10, Duration: duration}, started(0), 10 * time.Second, true, true},
 		{"KnownForLong", daisygateway.ColdLimit{Rate: 10, Duration: duration}, started(0), 30 * time.Second, true, false},
 		{"StartedLongAgo", daisygateway.ColdLimit{Rate: 10, Duration: duration}, started(time.Hour), 10 * time.Second, true, false},
+		{"StartUnknown", daisygateway.ColdLimit{Rate: 10, Duration: duration}, func() time.Time { return time.Time{} }, 10 * time.Second, true, true},
 		{"FirstUse", daisygateway.ColdLimit{Rate: 10, Duration: duration}, started(time.Hour), time.Minute, false, true},
+		{"FirstUseAsNewThird", daisygateway.ColdLimit{Rate: 10, Duration: duration, Rank: 2}, started(time.Hour), time.Minute, false, false},
+		{"ColdAsNewThird", daisygateway.ColdLimit{Rate: 10, Duration: duration, Rank: 2, Cold: true}, started(time.Hour), time.Minute, false, true},
 		{"NoRate", daisygateway.ColdLimit{Duration: duration, Cold: true}, started(0), 0, false, false},
 	}
 	for _, test := range tests {
@@ -155,7 +158,11 @@
 				g := newColdGateway(&coldBackend{backend: newBackend()})
 				defer g.close(t)
 				test.limit.Started = test.started()
-				g.SetCold(serverName, test.limit)
+				first := test.limit
+				if first.Rank > 0 {
+					first.Rank = -1 // This host becomes a gateway only later.
+				}
+				g.SetCold(serverName, first)
 				if test.used {
 					time.Sleep(test.known - 5*time.Second)
 					g.flood(time.Now().Add(time.Second), 100*time.Millisecond, false)
