--- a/internal/cluster/daisycoordinator/legacy.go
+++ b/internal/cluster/daisycoordinator/legacy.go
@@ -8,10 +8,17 @@
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
-// legacyDelta returns the delta without the objects that hosts of a protocol before
-// daisylink.ProtocolLoad do not know. Their decoders refuse whole messages that have one.
+// legacyDelta returns the delta without the objects and fields that hosts of a protocol
+// before daisylink.ProtocolLoad do not know. Their decoders refuse whole messages that
+// have one.
 func legacyDelta(d daisyfleet.Delta) daisyfleet.Delta {
 	d.Objects = slices.DeleteFunc(slices.Clone(d.Objects), func(o daisyfleet.Object) bool { return o.Kind == daisyfleet.KindEvacuation })
+	for i, o := range d.Objects {
+		if v, ok := o.Value.(daisyfleet.Server); ok {
+			v.Cold = false
+			d.Objects[i].Value = v
+		}
+	}
 	return d
 }
 
--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -22,6 +22,9 @@
 	// ErrClientLeft is returned, with ErrNotSent, if the client left while its statement
 	// waited.
 	ErrClientLeft = errors.New("the client has left")
+	// ErrOverBudget is returned, with ErrNotSent, if the server is cold and gets no more
+	// requests at the moment.
+	ErrOverBudget = errors.New("the requests of the cold backend server are limited; retry in 200ms")
 	// ErrPinnedConnClosed is returned for a pinned connection that was closed; its
 	// transaction is rolled back.
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
@@ -68,6 +71,7 @@
 	Pin          bool            // Keep the connection for a transaction.
 	Client       context.Context // Ends when the client has left; nil if that is not known. Not sent to other hosts.
 	Freshness    Freshness       // For a read without a known position; zero for other statements.
+	Home         Home            // Where the statement may be sent; nil sets no restriction. It stays within the host.
 }
 
 // Freshness asks the gateway of a replica to add the minimum position that a read
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -62,6 +62,9 @@
 	// OnLoad is called with each load that a gateway states with its reply to a request.
 	// It may be nil.
 	OnLoad func(req daisyrequest.Request, l daisyrequest.Load)
+	// OnCold is called with what each answer of a gateway tells of the budget of a cold
+	// server, as daisygateway.Gateway.Cold. OnCold may be nil.
+	OnCold func(server string, left float64, cold bool)
 
 	options  Options
 	counters counters
@@ -69,6 +72,7 @@
 	cancel   context.CancelFunc
 	wait     sync.WaitGroup
 	gateways atomic.Pointer[map[string]daisyplacement.Gateways] // By server.
+	regions  atomic.Pointer[map[string]string]                  // By host.
 
 	fingerprint uint64 // Of the state from which gateways was derived.
 
@@ -81,6 +85,7 @@
 	f := &Forwarder{options: o, links: make(map[netip.AddrPort]*link)}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.gateways.Store(&map[string]daisyplacement.Gateways{})
+	f.regions.Store(&map[string]string{})
 	return f
 }
 
@@ -92,6 +97,8 @@
 	}
 	f.fingerprint = fingerprint
 	next := f.options.Topology.Gateways(s)
+	regions := hostRegions(f.options.Topology, s)
+	f.regions.Store(&regions)
 	f.gateways.Store(&next)
 }
 
@@ -129,6 +136,12 @@
 		if time.Until(req.SendDeadline) <= 0 {
 			break
 		}
+		if !f.mayUse(g, &req) {
+			if errors.Is(err, errNoGateway) {
+				err = errNoGatewayAtHome(&req)
+			}
+			continue
+		}
 		a, pinned, err = f.runAt(g, req, i == len(gateways)-1)
 		if !errors.Is(err, daisyrequest.ErrUnreachable) {
 			return a, pinned, err
@@ -144,6 +157,7 @@
 	if g.Host == f.options.Host {
 		a, pinned, err := f.options.Local.Run(req)
 		f.recordLoad(req, f.options.Local.Load(req))
+		f.reportLocalCold(req.Server)
 		return a, pinned, err
 	}
 	l, err := f.link(g.Address, req.SendDeadline, last)
@@ -158,6 +172,7 @@
 		f.OnPosition(req.Service, s.Epoch, sent.Add(-s.Age), s.Position)
 	}
 	f.recordLoad(req, r.Load)
+	f.reportCold(req.Server, r, err)
 	return r.Answer, pinned, err
 }
 
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -55,6 +55,7 @@
 	queue      *daisyqueue.Queue
 	retries    retrySchedule
 	evacuation *evacuation
+	cold       coldBudget
 
 	mu            sync.Mutex
 	slots         int
@@ -172,6 +173,11 @@
 		g.counters.evacuated.Add(1)
 		return a, nil, errEvacuated
 	}
+	urgent := req.Statement.Kind == daisystatement.KindStatus
+	if !urgent && !s.cold.admits() {
+		g.counters.overBudget.Add(1)
+		return a, nil, errOverBudget()
+	}
 	arrived, order := time.Now(), s.order(req)
 	if wait := s.expectedWait(s.slotRequest(req, order)); wait > time.Until(req.SendDeadline) {
 		g.counters.overloaded.Add(1)
@@ -197,6 +203,17 @@
 		return a, nil, err
 	}
 	defer slot.Release()
+	if urgent {
+		err = s.cold.await(ctx)
+	} else if !s.cold.take() {
+		err = errOverBudget()
+	}
+	if err != nil {
+		g.counters.overBudget.Add(1)
+		s.evacuation.end(c)
+		c.Release()
+		return a, nil, err
+	}
 	a, err = run(s, c, req)
 	if err == nil && req.Pin && a.Failure == nil {
 		return a, &localPinnedConn{gateway: g, server: s, conn: c, class: req.QueueClass()}, nil
--- a/internal/host/daisycontrolhost/evacuations.go
+++ b/internal/host/daisycontrolhost/evacuations.go
@@ -8,6 +8,7 @@
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/cluster/daisycoordinator"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
@@ -49,7 +50,11 @@
 		if ordered == evacuated {
 			return c.confirm()
 		}
-		outcome, err := c.node.Propose(ctx, evacuationChange(o, evacuated))
+		change := evacuationChange(o, evacuated)
+		if !evacuated && !c.addCold(&change, domain) {
+			return c.notLeading()
+		}
+		outcome, err := c.node.Propose(ctx, change)
 		if err != nil {
 			return errors.Join(err, c.notLeading())
 		}
@@ -60,6 +65,16 @@
 	}
 }
 
+// addCold adds to the withdrawal that the domain's servers are cold. It returns false if
+// this host does not lead.
+func (c *ControlHost) addCold(change *daisyfleet.Change, domain string) bool {
+	return c.coordinator.RunAsLeader(func(_ time.Time, d daisycoordinator.Decider, s *daisyfleet.State) {
+		if leader, ok := d.(*decider); ok {
+			change.Operations = append(change.Operations, leader.ColdAfterEvacuation(domain, s)...)
+		}
+	})
+}
+
 // evacuation returns the object for the order to evacuate the failure domain, and
 // whether the order exists. If it does not, the revision is 0.
 func (c *ControlHost) evacuation(domain string) (o daisyfleet.Object, ordered bool) {
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -160,12 +160,13 @@
 	})
 	h.router = daisyrouter.New(daisyrouter.Options{
 		View: h.view, Lease: h.lease, Forwarder: h.forwarder, Reach: h.pool.Reach,
-		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions,
+		GatewayRank: h.forwarder.Rank, OnUnresponsive: h.lease.Wake, Delayed: h.lease.Delayed, Regions: s.Regions, Index: h.index.Load,
 		Location: daisyrouter.Location{FailureDomain: s.FailureDomain, Region: s.Region()},
 		Costs:    daisybalance.Costs{Domain: s.DomainCost, Region: s.RegionCost},
 	})
 	h.forwarder.OnLoad = h.router.RecordLoad
 	h.forwarder.OnPosition = h.router.RecordPeerPosition
+	h.forwarder.OnCold = h.router.RecordCold
 }
 
 // dial opens a link to another host.
@@ -312,8 +313,9 @@
 				return
 			}
 			known[o.Name] = true
-			gateways := h.forwarder.Gateways(o.Name)
-			maxOpen := gateways.Connections(h.connections(v.Service), h.options.Settings.Host)
+			service, gateways := h.service(v.Service), h.forwarder.Gateways(o.Name)
+			rank := gateways.Rank(h.options.Settings.Host)
+			maxOpen := gateways.Connections(service.Connections, h.options.Settings.Host)
 			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
 			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
 			if gateways.Spread {
@@ -323,6 +325,7 @@
 			regions := h.options.Settings.Regions
 			h.gateway.SetEvacuated(o.Name, s.Evacuated(v.FailureDomain))
 			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
+			h.gateway.SetCold(o.Name, daisygateway.ColdLimit{Rate: service.Cold.Rate, Duration: service.Cold.Duration, Cold: v.Cold, Started: v.Started, Rank: rank})
 		})
 	})
 	for _, name := range h.pool.ServerNames() {
@@ -333,14 +336,13 @@
 	}
 }
 
-// connections returns the connection limit of each server of the service.
-func (h *EntryHost) connections(service string) int {
-	index := h.index.Load()
-	if index == nil {
-		return 0
+// service returns the named service of the desired state, the zero value if there is
+// none.
+func (h *EntryHost) service(name string) (v daisyspec.Service) {
+	if index := h.index.Load(); index != nil {
+		v, _ = index.Service(name)
 	}
-	v, _ := index.Service(service)
-	return v.Connections
+	return v
 }
 
 // applyDocument puts a desired state in force on this host.
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -27,6 +27,7 @@
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
 	Controls  uint64 // Links to control hosts that the host tried to open.
+	NotAtHome uint64 // Refusals for want of a place in the home regions.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 	Chosen    daisyrouter.Chosen
 	Traffic   daisytraffic.Totals // Bytes sent, and those received from control hosts.
@@ -36,7 +37,7 @@
 func (h *EntryHost) Load() Load {
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(),
-		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
+		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(), NotAtHome: h.router.NotAtHome(),
 		Refusals: h.admission.Refusals(), Controls: h.lease.Dials(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
 	}
 }
@@ -83,6 +84,8 @@
 		"DialsRefused": l.Refused - before.Refused,
 		"Checks":       l.Checks - before.Checks,
 		"Unsampled":    l.Unsampled - before.Unsampled,
+		"OverBudget":   l.Gateway.OverBudget - before.Gateway.OverBudget,
+		"NotAtHome":    l.NotAtHome - before.NotAtHome,
 		"HeldOff":      l.HeldOff - before.HeldOff,
 		"Controls":     l.Controls - before.Controls,
 		"OverRate":     l.Refusals.OverRate - before.Refusals.OverRate,
--- a/internal/session/daisybalance/candidate.go
+++ b/internal/session/daisybalance/candidate.go
@@ -8,7 +8,8 @@
 	Distance Distance
 	Primary  bool
 	Expected Expected
-	Success  float64 // The fraction of requests that it is expected to answer.
+	Penalty  time.Duration // Added to the cost undiscounted, for a server that is to be spared.
+	Success  float64       // The fraction of requests that it is expected to answer.
 	// Problem ranks a recent problem that speaks against the server for this request;
 	// 0 is none. A server with a lesser problem goes first, whatever the shares are.
 	Problem int
@@ -27,7 +28,7 @@
 
 // standing returns the part of a candidate's cost that does not depend on load.
 func standing(c Costs, candidate Candidate) time.Duration {
-	cost := c.crossing(candidate.Distance)
+	cost := c.crossing(candidate.Distance) + candidate.Penalty
 	if candidate.Primary {
 		cost += primaryPenalty
 	}
--- a/internal/session/daisyrouter/balance.go
+++ b/internal/session/daisyrouter/balance.go
@@ -47,12 +47,14 @@
 
 // barred returns why no read like q may go to the server, whatever its load is, or an
 // empty string if it may.
-func (r *Router) barred(_ Query, s Server) string {
+func (r *Router) barred(q Query, s Server) string {
 	switch {
 	case s.Leaving:
 		return "it is leaving"
 	case r.evacuations.has(s.Name):
 		return "its failure domain is evacuated"
+	case !q.Home.Allows(s.Region):
+		return "it is outside the home regions"
 	}
 	return ""
 }
@@ -85,10 +87,11 @@
 			trip *= transactionTrips
 		}
 		primary := s.Name == leader
+		expected := observed.View.Expect(now, q.QueueClass(), q.Profile.Priority, trip, observed.InFlight())
 		candidates = append(candidates, daisybalance.Candidate{
 			Name: s.Name, Distance: s.Distance, Primary: primary, Success: observed.View.Success(now),
-			Expected: observed.View.Expect(now, q.QueueClass(), q.Profile.Priority, trip, observed.InFlight()),
-			Problem:  int(observed.Problem(now, q.MinPosition, primary)), Tried: contains(q.Exclude, s.Name),
+			Expected: expected, Penalty: r.coldPenalty(now, s),
+			Problem: int(observed.Problem(now, q.MinPosition, primary)), Tried: contains(q.Exclude, s.Name),
 		})
 	}
 	return candidates, barred
--- a/internal/session/daisyrouter/router.go
+++ b/internal/session/daisyrouter/router.go
@@ -56,10 +56,11 @@
 	Reach          func(ctx context.Context, server string) error // Returns an error if no connection to the server can be opened.
 	GatewayRank    func(server string) int                        // The rank of this host among the server's gateways; -1 if it is none.
 	Location       Location
-	Regions        map[string]string  // The region of each failure domain.
-	OnUnresponsive func()             // Called when a primary can no longer be reached.
-	Costs          daisybalance.Costs // What it costs to send a read to a server farther away.
-	Rand           daisybalance.Rand  // Source of the choices by share; nil for a random one.
+	Regions        map[string]string       // The region of each failure domain.
+	OnUnresponsive func()                  // Called when a primary can no longer be reached.
+	Costs          daisybalance.Costs      // What it costs to send a read to a server farther away.
+	Rand           daisybalance.Rand       // Source of the choices by share; nil for a random one.
+	Index          func() *daisyspec.Index // Returns the index of the current desired state, nil before the first; may be nil.
 	// Delayed reports whether messages of this host are held up, so that it says nothing
 	// about a primary if this host cannot reach it; may be nil.
 	Delayed func() bool
@@ -83,6 +84,8 @@
 	Leaving   bool
 	Distance  daisybalance.Distance
 	RoundTrip time.Duration // Assumed round trip to the server.
+	Region    string
+	Cold      bool // The control state says that its caches are empty.
 }
 
 // service is the router's state of one service.
@@ -105,6 +108,7 @@
 	checks    atomic.Uint64
 	unsampled atomic.Uint64
 	heldOff   atomic.Uint64
+	notAtHome atomic.Uint64
 
 	wake chan struct{} // Receives when a service is to be sampled at once.
 
@@ -116,6 +120,7 @@
 	balancers      map[balancedClass]*daisybalance.Balancer
 	chosen         Chosen
 	evacuations    evacuations
+	coldReports    map[string]coldReport // By server.
 }
 
 // New returns a router of an empty fleet.
@@ -124,7 +129,7 @@
 		options: o, services: make(map[string]*service),
 		servers: make(map[string]*daisyselector.Server), lastWorkspaces: make(map[string]string),
 		holdOffs: make(map[HeldClass]time.Time), wake: make(chan struct{}, 1), evacuations: newEvacuations(),
-		balancers: make(map[balancedClass]*daisybalance.Balancer),
+		coldReports: make(map[string]coldReport), balancers: make(map[balancedClass]*daisybalance.Balancer),
 	}
 	if o.Rand == nil {
 		r.options.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -146,7 +151,10 @@
 			known[o.Name] = s.Evacuated(v.FailureDomain)
 			g := groups[v.Service]
 			d := r.distance(v.FailureDomain)
-			g.Servers = append(g.Servers, Server{Name: o.Name, Leaving: v.Leaving, Distance: d, RoundTrip: roundTrips[d]})
+			g.Servers = append(g.Servers, Server{
+				Name: o.Name, Leaving: v.Leaving, Distance: d, RoundTrip: roundTrips[d], Region: r.options.Regions[v.FailureDomain],
+				Cold: v.Cold,
+			})
 			groups[v.Service] = g
 		})
 	})
@@ -158,6 +166,7 @@
 		if _, ok := known[name]; !ok {
 			delete(r.servers, name)
 			delete(r.lastWorkspaces, name)
+			delete(r.coldReports, name)
 		}
 	}
 }
@@ -271,6 +280,7 @@
 	MinPosition daisystatement.Position // The least log position that the server must have.
 	Exclude     []string                // Servers that were tried before.
 	Transaction bool                    // The read begins a transaction.
+	Home        daisyspec.Home          // Where the read may run.
 }
 
 // Choose returns the server that a read goes to. It skips servers that are barred to the
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -70,17 +70,27 @@
 }
 
 // refusal returns the answer to a statement that was not sent since the server's
-// queue is too long or evacuations leave it no server, if err is that. It is final: the
-// client is told when to return, and the hosts add no attempts of their own.
+// queue is too long, evacuations leave it no server or the home regions have no place for
+// it, if err is that. It is final: the client is told when to return, and the hosts add
+// no attempts of their own.
 func refusal(state daisystatement.State, err error) (a daisystatement.Answer, ok bool) {
-	if overload := (*daisyrequest.OverloadError)(nil); errors.As(err, &overload) {
-		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
-	}
-	if evacuation := (*daisyrequest.EvacuationError)(nil); errors.As(err, &evacuation) {
+	var overload *daisyrequest.OverloadError
+	var evacuation *daisyrequest.EvacuationError
+	var home *daisyrequest.HomeError
+	switch {
+	case errors.As(err, &home):
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", home), true
+	case errors.As(err, &evacuation):
 		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", evacuation), true
+	case errors.As(err, &overload):
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", overload), true
 	}
 	return a, false
 }
+func isHomeError(err error) bool {
+	var home *daisyrequest.HomeError
+	return errors.As(err, &home)
+}
 
 // direct runs a statement on the primary. It retries a statement that was
 // certainly not run until its send deadline, unless the primary is overloaded.
@@ -91,6 +101,9 @@
 	var retry retrier
 	for {
 		retry.begin(s)
+		if refused, ok := s.checkHome(p, false); !ok {
+			return refused, true
+		}
 		a, err, sent := s.tryDirect(p, st, arrived)
 		if refused, ok := refusal(daisystatement.StateIdle, err); ok {
 			return refused, true
@@ -100,6 +113,11 @@
 			return a, false
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err), false
+		}
+		if refused, ok := s.checkHome(p, true); !ok {
+			return refused, true
+		}
+		switch {
 		case retry.wait(sendBy):
 		case err != nil:
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err), false
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -26,10 +26,14 @@
 		definition := s.prepared[st.Name]
 		st.Shape, st.ReadOnly = definition.shape, definition.readOnly
 	}
-	return daisyrequest.Request{
+	req := daisyrequest.Request{
 		Service: p.Service, Workspace: s.workspace, Weight: s.weight, Priority: p.Priority, Class: p.Name,
 		Values: s.values, Statement: st, SendDeadline: sendBy, Deadline: deadline, Objective: objective(p, deadline), Client: s.client,
 	}
+	if home := s.home(p); home.Restricted() {
+		req.Home = home
+	}
+	return req
 }
 
 // objective returns by when a statement with the deadline should be answered; zero if the
@@ -46,6 +50,9 @@
 // one like it, is refused here: sending it would cost the gateway host as much as
 // a request that it serves.
 func (s *Session) forward(req daisyrequest.Request) (a daisystatement.Answer, conn daisyrequest.PinnedConn, err error) {
+	if err := s.env.Router.CheckRequest(req); err != nil {
+		return a, nil, err
+	}
 	class := daisyrouter.HeldClass{Server: req.Server, Workspace: s.workspace, Class: req.QueueClass(), Priority: req.Priority}
 	if s.env.Router.Evacuated(req.Server) {
 		return a, nil, errEvacuated
@@ -105,7 +112,7 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
-	case errors.Is(err, daisyrequest.ErrNoPosition), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
+	case errors.Is(err, daisyrequest.ErrNoPosition), isHomeError(err), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
 		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
