Keep tokens in reserve on hosts for when no control leader answers

Cause: in a large fleet the control leader holds the whole limit of a workspace and grants single tokens to operations that wait. Between two leaders, and on a host that reaches none, no operation is admitted though its workspace is within its rate.

Change: a host holds whole tokens in reserve for workspaces that it had an operation of in the last 30 s: its demand during a lease, at least one. It reports what it holds and requests others with heartbeats that are sent anyway. The leader accounts for each process of a host. Tokens that a host no longer holds are spent, those that it gave up return, and those of a host that is not heard of expire after 5.5 s as spent. The pool and all reserves together hold at most the burst and 15 tokens. A new leader counts the largest reserves and what may have been granted in advance as outstanding, and denies nothing for 1.5 s, since operations have waited for it. Operations wait 1.2 s for a leader that does not answer, as long as an election takes, but not on a host that hears of no control host (daisylease.Client.Disconnected): that one says so at once.

--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -97,6 +97,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 	wake    chan struct{}
+	contact contact
 
 	mu            sync.Mutex
 	link          Link // To the present control host, or nil.
@@ -123,7 +124,10 @@
 }
 
 // Start starts sending heartbeats.
-func (c *Client) Start() { c.wait.Go(c.run) }
+func (c *Client) Start() {
+	c.contact.begin()
+	c.wait.Go(c.run)
+}
 
 // Wake sends the next heartbeat at once, because there is something to report.
 func (c *Client) Wake() {
@@ -314,6 +318,7 @@
 func (c *Client) sendHeartbeat(ctx context.Context, link Link) error {
 	b := c.options.Report()
 	b.Revision = c.options.View.Revision()
+	b.Demands = understood(link, b.Demands)
 	now := daisyclock.Now()
 	c.mu.Lock()
 	c.nextID++
@@ -347,6 +352,7 @@
 // handle merges the reply's delta and extends the lease. It returns false if the
 // client should leave the control host because it does not lead.
 func (c *Client) handle(r daisyheartbeat.Reply, addr netip.AddrPort) bool {
+	c.contact.heard(r)
 	if r.Delta != nil {
 		err := c.options.View.Update(func(s *daisyfleet.State) error { return s.Merge(*r.Delta) })
 		if err != nil {
--- a/internal/control/daisypromotion/tokens.go
+++ b/internal/control/daisypromotion/tokens.go
@@ -29,7 +29,7 @@
 			p.SetLimit(now, limit, hosts)
 			continue
 		}
-		l.pools[limit.Workspace] = daisyquota.NewPool(now, limit, hosts)
+		l.pools[limit.Workspace] = daisyquota.NewSuccessorPool(now, limit, hosts)
 	}
 	for name := range l.pools {
 		if !known[name] {
@@ -55,6 +55,21 @@
 		if denied > 0 {
 			grants = append(grants, daisyheartbeat.Demand{Workspace: d.Workspace, Denied: denied, RetryAfter: retryAfter})
 		}
+		grants = append(grants, renewReserve(now, p, b, d)...)
 	}
 	return grants
 }
+
+// renewReserve answers the part of a demand that is about tokens in reserve, if there is
+// one. Tokens for operations that wait are granted before.
+func renewReserve(now time.Time, p *daisyquota.Pool, b daisyheartbeat.Heartbeat, d daisyheartbeat.Demand) []daisyheartbeat.Demand {
+	if d.Sequence == 0 {
+		return nil
+	}
+	holder := daisyquota.ReserveHolder{Host: b.Host, Incarnation: b.Incarnation}
+	g, ok := p.RenewReserve(now, holder, daisyquota.ReserveDemand{Sequence: d.Sequence, Wanted: d.Reserve, Held: d.Held, Returned: d.Returned})
+	if !ok {
+		return nil
+	}
+	return []daisyheartbeat.Demand{{Workspace: d.Workspace, Sequence: g.Sequence, Reserve: g.Tokens, Lifetime: g.Lifetime}}
+}
--- a/internal/domain/daisyheartbeat/heartbeat.go
+++ b/internal/domain/daisyheartbeat/heartbeat.go
@@ -73,6 +73,25 @@
 	After      time.Duration // When the tokens may be used, from their arrival on.
 	Denied     float64       // Requested tokens that are not granted.
 	RetryAfter time.Duration // With Denied, when to request them again.
+
+	// The fields below are about tokens in reserve. They are set if Sequence is.
+
+	Sequence uint64        // Of a demand, increases with each of a process; of a grant, the demand's.
+	Reserve  int           // Of a demand, how many tokens to hold; of a grant, how many the host may hold.
+	Held     int           // Of a demand, how many unused tokens the host holds.
+	Returned int           // Of a demand, how many the host gave up unused since the last one.
+	Lifetime time.Duration // Of a grant, from the sending of the demand on.
+}
+
+// WithoutReserves returns the demands without what concerns tokens in reserve, for
+// control hosts that do not know them.
+func WithoutReserves(demands []Demand) (left []Demand) {
+	for _, d := range demands {
+		if d.Tokens > 0 {
+			left = append(left, Demand{Workspace: d.Workspace, Tokens: d.Tokens})
+		}
+	}
+	return left
 }
 
 // Reply answers a Heartbeat.
--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -29,18 +29,11 @@
 	minRetryInterval = time.Millisecond
 	// unansweredFactor is how many times as long an operation may wait for the answer of
 	// a control leader that grants on demand: it is denied at once if no token is left,
-	// so that an operation without an answer waits for another leader.
-	unansweredFactor = 2
+	// so that an operation without an answer waits for another leader. An election and
+	// the way to the new leader take a second.
+	unansweredFactor = 6
 )
 
-// Refusals are numbers of refused operations since the controller was created.
-type Refusals struct {
-	OverRate uint64 // The control leader had no token left for the workspace.
-	// Unanswered counts operations for which the control leader granted no token in
-	// time but did not say that none was left. The workspace may be within its rate.
-	Unanswered uint64
-}
-
 // Controller admits operations by the host's token buckets of the workspaces.
 // It is safe for concurrent use. Use New.
 type Controller struct {
@@ -55,6 +48,8 @@
 	pending     map[string]pendingRequest            // By workspace.
 	granted     chan struct{}                        // Closed when tokens are granted.
 	refusals    Refusals
+	reserveUsed uint64      // Tokens in reserve that operations used.
+	lostControl func() bool // Reports whether no control host answers.
 }
 
 // pendingRequest is the state of a workspace's request for tokens.
@@ -71,6 +66,7 @@
 	return &Controller{
 		requestTokens: requestTokens, hosts: 1, limits: make(map[string]daisyquota.WorkspaceLimit), buckets: make(map[string]*daisyquota.HostBucket),
 		waiting: make(map[string]map[int]int), pending: make(map[string]pendingRequest), granted: make(chan struct{}),
+		lostControl: func() bool { return false },
 	}
 }
 
@@ -113,16 +109,26 @@
 	}
 }
 
-// Admit admits one operation of the workspace. It waits up to maxWait for a token, or
-// unansweredFactor times as long for a control leader that does not answer, and, if it
-// gets none, returns the time to retry. Waiting operations of a higher
-// priority, which is a lower number, go first.
+// Admit is like Decide without the cause of a refusal.
 func (c *Controller) Admit(workspace string, priority int, maxWait time.Duration) (ok bool, retryAfter time.Duration) {
+	refused := c.Decide(workspace, priority, maxWait)
+	if refused == nil {
+		return true, 0
+	}
+	return false, refused.RetryAfter
+}
+
+// Decide admits one operation of the workspace and returns nil, or returns why it is
+// refused. The operation waits up to maxWait for a token, or unansweredFactor times as
+// long for a control leader that does not answer, but not while no control host does.
+// Waiting operations of a higher priority, which is a lower number, go first.
+func (c *Controller) Decide(workspace string, priority int, maxWait time.Duration) *Refusal {
 	arrived := daisyclock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if ok, retryAfter = c.take(arrived, workspace, priority, (*daisyquota.HostBucket).Take); ok {
-		return ok, retryAfter
+	ok, retryAfter := c.take(arrived, workspace, priority, (*daisyquota.HostBucket).Take)
+	if ok {
+		return nil
 	}
 	c.countWaiting(workspace, priority, 1)
 	defer c.countWaiting(workspace, priority, -1)
@@ -130,24 +136,15 @@
 		maxWait *= unansweredFactor
 	}
 	until := arrived.Add(maxWait)
-	for now := arrived; now.Before(until) && !c.denied(workspace, arrived); now = daisyclock.Now() {
+	for now := arrived; now.Before(until) && !c.denied(workspace, arrived) && !c.hopeless(workspace); now = daisyclock.Now() {
 		c.request(now, workspace)
 		c.awaitGrant(workspace, now, until)
 		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
-			return ok, retryAfter
+			return nil
 		}
 	}
 	c.request(daisyclock.Now(), workspace)
-	p := c.pending[workspace]
-	if p.denied.Before(arrived) {
-		c.refusals.Unanswered++
-		return false, retryAfter
-	}
-	c.refusals.OverRate++
-	if p.retryAfter > 0 {
-		retryAfter = max(p.retryAfter-daisyclock.Now().Sub(p.denied), minRequestInterval)
-	}
-	return false, retryAfter
+	return c.refuse(workspace, arrived, retryAfter)
 }
 
 // denied reports whether the control leader has denied a token to one of the waiting
@@ -225,7 +222,10 @@
 	if c.higherPriorityWaits(workspace, priority) {
 		return false, minRequestInterval
 	}
-	return take(b, now)
+	used := b.ReserveUsed()
+	ok, wait := take(b, now)
+	c.reserveUsed += b.ReserveUsed() - used
+	return ok, wait
 }
 
 // request sends the next heartbeat early if the workspace lacks tokens that were not
@@ -241,13 +241,6 @@
 	}
 }
 
-// Refusals returns the numbers of refused operations so far.
-func (c *Controller) Refusals() Refusals {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.refusals
-}
-
 // State returns the state of the workspace's bucket; zero if there is none.
 func (c *Controller) State(workspace string) (s daisyquota.State) {
 	c.mu.Lock()
@@ -267,8 +260,10 @@
 	var demands []daisyheartbeat.Demand
 	for name, b := range c.buckets {
 		tokens := b.Request(now, c.countAllWaiting(name))
-		if tokens > 0 {
-			demands = append(demands, daisyheartbeat.Demand{Workspace: name, Tokens: tokens})
+		d := daisyheartbeat.Demand{Workspace: name, Tokens: tokens}
+		reserve := requestReserve(now, b, &d)
+		if tokens > 0 || reserve {
+			demands = append(demands, d)
 		}
 		if !b.OnDemand() {
 			c.pending[name] = c.pending[name].next(tokens)
@@ -298,6 +293,10 @@
 		if b == nil {
 			continue
 		}
+		if d.Sequence != 0 {
+			addReserve(now, b, d)
+			continue
+		}
 		r := c.pending[d.Workspace]
 		if d.Tokens > 0 {
 			b.Add(now, d.Tokens, d.After)
--- a/internal/limit/daisyquota/doc.go
+++ b/internal/limit/daisyquota/doc.go
@@ -15,14 +15,27 @@
 //     granted in advance, so that operations are served in the order of their requests;
 //     others are denied at once, with the time to return.
 //
+// On demand, a host also holds a reserve: whole tokens, requested with heartbeats that are
+// sent anyway, that operations use at once and for as long as no control leader answers.
+// The leader counts them as outstanding until the host reports that it has used or given
+// them up, or until ReserveLifetime has passed since it renewed them. Only tokens that the
+// host gave up return to the pool, since a host that is cut off may have used the others.
+// The pool is filled only so far that it and all outstanding reserves together do not
+// exceed the burst by more than reserveAllowance. A new leader counts the largest possible
+// reserves as outstanding until they have expired, and the tokens that an earlier one may
+// have granted in advance as spent. A divided limit has no reserve: the own part of the
+// burst, at least one token, is one, and its bound leaves no room for another.
+//
 // In any window of length w the fleet takes at most
 //
-//	rate × w + (hostBurstRatio + poolBurstRatio) × burst     divided,
-//	rate × (w + MaxGrantAge + tokenLifetime) + burst         on demand,
+//	rate × w + (hostBurstRatio + poolBurstRatio) × burst                        divided,
+//	rate × (w + MaxGrantAge + tokenLifetime) + burst + reserveAllowance         on demand,
 //
 // regardless of how many hosts restart, since a process starts without tokens.
 // Divided, a host holds no more than its part of the burst; on demand, a token is lost
-// if it was drawn from the pool more than MaxGrantAge + tokenLifetime ago.
+// if it was drawn from the pool more than MaxGrantAge + tokenLifetime ago, or is in
+// reserve. After a limit was lowered, reserves granted before last up to ReserveLifetime
+// on hosts that do not know the new limit.
 //
 // Entry hosts use this package. Hosts that hold databases use package daisybucket
 // instead, in which one host owns the token bucket and its local buckets hold only
--- a/internal/limit/daisyquota/host.go
+++ b/internal/limit/daisyquota/host.go
@@ -37,6 +37,8 @@
 	grants      []grant   // Unused tokens on demand, in the order in which they may be used.
 	requested   float64   // Tokens on demand that were requested and have not arrived.
 	requestedAt time.Time // When tokens on demand were last requested.
+
+	reserve hostReserve // Of a limit on demand.
 }
 
 // grant is a number of tokens that may be used from one time to another.
@@ -57,7 +59,9 @@
 	b.limit, b.hosts = l, max(1, hosts)
 	if b.onDemand() != wasOnDemand {
 		b.level, b.grants, b.requested = 0, nil, 0
+		b.reserve.reduce(0)
 	}
+	b.reserve.reduce(l.reserveCapacity())
 	b.refill(now)
 }
 
@@ -76,6 +80,7 @@
 		for len(b.grants) > 0 && !now.Before(b.grants[0].expires) {
 			b.grants = b.grants[1:]
 		}
+		b.reserve.expire(now)
 		return
 	}
 	level := b.level + elapsed.Seconds()*b.ownRate()
@@ -85,7 +90,7 @@
 // tokens returns the number of tokens in the bucket as of the last refill, with those
 // that may be used only later.
 func (b *HostBucket) tokens() float64 {
-	total := b.level
+	total := b.level + float64(b.reserve.held)
 	for _, g := range b.grants {
 		total += g.tokens
 	}
@@ -99,6 +104,7 @@
 func (b *HostBucket) Take(now time.Time) (ok bool, wait time.Duration) {
 	b.refill(now)
 	b.demand += 1 / demandWindow.Seconds()
+	b.reserve.count(now)
 	return b.takeToken()
 }
 
@@ -118,6 +124,8 @@
 			b.grants = b.grants[1:]
 		}
 		return true, 0
+	case b.reserve.take():
+		return true, 0
 	}
 	seconds := math.Min(lookahead.Seconds(), (1-b.level)/b.ownRate()) // A rate of 0 yields +Inf.
 	return false, time.Duration(seconds * float64(time.Second))
--- a/internal/limit/daisyquota/pool.go
+++ b/internal/limit/daisyquota/pool.go
@@ -59,6 +59,7 @@
 	level     float64 // Negative if tokens have been granted in advance.
 	returning float64 // Operations that were denied a token and have not returned.
 	updated   time.Time
+	reserves  poolReserves
 }
 
 // Grant is a number of tokens granted together.
@@ -76,15 +77,20 @@
 // SetLimit changes the limit and the number of hosts as of now.
 func (p *Pool) SetLimit(now time.Time, l WorkspaceLimit, hosts int) {
 	p.refill(now)
+	wasOnDemand := p.limit.onDemand(p.hosts)
 	p.limit, p.hosts = l, hosts
+	if l.onDemand(hosts) != wasOnDemand {
+		p.chargeReserves()
+	}
 	p.refill(now)
 }
 
 // capacity returns the maximum number of tokens in the pool. On demand it is at least
-// 1, or a workspace with a smaller burst would get no request through.
+// 1, or a workspace with a smaller burst would get no request through, unless tokens
+// in reserve leave less. After a limit was lowered, it may be negative.
 func (p *Pool) capacity() float64 {
 	if p.limit.onDemand(p.hosts) {
-		return math.Max(1, p.limit.Burst)
+		return math.Min(math.Max(1, p.limit.Burst), p.limit.Burst+reserveAllowance-float64(p.reserves.outstanding()))
 	}
 	return p.limit.Burst * poolBurstRatio
 }
@@ -92,6 +98,7 @@
 func (p *Pool) refill(now time.Time) {
 	elapsed := now.Sub(p.updated).Seconds()
 	p.updated = now
+	p.reserves.expire(now)
 	level := p.level + elapsed*p.limit.Rate*(1-p.limit.ownShare(p.hosts))
 	p.level = math.Min(level, p.capacity())
 	p.returning = math.Max(0, p.returning-elapsed*p.limit.Rate)
@@ -135,6 +142,9 @@
 		p.level--
 		grants = append(grants, Grant{Tokens: 1, After: due})
 	}
+	if now.Before(p.reserves.recoveredAt) {
+		return grants, 0, 0
+	}
 	if wanted >= 1 {
 		retryAfter = min(p.due(p.level-p.returning-1), maxRetryAfter)
 		p.returning = math.Min(p.returning+wanted, p.limit.Rate*maxRetryAfter.Seconds())
--- a/internal/wire/daisycodec/amount_test.go
+++ b/internal/wire/daisycodec/amount_test.go
@@ -62,3 +62,29 @@
 		t.Run(test.name, func(t *testing.T) { assert.Check(t, test.decode() != nil) })
 	}
 }
+
+// Guards against fields of a reserve that are lost on the wire, and against counts that
+// overflow what the leader sums up.
+func TestReservesAreEncoded(t *testing.T) {
+	tests := []struct {
+		name   string
+		demand daisyheartbeat.Demand
+		ok     bool
+	}{
+		{"Demand", daisyheartbeat.Demand{Workspace: "w", Sequence: 3, Reserve: 2, Held: 1, Returned: 4}, true},
+		{"Grant", daisyheartbeat.Demand{Workspace: "w", Sequence: 3, Reserve: 2, Lifetime: time.Second}, true},
+		{"Negative", daisyheartbeat.Demand{Workspace: "w", Sequence: 3, Held: -1}, false},
+		{"TooMany", daisyheartbeat.Demand{Workspace: "w", Sequence: 3, Returned: 1 << 40}, false},
+		{"NegativeLifetime", daisyheartbeat.Demand{Workspace: "w", Sequence: 3, Lifetime: -1}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			demands := []daisyheartbeat.Demand{test.demand}
+			m, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Address: addr, Demands: demands}))
+			assert.Equal(t, err == nil, test.ok)
+			if test.ok {
+				assert.DeepEqual(t, m.Heartbeat.Demands, demands)
+			}
+		})
+	}
+}
--- a/internal/wire/daisycodec/heartbeat.go
+++ b/internal/wire/daisycodec/heartbeat.go
@@ -120,18 +120,36 @@
 func fromDemands(demands []daisyheartbeat.Demand) []daisywire.Demand {
 	var ws []daisywire.Demand
 	for _, d := range demands {
-		ws = append(ws, daisywire.Demand{Workspace: d.Workspace, Tokens: d.Tokens, After: int64(d.After), Denied: d.Denied, RetryAfter: int64(d.RetryAfter)})
+		ws = append(ws, daisywire.Demand{
+			Workspace: d.Workspace, Tokens: d.Tokens, After: int64(d.After), Denied: d.Denied, RetryAfter: int64(d.RetryAfter),
+			Sequence: d.Sequence, Reserve: int64(d.Reserve), Held: int64(d.Held), Returned: int64(d.Returned), Lifetime: int64(d.Lifetime),
+		})
 	}
 	return ws
 }
 
+// maxReserve bounds the numbers of tokens in reserve that a message may state, so that
+// their sums do not overflow.
+const maxReserve = 1 << 20
+
+// checkReserves returns an error if a number of tokens in reserve is out of range.
+func checkReserves(numbers ...int64) error {
+	for _, n := range numbers {
+		if n < 0 || n > maxReserve {
+			return errAmount
+		}
+	}
+	return nil
+}
+
 func toDemands(ws []daisywire.Demand) (demands []daisyheartbeat.Demand, err error) {
 	for _, w := range ws {
-		if err := errors.Join(checkAmounts(w.Tokens, w.Denied), checkDurations(w.After, w.RetryAfter)); err != nil {
+		if err := errors.Join(checkAmounts(w.Tokens, w.Denied), checkDurations(w.After, w.RetryAfter, w.Lifetime), checkReserves(w.Reserve, w.Held, w.Returned)); err != nil {
 			return nil, err
 		}
 		demands = append(demands, daisyheartbeat.Demand{
 			Workspace: w.Workspace, Tokens: w.Tokens, After: time.Duration(w.After), Denied: w.Denied, RetryAfter: time.Duration(w.RetryAfter),
+			Sequence: w.Sequence, Reserve: int(w.Reserve), Held: int(w.Held), Returned: int(w.Returned), Lifetime: time.Duration(w.Lifetime),
 		})
 	}
 	return demands, nil
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -235,9 +235,28 @@
 	// Of a grant: the number of requested tokens that are not granted.
 	Denied float64 `json:"Denied,omitempty,omitzero"`
 
+	// Of a demand, with Sequence: how many unused tokens the host holds in reserve.
+	Held int64 `json:"Held,omitempty,omitzero"`
+
+	// Of a grant, with Sequence: how long the tokens in reserve last, in nanoseconds
+	// from the sending of the demand on.
+	Lifetime int64 `json:"Lifetime,omitempty,omitzero"`
+
+	// With Sequence: of a demand, how many tokens to hold in reserve; of a grant, how
+	// many the host may hold.
+	Reserve int64 `json:"Reserve,omitempty,omitzero"`
+
 	// Of a grant, with Denied: when to request the tokens again, in nanoseconds.
 	RetryAfter int64 `json:"RetryAfter,omitempty,omitzero"`
 
+	// Of a demand, with Sequence: how many tokens the host gave up unused since the
+	// last one.
+	Returned int64 `json:"Returned,omitempty,omitzero"`
+
+	// About tokens in reserve: of a demand, a number that increases with each of a
+	// process; of a grant, that of the demand.
+	Sequence uint64 `json:"Sequence,omitempty,omitzero"`
+
 	// The number of tokens.
 	Tokens float64 `json:"Tokens"`
 
