Refuse at once and truthfully on a host that has lost control

Cause: a host that reaches no control host refused operations as over the rate, let statements wait for a primary until their deadline, and denied keys and databases on the word of a desired state that may be old.

Without a lease an unknown key or database gets BUSY and the session stays. Reads of a stated age go on for as long as the last sample of the primary's position allows. The host is not ready while it has lost control. Refusals without an answer of the leader have a text of their own. Counted: LostControl and ReserveUsed in the load line and on the metrics page.

--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -200,6 +200,8 @@
 		{"daisyglade_held_off_total", func(l daisyentryhost.Load) uint64 { return l.HeldOff }},
 		{"daisyglade_refused_over_rate_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.OverRate }},
 		{"daisyglade_refused_unanswered_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.Unanswered }},
+		{"daisyglade_refused_lost_control_total", func(l daisyentryhost.Load) uint64 { return l.Refusals.LostControl }},
+		{"daisyglade_reserve_used_total", func(l daisyentryhost.Load) uint64 { return l.Reserve }},
 	}
 	for _, t := range totals {
 		m.AddGauge(t.name, func() float64 { return float64(t.value(h.Load())) })
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -128,6 +128,7 @@
 		},
 	})
 	h.admission = daisyadmission.New(h.lease.Wake)
+	h.admission.WatchControl(h.lease.Lost)
 }
 
 // openBackends creates the parts that connect to backend servers.
@@ -164,7 +165,7 @@
 	h.server, err = daisyfrontend.Open(h.ctx, daisyfrontend.Options{
 		Network: o.Network, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
 		Environment: &daisysession.Environment{
-			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, Log: o.Log,
+			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Control: h.lease, Count: o.Count, Log: o.Log,
 		},
 	})
 	return err
@@ -232,6 +233,7 @@
 // loggedState is what was last logged of the state that sessions act on.
 type loggedState struct {
 	leaseValid  bool
+	controlLost bool
 	leaderships map[string]daisyfleet.Leadership
 }
 
@@ -241,6 +243,7 @@
 		logged.leaseValid = valid
 		h.options.Log.WithFields(log.Fields{"Valid": valid, "Revision": h.view.Revision()}).Info("front: lease changed")
 	}
+	h.logControl(logged)
 	h.view.Read(func(s *daisyfleet.State) {
 		s.EachSorted(daisyfleet.KindLeadership, func(o daisyfleet.Object) {
 			leadership, ok := o.Value.(daisyfleet.Leadership)
@@ -331,7 +334,7 @@
 
 // Ready reports whether the balancer may send clients to this host.
 func (h *EntryHost) Ready() bool {
-	return !h.leaving.Load() && h.index.Load() != nil && h.lease.Valid()
+	return !h.leaving.Load() && h.index.Load() != nil && h.lease.Valid() && !h.lease.Lost()
 }
 
 // SetSeeds replaces the addresses of the control hosts to contact.
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -22,6 +22,7 @@
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
+	Reserve   uint64 // Tokens in reserve that operations used.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 }
 
@@ -30,7 +31,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(),
-		Refusals: h.admission.Refusals(),
+		Refusals: h.admission.Refusals(), Reserve: h.admission.ReserveUsed(),
 	}
 }
 
@@ -71,5 +72,7 @@
 		"HeldOff":     l.HeldOff - before.HeldOff,
 		"OverRate":    l.Refusals.OverRate - before.Refusals.OverRate,
 		"Unanswered":  l.Refusals.Unanswered - before.Refusals.Unanswered,
+		"LostControl": l.Refusals.LostControl - before.Refusals.LostControl,
+		"ReserveUsed": l.Reserve - before.Reserve,
 	}
 }
--- a/internal/limit/daisyadmission/island_test.go
+++ b/internal/limit/daisyadmission/island_test.go
@@ -20,6 +20,7 @@
 	oneWay      = 12 * time.Millisecond
 	beat        = 500 * time.Millisecond
 	maxWait     = 200 * time.Millisecond
+	rateShare   = 0.7      // Of the rates, that is offered.
 	lostAfter   = 2 * beat // When a host notices that no control host answers.
 )
 
@@ -44,7 +45,7 @@
 // tally counts operations that arrived in an interval.
 type tally struct {
 	all, overRate, unanswered, lost, admitted int
-	slowest                                           time.Duration // Until a refusal for lost control.
+	slowest                                   time.Duration // Until a refusal for lost control.
 }
 
 func newIsland(limits []daisyquota.WorkspaceLimit) *island {
@@ -158,14 +159,14 @@
 
 // load lets operations arrive for the duration, on 30 hosts for each workspace. It returns
 // what became of those that count reports true for.
-func (f *island) load(random *rand.Rand, share float64, duration time.Duration, counts func(h *islandHost) bool) *tally {
+func (f *island) load(random *rand.Rand, duration time.Duration, counts func(h *islandHost) bool) *tally {
 	t := &tally{}
 	var wait sync.WaitGroup
 	rates := 0.0
 	for _, l := range f.limits {
 		rates += l.Rate
 	}
-	for began := time.Now(); time.Since(began) < duration; time.Sleep(time.Duration(random.ExpFloat64() / (share * rates) * float64(time.Second))) {
+	for began := time.Now(); time.Since(began) < duration; time.Sleep(time.Duration(random.ExpFloat64() / (rateShare * rates) * float64(time.Second))) {
 		w := random.IntN(len(f.limits))
 		h := f.hosts[(w*7+random.IntN(30)*3)%islandHosts]
 		wait.Go(func() { f.operate(h, f.limits[w].Workspace, t, counts) })
@@ -215,34 +216,34 @@
 // within it, since no control leader answers: on a quiet day, in an election, and on 76 of
 // 109 hosts that are cut off.
 func TestReservesOutlastControl(t *testing.T) {
-	const load, warmUp = 0.7, 20 * time.Second
+	const warmUp = 20 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		random := rand.New(rand.NewPCG(4, 1))
 		f := newIsland(registryLimits())
 		defer f.wait.Wait()
 		defer close(f.ended)
-		f.load(random, load, warmUp, everyHost)
+		f.load(random, warmUp, everyHost)
 
 		f.early = 0
-		quiet := f.load(random, load, 10*time.Second, everyHost)
+		quiet := f.load(random, 10*time.Second, everyHost)
 		t.Logf("quiet: %v, %.2f early heartbeats for each", quiet, float64(f.early)/float64(quiet.all))
 		assert.Check(t, quiet.overRate+quiet.unanswered <= quiet.all/1000)
 		assert.Check(t, f.early <= quiet.all/2)
 
 		f.wait.Go(func() { f.loseLeader(750 * time.Millisecond) })
-		election := f.load(random, load, 1500*time.Millisecond, everyHost)
-		f.load(random, load, 2*time.Second, everyHost)
+		election := f.load(random, 1500*time.Millisecond, everyHost)
+		f.load(random, 2*time.Second, everyHost)
 		t.Logf("election: %v", election)
 		assert.Check(t, election.overRate+election.unanswered <= election.all/100)
-		f.load(random, load, warmUp, everyHost)
+		f.load(random, warmUp, everyHost)
 
 		cut := f.hosts[:76]
 		f.cutOff(cut, true)
 		onIsland := func(h *islandHost) bool { return h.cutOff }
-		leased := f.load(random, load, 3*time.Second, onIsland)
-		later := f.load(random, load, 4*time.Second, onIsland)
+		leased := f.load(random, 3*time.Second, onIsland)
+		later := f.load(random, 4*time.Second, onIsland)
 		f.cutOff(cut, false)
-		f.load(random, load, 2*time.Second, everyHost)
+		f.load(random, 2*time.Second, everyHost)
 		t.Logf("island while leases last: %v; later: %v", leased, later)
 		assert.Check(t, leased.overRate+leased.unanswered <= leased.all/100)
 		assert.Check(t, later.overRate+later.unanswered == 0)
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -55,6 +55,9 @@
 		if l, ok := s.env.Router.Leader(service); ok {
 			return l, nil
 		}
+		if s.env.controlLost() {
+			return daisyrouter.Leader{}, errLostControl
+		}
 		left := time.Until(until)
 		if left <= 0 {
 			return daisyrouter.Leader{}, errNoLeader
@@ -95,6 +98,8 @@
 			return a, false
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err), false
+		case errors.Is(err, errLostControl):
+			return daisystatement.Answer{State: daisystatement.StateIdle, Failure: lostControlFailure()}, false
 		case retry.wait(sendBy):
 		case err != nil:
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeBusy, "%v", err), false
--- a/internal/session/daisysession/retry.go
+++ b/internal/session/daisysession/retry.go
@@ -13,19 +13,20 @@
 
 // retrier paces the attempts at one statement.
 type retrier struct {
+	env     *Environment
 	pause   time.Duration // Before the next attempt.
 	changed <-chan struct{}
 }
 
 // begin is called before each attempt.
-func (r *retrier) begin(s *Session) { r.changed = s.env.Router.Changed() }
+func (r *retrier) begin(s *Session) { r.env, r.changed = s.env, s.env.Router.Changed() }
 
 // wait pauses before the next attempt, which it begins early if the host's view of
 // the fleet has changed since the last one began. It returns false if the pause
-// would end after until.
+// would end after until, or if the host has lost control, so that nothing will change.
 func (r *retrier) wait(until time.Time) bool {
 	r.pause = min(max(2*r.pause, firstPause), maxPause)
-	if time.Until(until) < r.pause {
+	if time.Until(until) < r.pause || r.env.controlLost() {
 		return false
 	}
 	select {
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -29,6 +29,7 @@
 	Router    *daisyrouter.Router
 	Forwarder Forwarder
 	Admission *daisyadmission.Controller
+	Control   Control // May be nil for a host that never loses control.
 	Count     Counter
 	Log       log.Interface
 }
@@ -77,11 +78,11 @@
 	}
 	p, ok := index.Profile(s.database)
 	if !ok {
-		return p, failure(daisystatement.CodeNoDatabase, "no profile serves the database")
+		return p, s.env.unknown(daisystatement.CodeNoDatabase, "no profile serves the database")
 	}
 	w, ok := index.Owner(s.key)
 	if !ok && !p.Public {
-		return p, failure(daisystatement.CodeDenied, "the key opens no workspace")
+		return p, s.env.unknown(daisystatement.CodeDenied, "the key opens no workspace")
 	}
 	s.workspace, s.weight = w.Name, w.Rate
 	return p, nil
@@ -188,20 +189,17 @@
 func (s *Session) admit(st daisystatement.Statement) (daisyspec.Profile, *daisystatement.Failure) {
 	p, refused := s.authorize()
 	if refused != nil {
-		s.ended = true
+		s.ended = s.env.leased()
 		return p, refused
 	}
+	if s.env.controlLost() && s.needsPrimary(p, st) {
+		return p, lostControlFailure()
+	}
 	if p.Public && s.workspace == "" {
 		return p, nil
 	}
-	ok, retryAfter := s.env.Admission.Admit(s.workspace, p.Priority, maxTokenWait)
-	if !ok {
-		quota := s.env.Admission.State(s.workspace)
-		s.env.Log.WithFields(log.Fields{
-			"Request": st.ID, "Workspace": s.workspace, "Rate": quota.Rate, "Tokens": quota.Tokens, "Demand": quota.Demand, "Hosts": quota.Hosts,
-			"RetryAfter": retryAfter.Milliseconds(),
-		}).Info("session: over the workspace's rate")
-		return p, failure(daisystatement.CodeBusy, "over the workspace's rate; retry in "+retryAfter.Round(time.Millisecond).String())
+	if refused := s.env.Admission.Decide(s.workspace, p.Priority, maxTokenWait); refused != nil {
+		return p, s.overRate(st, refused)
 	}
 	return p, nil
 }
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -150,6 +150,9 @@
 		code = daisystatement.CodeAborted
 	}
 	t.failed, t.failureReported = true, true
+	if t.session.env.controlLost() {
+		return daisystatement.Answer{State: daisystatement.StateFailed, Failure: lostControlFailure()}, false
+	}
 	return daisystatement.Fail(daisystatement.StateFailed, code, "%s", why), false
 }
 
