Refuse at once also where a divided limit yields no token without control

Cause: an operation on a host that no control host answers waited 0.2 s for the own part of a divided limit, also where that yields its next token in seconds.

Change: it waits only if the next token comes in time.

--- a/internal/limit/daisyadmission/controller.go
+++ b/internal/limit/daisyadmission/controller.go
@@ -137,7 +137,7 @@
 		maxWait *= unansweredFactor
 	}
 	until := arrived.Add(maxWait)
-	for now := arrived; now.Before(until) && !c.denied(workspace, arrived) && !c.hopeless(workspace); now = daisyclock.Now() {
+	for now := arrived; now.Before(until) && !c.denied(workspace, arrived) && !c.hopeless(workspace, now.Add(retryAfter).After(until)); now = daisyclock.Now() {
 		c.request(now, workspace)
 		c.awaitGrant(workspace, now, until)
 		if ok, retryAfter = c.take(daisyclock.Now(), workspace, priority, (*daisyquota.HostBucket).RetryTake); ok {
--- a/internal/limit/daisyadmission/refusal.go
+++ b/internal/limit/daisyadmission/refusal.go
@@ -54,11 +54,11 @@
 	c.lostControl = lost
 }
 
-// hopeless reports whether waiting for a token is of no use since no control host can
-// grant one. The own part of a divided limit still yields tokens.
-func (c *Controller) hopeless(workspace string) bool {
+// hopeless reports whether waiting for a token is of no use, since no control host can
+// grant one and the own part of a divided limit yields the next one too late.
+func (c *Controller) hopeless(workspace string, nextTooLate bool) bool {
 	b := c.buckets[workspace]
-	return b != nil && b.OnDemand() && c.lostControl()
+	return b != nil && (b.OnDemand() || nextTooLate) && c.lostControl()
 }
 
 // refuse counts the refusal of an operation that arrived at the given time, and returns
--- a/internal/limit/daisyadmission/refusals_test.go
+++ b/internal/limit/daisyadmission/refusals_test.go
@@ -110,3 +110,38 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against operations that wait for a control leader on a host that no control host
+// answers. The own part of a divided limit is waited for if it yields a token in time.
+func TestLostControlIsRefusedAtOnce(t *testing.T) {
+	tests := []struct {
+		name  string
+		hosts int
+		limit daisyquota.WorkspaceLimit
+		ok    bool
+		took  time.Duration
+	}{
+		{"OnDemand", 300, daisyquota.WorkspaceLimit{Workspace: "w", Rate: 10, Burst: 10}, false, 0},
+		{"DividedTooSlow", 109, daisyquota.WorkspaceLimit{Workspace: "w", Rate: 150, Burst: 150}, false, 0},
+		{"Divided", 5, daisyquota.WorkspaceLimit{Workspace: "w", Rate: 100, Burst: 100}, true, 100 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := daisyadmission.New(func() {})
+				c.WatchControl(func() bool { return true })
+				c.SetHosts(test.hosts)
+				c.SetLimits([]daisyquota.WorkspaceLimit{test.limit})
+				began := time.Now()
+				refused := c.Decide("w", 1, 200*time.Millisecond)
+				assert.Equal(t, refused == nil, test.ok)
+				assert.Equal(t, time.Since(began).Truncate(50*time.Millisecond), test.took)
+				if !test.ok {
+					assert.Equal(t, refused.Cause, daisyadmission.CauseLostControl)
+					assert.Assert(t, refused.RetryAfter >= 50*time.Millisecond && refused.RetryAfter < 250*time.Millisecond, "%v", refused.RetryAfter)
+					assert.Equal(t, c.Refusals(), daisyadmission.Refusals{LostControl: 1})
+				}
+			})
+		})
+	}
+}
