Give lost control as the reason also when a lease ends during work

Cause: a transaction whose host loses its lease was aborted as if the primary were being replaced, and a read that no server took was refused with the last server's failure and no time to retry.

Change: both say that the host has lost control.

Measured: TestLeaseEndsDuringWork passes, and fails without the change to reads.

--- a/internal/session/daisysession/control.go
+++ b/internal/session/daisysession/control.go
@@ -36,6 +36,14 @@
 	return failure(daisystatement.CodeBusy, errLostControl.Error()+"; "+retryIn(daisyadmission.LostControlRetry()))
 }
 
+// notLeading returns why a transaction that may write cannot go on.
+func (e *Environment) notLeading() string {
+	if e.controlLost() {
+		return errLostControl.Error()
+	}
+	return "the primary is being replaced"
+}
+
 func retryIn(d time.Duration) string { return "retry in " + d.Round(time.Millisecond).String() }
 
 // unknown returns the refusal of a database or key that the desired state does not have.
--- a/internal/session/daisysession/control_test.go
+++ b/internal/session/daisysession/control_test.go
@@ -108,6 +108,31 @@
 	})
 }
 
+// Guards against a wrong reason when the lease ends during a transaction, and when the last
+// server that could serve a read fails after it.
+func TestLeaseEndsDuringWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		defer f.close()
+		c := &control{lease: f.lease}
+		f.env.Control = c
+		s, reader := f.session("strict"), f.session("loose")
+		defer s.Close()
+		assert.Equal(t, code(do(s, statement(daisystatement.KindBegin, "b"))), daisystatement.CodeNone)
+		assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w"))), daisystatement.CodeNone)
+		c.lost.Store(true)
+		f.lease.valid.Store(false)
+		a := do(s, statement(daisystatement.KindCommit, "c"))
+		assert.Equal(t, code(a), daisystatement.CodeAborted)
+		assert.Assert(t, strings.HasPrefix(a.Failure.Text, "this host has lost control"), "%s", a.Failure.Text)
+		for _, name := range serverNames {
+			f.servers[name].unreachable = true
+		}
+		began := time.Now()
+		assertLostControl(t, do(reader, statement(daisystatement.KindRead, "r")).Failure, time.Since(began))
+	})
+}
+
 // Guards against denials on the word of an old desired state: a key or a database may have
 // been added since the host's lease ended.
 func TestUnknownNamesWithoutLease(t *testing.T) {
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -57,6 +57,9 @@
 			last = a
 		}
 		if !retrying.wait(sendBy) {
+			if s.env.controlLost() {
+				last.Failure = lostControlFailure()
+			}
 			return last
 		}
 	}
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -103,7 +103,7 @@
 		}
 	}
 	if !t.readOnly && !t.session.env.Router.Leads(t.profile.Service, t.leader) {
-		return t.abort("the primary is being replaced"), false
+		return t.abort(t.session.env.notLeading()), false
 	}
 	return refused, true
 }
