Wait for a rollback before a test makes its servers unreachable

The race detector reported the test's write of the field while the connection of the transaction before was being closed.

--- a/internal/session/daisysession/control_test.go
+++ b/internal/session/daisysession/control_test.go
@@ -125,6 +125,7 @@
 		a := do(s, statement(daisystatement.KindCommit, "c"))
 		assert.Equal(t, code(a), daisystatement.CodeAborted)
 		assert.Assert(t, strings.HasPrefix(a.Failure.Text, "this host has lost control"), "%s", a.Failure.Text)
+		synctest.Wait() // The transaction is being rolled back.
 		for _, name := range serverNames {
 			f.servers[name].unreachable = true
 		}
