Merge reserves of rate limit tokens and hosts that report lost control

Conflicts: Decide takes the order and the client that the wait ends with; a control host that answers without a leader resets the pause between attempts, so that a host whose other control hosts are dark finds the next leader within a second.

--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -47,7 +47,7 @@
 	// power does not answer a SYN, and TCP repeats it only after 1 s.
 	dialTimeout = 250 * time.Millisecond
 	// minRedialPause is the pause before the next control host is tried. It doubles with
-	// each one in a row that granted no lease, up to maxRedialPause, and is jittered: what
+	// each one in a row that did not answer, up to maxRedialPause, and is jittered: what
 	// makes one host fail makes all hosts fail, and their attempts would keep control
 	// hosts busy that could serve them.
 	minRedialPause = 50 * time.Millisecond
@@ -121,6 +121,7 @@
 	wait    sync.WaitGroup
 	wake    chan struct{}
 	dials   atomic.Uint64
+	contact contact
 
 	mu            sync.Mutex
 	link          Link // To the present control host, or nil.
@@ -131,7 +132,7 @@
 	lastReply     time.Time
 	delayedUntil  time.Time        // Until when a delayed reply is remembered.
 	served        bool             // The present control host has extended the lease.
-	failures      int              // Control hosts tried in a row that did not extend the lease.
+	failures      int              // Control hosts tried in a row that did not answer.
 	leaderless    int              // Control hosts left in a row since they knew no leader.
 	stayed        bool             // The last control host was left since it knew no leader.
 	eagerInterval time.Duration    // Until the next heartbeat of an eager client without a lease or a leader.
@@ -156,7 +157,10 @@
 func (c *Client) Dials() uint64 { return c.dials.Load() }
 
 // Start starts sending heartbeats.
-func (c *Client) Start() { c.wait.Go(c.run) }
+func (c *Client) Start() {
+	c.contact.begin()
+	c.wait.Go(c.run)
+}
 
 // Wake sends the next heartbeat at once, because there is something to report.
 func (c *Client) Wake() {
@@ -395,6 +399,7 @@
 func (c *Client) sendHeartbeat(ctx context.Context, link Link) error {
 	b := c.options.Report()
 	b.Revision = c.options.View.Revision()
+	b.Demands = understood(link, b.Demands)
 	now := daisyclock.Now()
 	c.mu.Lock()
 	c.host = b.Host
@@ -429,6 +434,7 @@
 // handle merges the reply's delta and extends the lease. It returns false if the
 // client should leave the control host because it does not lead.
 func (c *Client) handle(r daisyheartbeat.Reply, addr netip.AddrPort) bool {
+	c.contact.heard(r)
 	if r.Delta != nil {
 		err := c.options.View.Update(func(s *daisyfleet.State) error { return s.Merge(*r.Delta) })
 		if err != nil {
@@ -527,7 +533,7 @@
 	if c.noLeaderSince.IsZero() {
 		c.noLeaderSince = now
 	}
-	c.lastReply = now
+	c.lastReply, c.failures = now, 0
 	timeout := min(minNoLeaderTimeout<<min(c.leaderless, maxDoublings), maxNoLeaderTimeout)
 	if now.Sub(c.noLeaderSince) < timeout {
 		return true
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -138,6 +138,7 @@
 		},
 	})
 	h.admission = daisyadmission.New(h.lease.Wake)
+	h.admission.WatchControl(h.lease.Lost)
 }
 
 // openBackends creates the parts that connect to backend servers.
@@ -180,7 +181,7 @@
 	h.server, err = daisyfrontend.Open(h.ctx, daisyfrontend.Options{
 		Network: daisypacer.Network{Network: o.Network, Pacer: h.pacer}, Listen: o.Settings.Clients, Codec: o.Codec, Log: o.Log,
 		Environment: &daisysession.Environment{
-			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Count: o.Count, OnWait: o.OnWait, Log: o.Log,
+			Index: h.index.Load, Router: h.router, Forwarder: h.forwarder, Admission: h.admission, Control: h.lease, Count: o.Count, OnWait: o.OnWait, Log: o.Log,
 		},
 	})
 	return err
@@ -250,6 +251,7 @@
 // loggedState is what was last logged of the state that sessions act on.
 type loggedState struct {
 	leaseValid  bool
+	controlLost bool
 	leaderships map[string]daisyfleet.Leadership
 	evacuations []string
 }
@@ -260,6 +262,7 @@
 		logged.leaseValid = valid
 		h.options.Log.WithFields(log.Fields{"Valid": valid, "Revision": h.view.Revision()}).Info("front: lease changed")
 	}
+	h.logControl(logged)
 }
 
 // logState writes a log line for each change of the evacuated failure domains or of a
@@ -368,7 +371,7 @@
 
 // Ready reports whether the balancer may send clients to this host.
 func (h *EntryHost) Ready() bool {
-	return !h.leaving.Load() && h.index.Load() != nil && h.lease.Valid()
+	return !h.leaving.Load() && h.index.Load() != nil && h.lease.Valid() && !h.lease.Lost()
 }
 
 // SetSeeds replaces the addresses of the control hosts to contact.
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -28,6 +28,7 @@
 	Refusals  daisyadmission.Refusals
 	Controls  uint64 // Links to control hosts that the host tried to open.
 	NotAtHome uint64 // Refusals for want of a place in the home regions.
+	Reserve   uint64 // Tokens in reserve that operations used.
 	HeldOff   uint64 // Statements refused here, since a gateway had just refused one like them.
 	Chosen    daisyrouter.Chosen
 	Traffic   daisytraffic.Totals // Bytes sent, and those received from control hosts.
@@ -38,7 +39,7 @@
 	return Load{
 		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(), NotAtHome: h.router.NotAtHome(),
-		Refusals: h.admission.Refusals(), Controls: h.lease.Dials(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
+		Refusals: h.admission.Refusals(), Reserve: h.admission.ReserveUsed(), Controls: h.lease.Dials(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
 	}
 }
 
@@ -95,5 +96,7 @@
 		"OtherRegion":  l.Chosen[daisybalance.OtherRegion] - before.Chosen[daisybalance.OtherRegion],
 		"BytesDomain":  l.Traffic.Across(daisytraffic.BoundaryDomain) - before.Traffic.Across(daisytraffic.BoundaryDomain),
 		"BytesRegion":  l.Traffic.Across(daisytraffic.BoundaryRegion) - before.Traffic.Across(daisytraffic.BoundaryRegion),
+		"LostControl":  l.Refusals.LostControl - before.Refusals.LostControl,
+		"ReserveUsed":  l.Reserve - before.Reserve,
 	}
 }
--- a/internal/limit/daisyadmission/order_test.go
+++ b/internal/limit/daisyadmission/order_test.go
@@ -46,7 +46,7 @@
 		var wait sync.WaitGroup
 		for _, left := range []time.Duration{900 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond} {
 			wait.Go(func() {
-				ok, _ := c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: 1, StartBy: time.Now().Add(left)}, time.Second)
+				ok := nil == c.Decide(t.Context(), "w", daisyorder.Order{Priority: 1, StartBy: time.Now().Add(left)}, time.Second)
 				assert.Check(t, ok)
 				mu.Lock()
 				defer mu.Unlock()
@@ -74,7 +74,7 @@
 			priority := i % 2
 			wait.Go(func() {
 				for time.Now().Before(end) {
-					ok, _ := c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: priority}, 200*time.Millisecond)
+					ok := nil == c.Decide(t.Context(), "w", daisyorder.Order{Priority: priority}, 200*time.Millisecond)
 					mu.Lock()
 					if ok {
 						admitted[priority]++
@@ -99,13 +99,13 @@
 		ctx, leave := context.WithCancel(t.Context())
 		time.AfterFunc(30*time.Millisecond, leave)
 		began := time.Now()
-		ok, _ := c.AdmitInOrder(ctx, "w", daisyorder.Order{}, time.Second)
+		ok := nil == c.Decide(ctx, "w", daisyorder.Order{}, time.Second)
 		assert.Assert(t, !ok)
 		assert.Equal(t, time.Since(began), 30*time.Millisecond)
 		assert.Equal(t, c.Refusals(), daisyadmission.Refusals{})
 		time.Sleep(80 * time.Millisecond) // The token has come.
 		stop()
-		ok, _ = c.AdmitInOrder(t.Context(), "w", daisyorder.Order{Priority: 2}, time.Millisecond)
+		ok = nil == c.Decide(t.Context(), "w", daisyorder.Order{Priority: 2}, time.Millisecond)
 		assert.Assert(t, ok)
 	})
 }
--- a/internal/limit/daisyquota/pool.go
+++ b/internal/limit/daisyquota/pool.go
@@ -42,6 +42,11 @@
 // hosts. Otherwise it is divided.
 func (l WorkspaceLimit) onDemand(hosts int) bool { return l.hostBurst(hosts) < 1 }
 
+// leaderHolds reports whether nearly the whole limit is in the pool.
+func (l WorkspaceLimit) leaderHolds(hosts int) bool {
+	return l.onDemand(hosts) || hosts > smallFleetHosts
+}
+
 // ownShare returns the part of the rate that the given number of hosts spend without
 // requesting tokens from the pool.
 func (l WorkspaceLimit) ownShare(hosts int) float64 {
@@ -59,6 +64,7 @@
 	level     float64 // Negative if tokens have been granted in advance.
 	returning float64 // Operations that were denied a token and have not returned.
 	updated   time.Time
+	reserves  poolReserves
 }
 
 // Grant is a number of tokens granted together.
@@ -76,15 +82,20 @@
 // SetLimit changes the limit and the number of hosts as of now.
 func (p *Pool) SetLimit(now time.Time, l WorkspaceLimit, hosts int) {
 	p.refill(now)
+	wasOnDemand := p.limit.onDemand(p.hosts)
 	p.limit, p.hosts = l, hosts
+	if l.onDemand(hosts) != wasOnDemand {
+		p.chargeReserves()
+	}
 	p.refill(now)
 }
 
 // capacity returns the maximum number of tokens in the pool. On demand it is at least
-// 1, or a workspace with a smaller burst would get no request through.
+// 1, or a workspace with a smaller burst would get no request through, unless tokens
+// in reserve leave less. After a limit was lowered, it may be negative.
 func (p *Pool) capacity() float64 {
 	if p.limit.onDemand(p.hosts) {
-		return math.Max(1, p.limit.Burst)
+		return math.Min(math.Max(1, p.limit.Burst), p.limit.Burst+reserveAllowance-float64(p.reserves.outstanding()))
 	}
 	return p.limit.Burst * poolBurstRatio
 }
@@ -92,6 +103,7 @@
 func (p *Pool) refill(now time.Time) {
 	elapsed := now.Sub(p.updated).Seconds()
 	p.updated = now
+	p.reserves.expire(now)
 	level := p.level + elapsed*p.limit.Rate*(1-p.limit.ownShare(p.hosts))
 	p.level = math.Min(level, p.capacity())
 	p.returning = math.Max(0, p.returning-elapsed*p.limit.Rate)
@@ -124,7 +136,11 @@
 		grants = append(grants, Grant{Tokens: tokens})
 		wanted -= tokens
 	}
+	recovering := now.Before(p.reserves.recoveredAt)
 	if !p.limit.onDemand(p.hosts) {
+		if recovering {
+			wanted = 0
+		}
 		return grants, math.Max(0, wanted), 0
 	}
 	for ; wanted >= 1; wanted-- {
@@ -135,6 +151,9 @@
 		p.level--
 		grants = append(grants, Grant{Tokens: 1, After: due})
 	}
+	if recovering {
+		return grants, 0, 0
+	}
 	if wanted >= 1 {
 		retryAfter = min(p.due(p.level-p.returning-1), maxRetryAfter)
 		p.returning = math.Min(p.returning+wanted, p.limit.Rate*maxRetryAfter.Seconds())
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -58,6 +58,9 @@
 		if s.env.Router.Unservable(service, true) {
 			return daisyrouter.Leader{}, daisyrequest.NewEvacuationError()
 		}
+		if s.env.controlLost() {
+			return daisyrouter.Leader{}, errLostControl
+		}
 		left := time.Until(until)
 		if left <= 0 {
 			return daisyrouter.Leader{}, errNoLeader
@@ -113,6 +116,8 @@
 			return a, false
 		case err != nil && sent && !s.reads(st):
 			return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "%v", err), false
+		case errors.Is(err, errLostControl):
+			return daisystatement.Answer{State: daisystatement.StateIdle, Failure: lostControlFailure()}, false
 		}
 		if refused, ok := s.checkHome(p, true); !ok {
 			return refused, true
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -66,6 +66,9 @@
 			return refused
 		}
 		if !retrying.wait(sendBy) {
+			if s.env.controlLost() {
+				last.Failure = lostControlFailure()
+			}
 			return last
 		}
 	}
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -31,6 +31,7 @@
 	Router    *daisyrouter.Router
 	Forwarder Forwarder
 	Admission *daisyadmission.Controller
+	Control   Control // May be nil for a host that never loses control.
 	Count     Counter
 	OnWait    func(place, class string, wait time.Duration) // Called when an operation has its token; may be nil.
 	Log       log.Interface
@@ -83,11 +84,11 @@
 	}
 	p, ok := index.Profile(s.database)
 	if !ok {
-		return p, failure(daisystatement.CodeNoDatabase, "no profile serves the database")
+		return p, s.env.unknown(daisystatement.CodeNoDatabase, "no profile serves the database")
 	}
 	w, ok := index.Owner(s.key)
 	if !ok && !p.Public {
-		return p, failure(daisystatement.CodeDenied, "the key opens no workspace")
+		return p, s.env.unknown(daisystatement.CodeDenied, "the key opens no workspace")
 	}
 	s.workspace, s.weight, s.homeRegions = w.Name, w.Rate, w.Regions
 	return p, nil
@@ -194,20 +195,17 @@
 func (s *Session) admit(st daisystatement.Statement) (daisyspec.Profile, *daisystatement.Failure) {
 	p, refused := s.authorize()
 	if refused != nil {
-		s.ended = true
+		s.ended = s.env.leased()
 		return p, refused
 	}
+	if s.env.controlLost() && s.needsPrimary(p, st) {
+		return p, lostControlFailure()
+	}
 	if p.Public && s.workspace == "" {
 		return p, nil
 	}
-	ok, retryAfter := s.takeToken(p)
-	if !ok {
-		quota := s.env.Admission.State(s.workspace)
-		s.env.Log.WithFields(log.Fields{
-			"Request": st.ID, "Workspace": s.workspace, "Rate": quota.Rate, "Tokens": quota.Tokens, "Demand": quota.Demand, "Hosts": quota.Hosts,
-			"RetryAfter": retryAfter.Milliseconds(),
-		}).Info("session: over the workspace's rate")
-		return p, failure(daisystatement.CodeBusy, "over the workspace's rate; retry in "+retryAfter.Round(time.Millisecond).String())
+	if refused := s.takeToken(p); refused != nil {
+		return p, s.overRate(st, refused)
 	}
 	return p, nil
 }
@@ -216,14 +214,14 @@
 const placeTokens = "tokens"
 
 // takeToken takes a token for an operation that has just arrived.
-func (s *Session) takeToken(p daisyspec.Profile) (ok bool, retryAfter time.Duration) {
+func (s *Session) takeToken(p daisyspec.Profile) *daisyadmission.Refusal {
 	arrived := time.Now()
 	order := daisyorder.Order{Priority: p.Priority, Class: p.Name, StartBy: daisyorder.StartBy(objective(p, arrived.Add(p.Timeout)), 0)}
-	ok, retryAfter = s.env.Admission.AdmitInOrder(s.clientContext(), s.workspace, order, maxTokenWait)
-	if ok && s.env.OnWait != nil {
+	refused := s.env.Admission.Decide(s.clientContext(), s.workspace, order, maxTokenWait)
+	if refused == nil && s.env.OnWait != nil {
 		s.env.OnWait(placeTokens, p.Name, time.Since(arrived))
 	}
-	return ok, retryAfter
+	return refused
 }
 
 // run runs a read or a write.
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -107,7 +107,7 @@
 		return t.abort("the home regions have changed"), false
 	}
 	if !t.readOnly && !t.session.env.Router.Leads(t.profile.Service, t.leader) {
-		return t.abort("the primary is being replaced"), false
+		return t.abort(t.session.env.notLeading()), false
 	}
 	return refused, true
 }
@@ -167,6 +167,9 @@
 		code = daisystatement.CodeAborted
 	}
 	t.failed, t.failureReported = true, true
+	if t.session.env.controlLost() {
+		return daisystatement.Answer{State: daisystatement.StateFailed, Failure: lostControlFailure()}, false
+	}
 	return daisystatement.Fail(daisystatement.StateFailed, code, "%s", why), false
 }
 
