--- a/internal/control/daisyplacement/bounded.go
+++ b/internal/control/daisyplacement/bounded.go
@@ -12,6 +12,12 @@
 // links, spreading would only cost connections.
 const minSpreadHosts = maxGateways
 
+// maxPairs is the number of pairs of server and host in a failure domain up to which loads
+// are bounded. Beyond it, with dozens of servers a host, the weights alone spread them to
+// within a few standard deviations, and sorting the pairs would take a small host a
+// second after each change.
+const maxPairs = 20_000
+
 // hostsByDomain returns the number of hosts of each failure domain. Hosts that are down
 // count, so that the loss of a host does not change how a domain's servers are used.
 func hostsByDomain(s *daisyfleet.State) map[string]int {
@@ -47,6 +53,9 @@
 // others as well.
 func (t Topology) assign(domain string, servers []string, hosts []candidate) map[string][]Gateway {
 	near := slices.DeleteFunc(slices.Clone(hosts), func(h candidate) bool { return h.failureDomain != domain })
+	if len(servers)*len(near) > maxPairs {
+		return t.assignByWeight(domain, servers, near, hosts)
+	}
 	a := &assignment{
 		servers: servers, hosts: near, gateways: make([][]int, len(servers)), load: make([]int, len(near)),
 		bound: gatewayBound(len(servers), len(near)),
@@ -71,6 +80,18 @@
 	return assigned
 }
 
+// assignByWeight is assign without a bound.
+func (t Topology) assignByWeight(domain string, servers []string, near, hosts []candidate) map[string][]Gateway {
+	assigned := make(map[string][]Gateway, len(servers))
+	for _, name := range servers {
+		assigned[name] = t.rank(name, domain, near)
+		if len(assigned[name]) < maxGateways {
+			assigned[name] = t.complete(assigned[name], name, domain, hosts)
+		}
+	}
+	return assigned
+}
+
 func (a *assignment) add(server, host int) {
 	a.gateways[server] = append(a.gateways[server], host)
 	a.load[host]++
--- a/internal/control/daisyplacement/gateways.go
+++ b/internal/control/daisyplacement/gateways.go
@@ -53,16 +53,33 @@
 	return gateways
 }
 
-// Observers returns the hosts that report whether they reach a primary of the service:
+// GatewayCache keeps the gateways of a state until the state affects them. The zero value
+// is empty. It is not safe for concurrent use.
+type GatewayCache struct {
+	gateways    map[string]Gateways
+	revision    uint64
+	fingerprint uint64 // Of the state from which gateways was derived.
+}
+
+// Gateways returns Topology.Gateways of the state.
+func (c *GatewayCache) Gateways(t Topology, s *daisyfleet.State) map[string]Gateways {
+	if c.gateways != nil && c.revision == s.Revision() {
+		return c.gateways
+	}
+	c.revision = s.Revision()
+	if sum := Fingerprint(s); c.gateways == nil || sum != c.fingerprint {
+		c.fingerprint, c.gateways = sum, t.Gateways(s)
+	}
+	return c.gateways
+}
+
+// ServiceObservers returns the hosts that report whether they reach a primary of the service:
 // the gateways of all its servers, so that there are some near each of them.
-func (t Topology) Observers(s *daisyfleet.State, service string) map[string]bool {
-	gateways := t.Gateways(s)
+func ServiceObservers(gateways map[string]Gateways, s *daisyfleet.State, service string) map[string]bool {
 	observers := make(map[string]bool)
-	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-		if v, ok := o.Value.(daisyfleet.Server); ok && v.Service == service {
-			for _, g := range gateways[o.Name].Ranked {
-				observers[g.Host] = true
-			}
+	s.EachServer(service, func(name string, _ daisyfleet.Server) {
+		for _, g := range gateways[name].Ranked {
+			observers[g.Host] = true
 		}
 	})
 	return observers
--- a/internal/control/daisyplacement/gateways_test.go
+++ b/internal/control/daisyplacement/gateways_test.go
@@ -43,9 +43,9 @@
 			}
 			s.Apply(1, daisyfleet.Change{Operations: operations})
 			topology := daisyplacement.Topology{Regions: map[string]string{"cardiff": "south", "aberystwyth": "mid", "bangor": "north"}}
-			observers := topology.Observers(&s, "s")
+			observers := daisyplacement.ServiceObservers(topology.Gateways(&s), &s, "s")
 			assert.Equal(t, len(observers), test.want)
-			assert.Equal(t, len(topology.Observers(&s, "other")), 0)
+			assert.Equal(t, len(daisyplacement.ServiceObservers(topology.Gateways(&s), &s, "other")), 0)
 		})
 	}
 }
--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -69,6 +69,7 @@
 
 	leadingSince time.Time
 	topology     daisyplacement.Topology
+	gateways     daisyplacement.GatewayCache
 	servers      map[string]*announcedServer // By ID.
 	byAddress    map[netip.AddrPort]string   // The ID of the last server that announced itself there.
 	departed     map[string]announcedServer  // By ID; seenAt is when the server departed.
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
@@ -175,7 +176,7 @@
 	if !slices.ContainsFunc(slices.Collect(maps.Values(l.observations[service])), func(seen unreachableReport) bool { return seen.counts(now, leadership) }) {
 		return 0, 0
 	}
-	hosts := l.topology.Observers(s, service)
+	hosts := daisyplacement.ServiceObservers(l.gateways.Gateways(l.topology, s), s, service)
 	for host := range hosts {
 		if l.observations[service][host].counts(now, leadership) {
 			unreachable++
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -74,7 +74,7 @@
 	gateways atomic.Pointer[map[string]daisyplacement.Gateways] // By server.
 	regions  atomic.Pointer[map[string]string]                  // By host.
 
-	fingerprint uint64 // Of the state from which gateways was derived.
+	cache daisyplacement.GatewayCache // Used by Refresh only.
 
 	mu    sync.Mutex
 	links map[netip.AddrPort]*link
@@ -91,12 +91,7 @@
 
 // Refresh sets the gateways from the fleet's state. Calls must not overlap.
 func (f *Forwarder) Refresh(s *daisyfleet.State) {
-	fingerprint := daisyplacement.Fingerprint(s)
-	if fingerprint == f.fingerprint {
-		return
-	}
-	f.fingerprint = fingerprint
-	next := f.options.Topology.Gateways(s)
+	next := f.cache.Gateways(f.options.Topology, s)
 	regions := hostRegions(f.options.Topology, s)
 	f.regions.Store(&regions)
 	f.gateways.Store(&next)
--- a/internal/holder/daisygateway/cold.go
+++ b/internal/holder/daisygateway/cold.go
@@ -28,6 +28,7 @@
 	Cold     bool          // The control state says that it is cold.
 	Started  time.Time     // When the server's process started, by the clock of its machine; zero if unknown.
 	Rank     int           // The rank of this host among the server's gateways; -1 if it is none.
+	Spread   bool          // The requests of the server are spread over its gateways.
 }
 
 // coldBudget limits the requests of one server. It is safe for concurrent use.
@@ -50,7 +51,7 @@
 		b.known = now
 	}
 	b.limit = limit
-	b.bucket.set(now, limit.Rank, limit.Rate)
+	b.bucket.set(now, limit.Rank, limit.Rate, limit.Spread)
 }
 
 // Cold reports whether this host treats the server as cold, and which share of its budget
--- a/internal/holder/daisygateway/coldbucket.go
+++ b/internal/holder/daisygateway/coldbucket.go
@@ -27,6 +27,10 @@
 // budgetShares are the gateways' shares of a cold server's rate, by rank.
 var budgetShares = [...]float64{0.7, 0.2, 0.1}
 
+// spreadShare is the share of each gateway of a server whose requests are spread over
+// three by workspace.
+const spreadShare = 1.0 / 3
+
 // coldBucket is the token bucket of one gateway for a cold server. The zero value is empty
 // and has no share. It is not safe for concurrent use.
 type coldBucket struct {
@@ -41,12 +45,17 @@
 	lastSeen time.Time
 }
 
-// set sets the rank of this host and the rate of the cold server.
-func (b *coldBucket) set(now time.Time, rank int, rate float64) {
+// set sets the rank of this host, the rate of the cold server and whether its requests are
+// spread over its gateways. Then no gateway is the first.
+func (b *coldBucket) set(now time.Time, rank int, rate float64, spread bool) {
 	b.advance(now)
 	b.rate = rate
 	next := 0.0
-	if rank >= 0 && rank < len(budgetShares) {
+	switch {
+	case rank < 0 || rank >= len(budgetShares):
+	case spread:
+		rank, next = 1, spreadShare
+	default:
 		next = budgetShares[rank]
 	}
 	if next == b.share && rank == b.rank {
--- a/internal/holder/daisygateway/coldbucket_test.go
+++ b/internal/holder/daisygateway/coldbucket_test.go
@@ -42,7 +42,8 @@
 				for h := range learns {
 					learns[h] = start.Add(5*time.Second + rapid.SampledFrom([]time.Duration{0, 3 * time.Second}).Draw(t, "learns"))
 				}
-				admitted := admit(start, rate, func(now time.Time, h int) (rank int, known bool) {
+				spread := rapid.Bool().Draw(t, "spread")
+				admitted := admit(start, rate, spread, func(now time.Time, h int) (rank int, known bool) {
 					if !now.Before(learns[h]) {
 						return slices.Index(test.after, h), true
 					}
@@ -57,12 +58,12 @@
 
 // admit returns when requests were let through by the buckets of five hosts that take all
 // they may. rankOf returns the rank that a host gives itself, if it knows the server.
-func admit(start time.Time, rate float64, rankOf func(now time.Time, h int) (rank int, known bool)) (admitted []time.Time) {
+func admit(start time.Time, rate float64, spread bool, rankOf func(now time.Time, h int) (rank int, known bool)) (admitted []time.Time) {
 	buckets := make([]coldBucket, 5)
 	for now := start; now.Before(start.Add(trial)); now = now.Add(tick) {
 		for h := range buckets {
 			if rank, known := rankOf(now, h); known {
-				buckets[h].set(now, rank, rate)
+				buckets[h].set(now, rank, rate, spread)
 			}
 			for buckets[h].take(now) {
 				admitted = append(admitted, now)
@@ -108,7 +109,7 @@
 			for _, rank := range test.ranks {
 				counts = make([]int, 10)
 				for i := range 10 * int(time.Second/tick) {
-					b.set(now, rank, rate)
+					b.set(now, rank, rate, false)
 					if b.take(now) {
 						counts[i*int(tick)/int(time.Second)]++
 					}
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -86,6 +86,7 @@
 	wait        sync.WaitGroup
 	leaving     atomic.Bool
 	evacuations atomic.Pointer[[]string] // The evacuated failure domains that the parts below know.
+	placement   pacedWork                // Used by applyState only.
 
 	view      *daisyfleet.View
 	dialer    *daisylink.Dialer
@@ -225,7 +226,8 @@
 	defer ticker.Stop()
 	for {
 		changed := h.view.Changed()
-		h.refresh()
+		h.refreshDesired()
+		h.refreshPlacement()
 		if !h.logUntilChange(changed, ticker.C, &logged) {
 			return
 		}
@@ -241,6 +243,8 @@
 		select {
 		case <-changed:
 			return true
+		case <-h.placement.due():
+			h.refreshPlacement()
 		case <-tick:
 		case <-h.ctx.Done():
 			return false
@@ -286,59 +290,6 @@
 	})
 }
 
-// refresh updates the parts of the host from the control state.
-func (h *EntryHost) refresh() {
-	evacuations := h.view.Evacuations() // Read first, since the state may change meanwhile.
-	defer h.evacuations.Store(&evacuations)
-	if d, ok := h.view.Document(); ok {
-		if current := h.index.Load(); current == nil || current.Version != d.Version {
-			h.applyDocument(d)
-		}
-	}
-	hosts := 0
-	h.view.Read(func(s *daisyfleet.State) {
-		s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
-	})
-	h.admission.SetHosts(max(1, hosts))
-	h.view.Read(h.forwarder.Refresh)
-	h.refreshServers()
-	h.router.Refresh()
-}
-
-// refreshServers sets this host's share of connections to each server and the
-// server's slots, and removes servers that are gone.
-func (h *EntryHost) refreshServers() {
-	known := make(map[string]bool)
-	h.view.Read(func(s *daisyfleet.State) {
-		s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
-			v, ok := o.Value.(daisyfleet.Server)
-			if !ok {
-				return
-			}
-			known[o.Name] = true
-			service, gateways := h.service(v.Service), h.forwarder.Gateways(o.Name)
-			rank := gateways.Rank(h.options.Settings.Host)
-			maxOpen := gateways.Connections(service.Connections, h.options.Settings.Host)
-			target := daisypool.Target{Server: o.Name, Service: v.Service, Address: v.Address}
-			h.pool.Set(target, daisypool.Share{KeepOpen: maxOpen, MaxOpen: maxOpen})
-			if gateways.Spread {
-				h.gateway.SetSharedSlots(o.Name, v.Slots)
-				return
-			}
-			regions := h.options.Settings.Regions
-			h.gateway.SetEvacuated(o.Name, s.Evacuated(v.FailureDomain))
-			h.gateway.SetSlots(o.Name, v.Slots, regions[v.FailureDomain] != h.options.Settings.Region())
-			h.gateway.SetCold(o.Name, daisygateway.ColdLimit{Rate: service.Cold.Rate, Duration: service.Cold.Duration, Cold: v.Cold, Started: v.Started, Rank: rank})
-		})
-	})
-	for _, name := range h.pool.ServerNames() {
-		if !known[name] {
-			h.pool.Remove(name)
-			h.gateway.Forget(name)
-		}
-	}
-}
-
 // service returns the named service of the desired state, the zero value if there is
 // none.
 func (h *EntryHost) service(name string) (v daisyspec.Service) {
