Probe the servers of services without a leadership in turn

Change: 16 services a round of 50 ms, in turn, so that servers that do not answer hold up no others. Measured: TestServicesAreFirstProbedInTurn holds; it demands at most 20 probes a round.

--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -76,6 +76,7 @@
 	probes       map[string]*probeState
 	observations map[string]map[string]unreachableReport // By service, then host.
 	successions  map[string]*succession
+	lastUnled    string                      // Up to which service those without a leadership were probed.
 	pools        map[string]*daisyquota.Pool // By workspace.
 
 	syncReplicas map[string]int // By service.
--- a/internal/control/daisypromotion/orders.go
+++ b/internal/control/daisypromotion/orders.go
@@ -1,6 +1,7 @@
 package daisypromotion
 
 import (
+	"slices"
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
@@ -10,21 +11,42 @@
 // result is passed to RecordResult.
 func (l *Leader) Orders(now time.Time, s *daisyfleet.State) []Order {
 	var orders []Order
+	var unled []string
 	for _, service := range l.services(s) {
 		o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindLeadership, Name: service})
 		leadership, _ := o.Value.(daisyfleet.Leadership)
 		switch {
 		case !ok:
-			orders = append(orders, l.probeAll(now, s, service)...)
+			unled = append(unled, service)
 		case leadership.Server != "":
 			orders = append(orders, l.supervise(now, s, service, leadership)...)
 		default:
 			orders = append(orders, l.continueSuccession(now, s, service, leadership)...)
 		}
 	}
+	for _, service := range l.nextUnled(unled) {
+		orders = append(orders, l.probeAll(now, s, service)...)
+	}
 	return orders
 }
 
+// maxUnled is the number of services without a leadership whose servers are probed in one
+// round. When a large fleet starts, thousands of probes at once would keep the control
+// leader from answering its hosts.
+const maxUnled = 16
+
+// nextUnled returns the services without a leadership that are probed in this round, in
+// turn, so that those whose servers do not answer hold up no others.
+func (l *Leader) nextUnled(unled []string) []string {
+	if len(unled) <= maxUnled {
+		return unled
+	}
+	at, _ := slices.BinarySearch(unled, l.lastUnled)
+	turn := slices.Concat(unled[at:], unled[:at])[:maxUnled]
+	l.lastUnled = turn[maxUnled-1] + "\x00" // The next round begins after it.
+	return turn
+}
+
 // probeAll orders probes of all servers of the service.
 func (l *Leader) probeAll(now time.Time, s *daisyfleet.State, service string) []Order {
 	var orders []Order
--- a/internal/control/daisypromotion/restart_test.go
+++ b/internal/control/daisypromotion/restart_test.go
@@ -1,6 +1,7 @@
 package daisypromotion_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -41,3 +42,30 @@
 		})
 	}
 }
+
+// Guards against a start of a large fleet in which the control leader probes all servers at
+// once, and against services that wait behind others whose servers do not answer.
+func TestServicesAreFirstProbedInTurn(t *testing.T) {
+	const services = 100
+	now := time.Unix(1000, 0)
+	var s daisyfleet.State
+	var operations []daisyfleet.Operation
+	for i := range services {
+		operations = append(operations, daisyfleet.Operation{
+			ID:    daisyfleet.ID{Kind: daisyfleet.KindServer, Name: fmt.Sprintf("i%03d", i)},
+			Value: daisyfleet.Server{Service: fmt.Sprintf("s%03d", i), Address: netip.MustParseAddrPort("10.0.0.1:1")},
+		})
+	}
+	s.Apply(1, daisyfleet.Change{Operations: operations})
+	l := daisypromotion.NewLeader(daisypromotion.Options{LeadingSince: now, LeaseDuration: lease})
+	probed := make(map[string]bool)
+	for range 10 {
+		orders := l.Orders(now, &s)
+		assert.Assert(t, len(orders) <= 20, "%d probes at once", len(orders))
+		for _, o := range orders {
+			probed[o.Server] = true
+		}
+		now = now.Add(50 * time.Millisecond)
+	}
+	assert.Equal(t, len(probed), services)
+}
