Mend what the review of evacuations and cold servers found

Cause: a reviewer who had not written the parts showed by tests that a transaction waits until its deadline on a former gateway of a cold server, that a server without a budget may refuse while a transaction passes, and that a leader that is a moment old withdraws an evacuation without marking the servers as cold; explain route left the home regions out, and only the last gateway of all was waited for, not the last at home. Change: await ends at once without a share; take looks at the limit first; the desired state is read before a withdrawal; explain and Run choose among the gateways at home. Measured: the two new tests and those of gateway, forwarder, hosts and platform pass. Not mended: a read-only transaction on a host that has lost control goes on until its idle limit (docs/PROOFS.md, open findings).

--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -114,9 +114,9 @@
 }
 
 // GatewayHosts returns the names of the server's gateways, in the order in which requests
-// of the workspace try them.
-func (f *Forwarder) GatewayHosts(server, workspace string) (hosts []string) {
-	for _, g := range f.Gateways(server).Order(server, workspace) {
+// of the workspace with the home regions try them.
+func (f *Forwarder) GatewayHosts(server, workspace string, home daisyrequest.Home) (hosts []string) {
+	for _, g := range f.usable(f.Gateways(server).Order(server, workspace), &daisyrequest.Request{Home: home}) {
 		hosts = append(hosts, g.Host)
 	}
 	return hosts
@@ -126,17 +126,15 @@
 // send it. Errors are as for daisygateway.Gateway.Run.
 func (f *Forwarder) Run(req daisyrequest.Request) (a daisystatement.Answer, pinned daisyrequest.PinnedConn, err error) {
 	err = fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, errNoGateway)
-	gateways := f.Gateways(req.Server).Order(req.Server, req.Workspace)
+	all := f.Gateways(req.Server).Order(req.Server, req.Workspace)
+	gateways := f.usable(all, &req)
+	if len(all) > 0 && len(gateways) == 0 {
+		err = errNoGatewayAtHome(&req)
+	}
 	for i, g := range gateways {
 		if time.Until(req.SendDeadline) <= 0 {
 			break
 		}
-		if !f.mayUse(g, &req) {
-			if errors.Is(err, errNoGateway) {
-				err = errNoGatewayAtHome(&req)
-			}
-			continue
-		}
 		a, pinned, err = f.runAt(g, req, i == len(gateways)-1)
 		if !errors.Is(err, daisyrequest.ErrUnreachable) {
 			return a, pinned, err
--- a/internal/entry/daisyforwarder/home.go
+++ b/internal/entry/daisyforwarder/home.go
@@ -1,6 +1,8 @@
 package daisyforwarder
 
 import (
+	"slices"
+
 	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
@@ -29,3 +31,11 @@
 func (f *Forwarder) mayUse(g daisyplacement.Gateway, req *daisyrequest.Request) bool {
 	return req.Home == nil || g.Host == f.options.Host || req.Allows((*f.regions.Load())[g.Host])
 }
+
+// usable returns the gateways to which the request may be sent, in their order.
+func (f *Forwarder) usable(gateways []daisyplacement.Gateway, req *daisyrequest.Request) []daisyplacement.Gateway {
+	if req.Home == nil {
+		return gateways
+	}
+	return slices.DeleteFunc(slices.Clone(gateways), func(g daisyplacement.Gateway) bool { return !f.mayUse(g, req) })
+}
--- a/internal/holder/daisygateway/cold.go
+++ b/internal/holder/daisygateway/cold.go
@@ -103,7 +103,8 @@
 func (b *coldBudget) take() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.waiting == 0 && b.takeLocked(time.Now())
+	now := time.Now()
+	return (!b.limited(now) || b.waiting == 0) && b.takeLocked(now)
 }
 
 // takeLocked requires b.mu. Requests of a server that is not cold count too, so that one
@@ -123,7 +124,7 @@
 }
 
 // await takes a token for a request that must not be refused, as one of an open
-// transaction. It waits until ctx is done.
+// transaction. It waits until ctx is done, but not on a host that has no share any more.
 func (b *coldBudget) await(ctx context.Context) error {
 	b.mu.Lock()
 	b.waiting++
@@ -136,12 +137,15 @@
 	for {
 		b.mu.Lock()
 		now := time.Now()
-		taken := b.takeLocked(now)
+		taken, hopeless := b.takeLocked(now), b.bucket.hopeless(now)
 		pause := min(max(b.bucket.until(now), minTokenWait), maxTokenWait)
 		b.mu.Unlock()
 		if taken {
 			return nil
 		}
+		if hopeless {
+			return errOverBudget()
+		}
 		select {
 		case <-time.After(pause):
 		case <-ctx.Done():
--- a/internal/holder/daisygateway/cold_test.go
+++ b/internal/holder/daisygateway/cold_test.go
@@ -205,3 +205,25 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Guards against transactions that hold a slot until their deadline on a host that is no
+// gateway of the cold server any more.
+func TestTransactionEndsOnFormerGatewayOfColdServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newColdGateway(&coldBackend{backend: newBackend()})
+		defer g.close(t)
+		limit := daisygateway.ColdLimit{Rate: 20, Duration: 10 * time.Second, Cold: true, Started: time.Now()}
+		g.SetCold(serverName, limit)
+		time.Sleep(5 * time.Second)
+		_, conn, err := g.Run(coldRequest(daisystatement.KindBegin))
+		assert.NilError(t, err)
+		limit.Rank = -1
+		g.SetCold(serverName, limit)
+		_, _ = conn.Do(coldRequest(daisystatement.KindRead)) // May use the last token.
+		began := time.Now()
+		_, err = conn.Do(coldRequest(daisystatement.KindCommit))
+		assert.Assert(t, errors.Is(err, daisyrequest.ErrNotSent), "%v", err)
+		assert.Assert(t, time.Since(began) < 100*time.Millisecond, "refused after %v", time.Since(began))
+		conn.Close()
+	})
+}
--- a/internal/holder/daisygateway/coldbucket.go
+++ b/internal/holder/daisygateway/coldbucket.go
@@ -119,6 +119,11 @@
 	return true
 }
 
+// hopeless reports whether this host has no share and waits for none.
+func (b *coldBucket) hopeless(now time.Time) bool {
+	return b.share <= 0 && b.shareAt(now) <= 0
+}
+
 // until returns how long it takes until there is a token, if none is taken meanwhile.
 func (b *coldBucket) until(now time.Time) time.Duration {
 	rate := b.rate * b.shareAt(now)
--- a/internal/holder/daisygateway/coldbucket_test.go
+++ b/internal/holder/daisygateway/coldbucket_test.go
@@ -125,3 +125,10 @@
 		})
 	}
 }
+
+// Guards against refusals for a budget on servers that have none, while a statement of a
+// transaction passes at the same moment.
+func TestServerWithoutBudgetIsNotLimited(t *testing.T) {
+	b := coldBudget{waiting: 1}
+	assert.Assert(t, b.take())
+}
--- a/internal/host/daisycontrolhost/evacuations.go
+++ b/internal/host/daisycontrolhost/evacuations.go
@@ -68,8 +68,9 @@
 // addCold adds to the withdrawal that the domain's servers are cold. It returns false if
 // this host does not lead.
 func (c *ControlHost) addCold(change *daisyfleet.Change, domain string) bool {
-	return c.coordinator.RunAsLeader(func(_ time.Time, d daisycoordinator.Decider, s *daisyfleet.State) {
+	return c.coordinator.RunAsLeader(func(now time.Time, d daisycoordinator.Decider, s *daisyfleet.State) {
 		if leader, ok := d.(*decider); ok {
+			leader.updateDesired(now, s) // A new leader knows no services yet.
 			change.Operations = append(change.Operations, leader.ColdAfterEvacuation(domain, s)...)
 		}
 	})
--- a/internal/host/daisyentryhost/explain.go
+++ b/internal/host/daisyentryhost/explain.go
@@ -29,12 +29,14 @@
 		return route, err
 	}
 	route = daisyroute.Route{Host: h.options.Settings.Host, Database: q.Database, Workspace: workspace, Kind: q.Kind, Service: p.Service}
-	query := daisyrouter.Query{Profile: p, Workspace: workspace, Transaction: q.Kind.Transaction()}
+	w, _ := index.Workspace(workspace)
+	home := daisyspec.Home{Profile: p.Regions, Workspace: w.Regions}
+	query := daisyrouter.Query{Profile: p, Workspace: workspace, Transaction: q.Kind.Transaction(), Home: home}
 	primaryOnly := !p.UsesReplicas(q.Kind.Reads())
 	route.Notes = h.notes(query, primaryOnly)
 	route.Servers = h.router.Explain(query, primaryOnly)
 	for i, s := range route.Servers {
-		route.Servers[i].Gateways = h.forwarder.GatewayHosts(s.Name, workspace)
+		route.Servers[i].Gateways = h.forwarder.GatewayHosts(s.Name, workspace, home)
 	}
 	route.Pick()
 	route.Notes = append(route.Notes, h.holdOffNotes(query, route.Servers)...)
