Split the lease client by what its parts do

Change: rotation.go chooses the next control host and the pause before it, silence.go tells when a host is silent, propose.go proposes changes. Nothing behaves differently. Measured: the tests of the package pass.

--- a/internal/cluster/daisylease/client.go
+++ b/internal/cluster/daisylease/client.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -18,7 +17,6 @@
 	"github.com/apex/log"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyclock"
-	"github.com/daisyglade/daisyglade/internal/control/daisycontroller"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
@@ -170,112 +168,6 @@
 	}
 }
 
-// run connects to one control host after the other, to the leader if it is known.
-func (c *Client) run() {
-	next := 0
-	for c.ctx.Err() == nil {
-		addr := c.takeLeaderHint()
-		hinted := addr.IsValid()
-		if !hinted {
-			hosts := c.hosts()
-			addr = hosts[next%len(hosts)]
-			next++
-			if c.avoided(addr) { // Often the leader that the client has just left.
-				addr = hosts[next%len(hosts)]
-				next++
-			}
-		}
-		err := c.runLink(addr)
-		if errors.Is(err, errSilent) || errors.Is(err, errDial) {
-			c.avoid(addr)
-		}
-		if err != nil {
-			c.options.Log.WithError(err).WithField("control", addr).Info("keeper: left the control host; trying another")
-		}
-		if !hinted && c.redirected(addr) {
-			continue // Only the first redirect is followed without a pause: two hosts may name each other.
-		}
-		select {
-		case <-time.After(c.redialPause()):
-		case <-c.ctx.Done():
-		}
-	}
-}
-
-// redialPause returns the pause before the next control host is tried: none if the
-// client has just stayed with one that knew no leader.
-func (c *Client) redialPause() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.stayed {
-		c.stayed = false
-		return 0
-	}
-	if c.served {
-		c.failures = 0
-	}
-	pause := min(minRedialPause<<min(c.failures, maxDoublings), maxRedialPause)
-	c.failures++
-	return jitter(pause)
-}
-
-// jitter returns a duration between half of d and d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2) }
-
-// avoid records that the control host did not answer.
-func (c *Client) avoid(addr netip.AddrPort) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.silent, c.silentUntil = addr, daisyclock.Now().Add(silenceMemory)
-}
-
-// avoided reports whether the control host did not answer a short time ago.
-func (c *Client) avoided(addr netip.AddrPort) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return addr == c.silent && daisyclock.Now().Before(c.silentUntil)
-}
-
-// takeLeaderHint returns the leader's address as named by the last control host,
-// and clears it.
-func (c *Client) takeLeaderHint() netip.AddrPort {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	addr := c.leaderHint
-	c.leaderHint = netip.AddrPort{}
-	return addr
-}
-
-// redirected reports whether the control host just left named another one as the
-// leader.
-func (c *Client) redirected(left netip.AddrPort) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.leaderHint.IsValid() && c.leaderHint != left
-}
-
-// hosts returns the control hosts learned from replies, followed by the configured
-// ones, so that the client finds the fleet even if all hosts of one of the two
-// lists were replaced.
-func (c *Client) hosts() []netip.AddrPort {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	hosts := slices.Clone(c.learnedHosts)
-	for _, h := range c.options.Hosts {
-		if !slices.Contains(hosts, h) {
-			hosts = append(hosts, h)
-		}
-	}
-	return hosts
-}
-
-// SetHosts replaces the configured control hosts.
-func (c *Client) SetHosts(hosts []netip.AddrPort) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.options.Hosts = hosts
-}
-
 // runLink opens a link to a control host and sends heartbeats until the link fails
 // or the control host does not lead.
 func (c *Client) runLink(addr netip.AddrPort) error {
@@ -328,85 +220,6 @@
 	}
 }
 
-// awaitNext waits until the next heartbeat is due. It returns an error if a reply is
-// overdue or ctx ends.
-func (c *Client) awaitNext(ctx context.Context) error {
-	next := daisyclock.Now().Add(c.interval())
-	for {
-		left := next.Sub(daisyclock.Now())
-		if left <= 0 {
-			return nil
-		}
-		timer := time.NewTimer(min(left, max(c.untilOverdue(), time.Millisecond)))
-		woken := false
-		select {
-		case <-timer.C:
-		case <-c.wake:
-			woken = true
-		case <-ctx.Done():
-		}
-		timer.Stop()
-		switch {
-		case ctx.Err() != nil:
-			return ctx.Err()
-		case c.untilOverdue() <= 0:
-			return errSilent
-		case woken:
-			return nil
-		}
-	}
-}
-
-// untilOverdue returns the time until a reply is overdue. It counts from the last reply
-// or, for an eager client, from the first heartbeat that is not answered.
-func (c *Client) untilOverdue() time.Duration {
-	now := daisyclock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	progress := c.lastProgress()
-	left := replyTimeout - now.Sub(later(c.lastReply, progress))
-	if !c.options.Eager || now.Before(c.delayedUntil) {
-		return left
-	}
-	for _, sentAt := range c.sentAt {
-		left = min(left, eagerReplyTimeout-now.Sub(later(sentAt, progress)))
-	}
-	return left
-}
-
-// lastProgress returns when bytes last arrived from the control host, if that counts as
-// an answer; c.mu is held.
-func (c *Client) lastProgress() time.Time {
-	link, ok := c.link.(interface{ LastReceived() time.Time })
-	if !ok {
-		return time.Time{}
-	}
-	received := link.LastReceived()
-	if received.Sub(c.lastReply) > progressTimeout {
-		return time.Time{}
-	}
-	return received
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// interval returns the time until the next heartbeat.
-func (c *Client) interval() time.Duration {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.options.Eager && (!c.noLeaderSince.IsZero() || !c.Valid()) {
-		interval := c.eagerInterval
-		c.eagerInterval = min(2*interval, maxEagerInterval)
-		return interval
-	}
-	return daisycontroller.HeartbeatInterval
-}
-
 func (c *Client) sendHeartbeat(ctx context.Context, link Link) error {
 	b := c.options.Report()
 	b.Revision = c.options.View.Revision()
@@ -520,23 +333,6 @@
 	})
 }
 
-// Delayed reports whether messages between this host and the control host are held up,
-// or were a short time ago.
-func (c *Client) Delayed() bool {
-	now := daisyclock.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Before(c.delayedUntil) {
-		return true
-	}
-	for _, sentAt := range c.sentAt {
-		if now.Sub(sentAt) > maxRoundTrip {
-			return true
-		}
-	}
-	return false
-}
-
 // waitForLeader records a reply that names no leader. It reports whether to stay with
 // the control host, which may learn of a leader sooner than another link opens.
 // c.mu is held.
@@ -564,53 +360,6 @@
 	})
 }
 
-func (c *Client) deliverDecision(d daisycodec.Decision) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if decision, ok := c.decisions[d.ID]; ok {
-		decision <- d
-		delete(c.decisions, d.ID)
-	}
-}
-
-// Propose sends a change to the control leader and returns its outcome. It retries
-// until ctx ends; the change's ID makes retries idempotent.
-func (c *Client) Propose(ctx context.Context, change daisyfleet.Change) (daisyfleet.Outcome, error) {
-	for {
-		if d, ok := c.tryPropose(ctx, change); ok {
-			return *d.Outcome, nil
-		}
-		select {
-		case <-time.After(proposeRetryInterval):
-		case <-ctx.Done():
-			return daisyfleet.Outcome{}, errors.Join(ErrNoLeader, ctx.Err())
-		}
-	}
-}
-
-func (c *Client) tryPropose(ctx context.Context, change daisyfleet.Change) (daisycodec.Decision, bool) {
-	decision := make(chan daisycodec.Decision, 1)
-	c.mu.Lock()
-	link := c.link
-	if link == nil {
-		c.mu.Unlock()
-		return daisycodec.Decision{}, false
-	}
-	c.nextID++
-	id := c.nextID
-	c.decisions[id] = decision
-	c.mu.Unlock()
-	if link.Send(ctx, daisycodec.EncodeProposal(daisycodec.Proposal{ID: id, Change: change})) != nil {
-		return daisycodec.Decision{}, false
-	}
-	select {
-	case d, ok := <-decision:
-		return d, ok && d.Outcome != nil
-	case <-ctx.Done():
-		return daisycodec.Decision{}, false
-	}
-}
-
 // Close stops the client and waits until it has stopped. The lease is not released
 // but expires.
 func (c *Client) Close() error {
