Bound the control leader's probes of servers

The bound on services without a leadership held for a round of checks only, and each result started a round.

Change: at most 64 probes are under way, whatever they are for; services that had to wait come first in the next round. A successor is chosen only after all servers were probed, since probes may now wait. Checks that results ask for are 5 ms apart.

--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -76,7 +76,8 @@
 	probes       map[string]*probeState
 	observations map[string]map[string]unreachableReport // By service, then host.
 	successions  map[string]*succession
-	lastUnled    string                      // Up to which service those without a leadership were probed.
+	probing      int                         // Probes under way.
+	firstProbed  string                      // The service to begin the next round of probes with.
 	pools        map[string]*daisyquota.Pool // By workspace.
 
 	syncReplicas map[string]int // By service.
--- a/internal/control/daisypromotion/orders.go
+++ b/internal/control/daisypromotion/orders.go
@@ -7,46 +7,34 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
+// maxProbes is the number of probes that may be under way. A control host has some 4,000 file
+// descriptors, most of which connections of servers use; probes of all 3,300 servers of a
+// fleet of 300 hosts at once left none for its hosts and its log.
+const maxProbes = 64
+
 // Orders returns the orders to carry out now. Each counts as pending until its
-// result is passed to RecordResult.
+// result is passed to RecordResult. Services whose servers could not be probed, because
+// maxProbes were under way, come first the next time.
 func (l *Leader) Orders(now time.Time, s *daisyfleet.State) []Order {
 	var orders []Order
-	var unled []string
-	for _, service := range l.services(s) {
+	services := l.services(s)
+	first, _ := slices.BinarySearch(services, l.firstProbed)
+	l.firstProbed = ""
+	for _, service := range slices.Concat(services[first:], services[:first]) {
 		o, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindLeadership, Name: service})
 		leadership, _ := o.Value.(daisyfleet.Leadership)
 		switch {
 		case !ok:
-			unled = append(unled, service)
+			orders = append(orders, l.probeAll(now, s, service)...)
 		case leadership.Server != "":
 			orders = append(orders, l.supervise(now, s, service, leadership)...)
 		default:
 			orders = append(orders, l.continueSuccession(now, s, service, leadership)...)
 		}
 	}
-	for _, service := range l.nextUnled(unled) {
-		orders = append(orders, l.probeAll(now, s, service)...)
-	}
 	return orders
 }
 
-// maxUnled is the number of services without a leadership whose servers are probed in one
-// round. When a large fleet starts, thousands of probes at once would keep the control
-// leader from answering its hosts.
-const maxUnled = 16
-
-// nextUnled returns the services without a leadership that are probed in this round, in
-// turn, so that those whose servers do not answer hold up no others.
-func (l *Leader) nextUnled(unled []string) []string {
-	if len(unled) <= maxUnled {
-		return unled
-	}
-	at, _ := slices.BinarySearch(unled, l.lastUnled)
-	turn := slices.Concat(unled[at:], unled[:at])[:maxUnled]
-	l.lastUnled = turn[maxUnled-1] + "\x00" // The next round begins after it.
-	return turn
-}
-
 // probeAll orders probes of all servers of the service.
 func (l *Leader) probeAll(now time.Time, s *daisyfleet.State, service string) []Order {
 	var orders []Order
@@ -67,7 +55,7 @@
 }
 
 // probe orders a probe of the server, unless one is pending or was ordered less
-// than probeInterval ago.
+// than probeInterval ago, or maxProbes are under way.
 func (l *Leader) probe(now time.Time, m member) []Order {
 	p := l.probes[m.name]
 	if p == nil {
@@ -77,6 +65,13 @@
 	if p.pending || now.Sub(p.issuedAt) < probeInterval {
 		return nil
 	}
+	if l.probing >= maxProbes {
+		if l.firstProbed == "" {
+			l.firstProbed = m.server.Service
+		}
+		return nil
+	}
+	l.probing++
 	p.pending, p.issuedAt = true, now
 	return []Order{{Kind: OrderProbe, Service: m.server.Service, Server: m.name, Address: m.server.Address, Issued: now}}
 }
@@ -143,6 +138,7 @@
 }
 
 func (l *Leader) recordProbe(r Result) {
+	l.probing--
 	p := l.probes[r.Server]
 	if p == nil {
 		return
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -23,7 +23,7 @@
 	// primary that no longer announces itself is replaced without reports of hosts.
 	probeFailureLimit = 2
 	// gatherTimeout is how long the leader waits for the log positions of all
-	// servers once the old state is recalled.
+	// servers once the old state is recalled and all were asked.
 	gatherTimeout = 600 * time.Millisecond
 	// catchUpTimeout is how long a succession whose previous primary still answers
 	// waits for a replica to receive all that the primary has.
@@ -43,6 +43,7 @@
 type succession struct {
 	epoch      uint64
 	recalledAt time.Time // When no host could act on the old state any more; zero before.
+	askedAt    time.Time // When all servers had been probed since then; zero before.
 	candidate  string
 	orderedAt  time.Time            // When the candidate's promotion was last ordered.
 	pending    bool                 // The result of the order is outstanding.
@@ -276,7 +277,13 @@
 		}
 	}
 	eligible = l.withoutEvacuated(now, s, service, leadership.Previous, ongoing, eligible)
-	waited := now.Sub(ongoing.recalledAt)
+	if !l.allAsked(all, ongoing) {
+		return member{}, false
+	}
+	if ongoing.askedAt.IsZero() {
+		ongoing.askedAt = now
+	}
+	waited := now.Sub(ongoing.askedAt)
 	if len(eligible) == 0 || unanswered > 0 && waited < gatherTimeout {
 		return member{}, false
 	}
@@ -291,6 +298,15 @@
 	return best, true
 }
 
+// allAsked reports whether each server was probed since the old state was recalled. With
+// many successions at once probes wait for others.
+func (l *Leader) allAsked(all []member, ongoing *succession) bool {
+	return !ongoing.askedAt.IsZero() || !slices.ContainsFunc(all, func(m member) bool {
+		p := l.probes[m.name]
+		return p == nil || p.issuedAt.Before(ongoing.recalledAt)
+	})
+}
+
 // compareCandidates sorts the best candidate first: other servers before the
 // previous primary, then staying before leaving ones, then those that have
 // received more of the log.
--- a/internal/host/daisycontrolhost/orders.go
+++ b/internal/host/daisycontrolhost/orders.go
@@ -19,6 +19,9 @@
 const (
 	// orderInterval is the time between the leader's checks for due orders.
 	orderInterval = 50 * time.Millisecond
+	// orderPause is the time between two checks that results of orders asked for. Each
+	// check goes over all services.
+	orderPause = 5 * time.Millisecond
 	// reachTimeout bounds the opening of a connection to a server to eight round
 	// trips between regions.
 	reachTimeout = 200 * time.Millisecond
@@ -104,6 +107,11 @@
 		select {
 		case <-ticker.C:
 		case <-c.wake:
+			select {
+			case <-time.After(orderPause):
+			case <-c.ctx.Done():
+				return
+			}
 		case <-c.ctx.Done():
 			return
 		}
