--- a/internal/command/daisycli/cli_test.go
+++ b/internal/command/daisycli/cli_test.go
@@ -100,6 +100,7 @@
 	for i := 0; connect() != nil; i++ {
 		assert.Check(t, i < 5000, "the key is not in force")
 	}
+	checkExplainRoute(t, f.URLs(), access[2:], filepath.Join(f.Folder, "key"), key)
 	_, stdout, _ = do("keys", "list", "--output", "json")
 	assert.Check(t, !strings.Contains(stdout, key))
 	code, _, stderr = do("keys", "withdraw", "k1", "--against", revision(t, stdout, "k1"))
@@ -121,6 +122,34 @@
 	assert.Check(t, strings.HasPrefix(stdout, "WORKSPACE"))
 }
 
+// checkExplainRoute guards against an explanation that no host gives, that differs from
+// the holder's choice, or that does not say which name is unknown.
+func checkExplainRoute(t *testing.T, urls, token []string, keyFile, key string) {
+	t.Helper()
+	assert.NilError(t, os.WriteFile(keyFile, []byte(key), 0o600))
+	tests := []struct {
+		args []string
+		code int
+		want string
+	}{
+		{[]string{daisysandbox.ProfileWrite, "--workspace", "new", "--kind", "write"}, 0, "only the primary may run the transaction"},
+		{[]string{daisysandbox.ProfileWrite, "--key-file", keyFile, "--kind", "read"}, 0, "a replica is fresh enough"},
+		{[]string{"none", "--workspace", "new"}, 1, `unknown profile "none"`},
+		{[]string{daisysandbox.ProfileWrite, "--workspace", "none"}, 1, `unknown workspace "none"`},
+		{[]string{daisysandbox.ProfileWrite, "--workspace", "new", "--kind", "sum"}, 2, `unknown kind of statement "sum"`},
+	}
+	for _, test := range tests {
+		found := false
+		for _, url := range urls {
+			args := append([]string{"explain", "route", "--server", url}, append(test.args, token...)...)
+			code, stdout, stderr := run(args...)
+			assert.Check(t, code == test.code, "%v: %d %s", args, code, stderr)
+			found = found || strings.Contains(stdout+stderr, test.want)
+		}
+		assert.Check(t, found, "%v", test.args)
+	}
+}
+
 // revision finds the revision of the named object in a JSON list.
 func revision(t *testing.T, list, name string) string {
 	t.Helper()
--- a/internal/command/daisycli/explain.go
+++ b/internal/command/daisycli/explain.go
@@ -14,7 +14,7 @@
 var errNoTrace = errors.New("no log line names the request; it was served normally, or its lines were dropped")
 
 func newExplain() *cobra.Command {
-	return &cobra.Command{
+	c := &cobra.Command{
 		Use:   "explain REQUEST FILE...",
 		Short: "Show the trace of a request from the logs of several hosts",
 		Long: "Show the trace of a request from the logs of several hosts: every line that names it, in the\n" +
@@ -36,6 +36,8 @@
 			return daisytrace.Write(c.OutOrStdout(), args[0], trace)
 		},
 	}
+	c.AddCommand(newExplainRoute())
+	return c
 }
 
 func readLog(path string) (entries []daisytrace.Entry, err error) {
--- a/internal/command/daisycli/operator.go
+++ b/internal/command/daisycli/operator.go
@@ -38,6 +38,7 @@
 	output    string
 	changeID  string
 	against   uint64
+	anonymous bool // No token is sent if no file is given.
 }
 
 func (o *operator) flags(c *cobra.Command) {
@@ -85,9 +86,11 @@
 	if err != nil {
 		return err
 	}
-	token, err := os.ReadFile(o.tokenFile)
-	if err != nil {
-		return fmt.Errorf("%w: --token-file: %w", errUsage, err)
+	var token []byte
+	if !o.anonymous || o.tokenFile != "" {
+		if token, err = os.ReadFile(o.tokenFile); err != nil {
+			return fmt.Errorf("%w: --token-file: %w", errUsage, err)
+		}
 	}
 	text, err := json.Marshal(body)
 	if err != nil {
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -19,6 +19,7 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisynode"
 	"github.com/daisyglade/daisyglade/internal/host/daisycontrolhost"
 	"github.com/daisyglade/daisyglade/internal/host/daisyentryhost"
+	"github.com/daisyglade/daisyglade/internal/host/daisyops"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
 	"github.com/daisyglade/daisyglade/internal/report/daisylogger"
 	"github.com/daisyglade/daisyglade/internal/report/daisymetrics"
@@ -81,8 +82,12 @@
 	return nil
 }
 
-func (p *process) serveMetrics(ctx context.Context, r *daisymetrics.Registry) error {
+// serveMetrics serves the metrics and, on an entry host, the explanation of a route.
+func (p *process) serveMetrics(ctx context.Context, r *daisymetrics.Registry, route http.Handler) error {
 	mux := http.NewServeMux()
+	if route != nil {
+		mux.Handle("POST "+daisyops.RoutePath, route)
+	}
 	mux.Handle("GET /metrics", r)
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return p.serve(ctx, p.settings.Metrics, mux)
@@ -170,7 +175,7 @@
 			addLoad(metrics, host)
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Ready, platform.NewReadyHandler(host.Ready)),
-				p.serveMetrics(c.Context(), metrics),
+				p.serveMetrics(c.Context(), metrics, daisyops.RouteHandler(host.ExplainRoute)),
 			)
 			if err == nil {
 				p.followSettings(c.Context(), host.SetSeeds)
@@ -231,7 +236,7 @@
 			metrics.AddGauge("daisyglade_leads", func() float64 { return boolGauge(host.Leads()) })
 			err = errors.Join(
 				p.serve(c.Context(), p.settings.Control, platform.NewControlHandler(host, p.settings.Control, p.log)),
-				p.serveMetrics(c.Context(), metrics),
+				p.serveMetrics(c.Context(), metrics, nil),
 			)
 			if err == nil {
 				p.followSettings(c.Context(), host.SetSeeds)
--- a/internal/entry/daisyforwarder/forwarder.go
+++ b/internal/entry/daisyforwarder/forwarder.go
@@ -93,6 +93,15 @@
 	return -1
 }
 
+// GatewayHosts returns the names of the server's gateways, in the order in which they
+// are tried.
+func (f *Forwarder) GatewayHosts(server string) (hosts []string) {
+	for _, g := range (*f.gateways.Load())[server] {
+		hosts = append(hosts, g.Host)
+	}
+	return hosts
+}
+
 // Run runs the request at the first gateway that can send it. Errors are as for
 // daisygateway.Gateway.Run.
 func (f *Forwarder) Run(req daisyrequest.Request) (a daisystatement.Answer, pinned daisyrequest.PinnedConn, err error) {
--- a/internal/holder/daisyholder/stream.go
+++ b/internal/holder/daisyholder/stream.go
@@ -142,9 +142,7 @@
 	return refuse(daisystream.CauseConnection)
 }
 
-// route returns the member that serves the transaction: the least busy replica
-// that is fresh enough if the transaction is read-only and there is one, else
-// the primary.
+// route returns the member that serves the transaction.
 func (t *transaction) route(r *daisystream.Request) string {
 	g := t.group
 	g.mu.Lock()
@@ -153,21 +151,7 @@
 	if r.NewSession || t.profile.Session == daisyfleet.SessionKey {
 		t.minPosition = daisystream.Later(t.minPosition, g.positions.MinPosition(clientOf(r)))
 	}
-	best := g.primary
-	if !t.readOnly {
-		return best
-	}
-	least := 0
-	for _, name := range g.positions.Replicas(nil, t.minPosition, t.profile.MaxAge, time.Now()) {
-		p := g.pools[name]
-		if p == nil || p.isLeaving() {
-			continue
-		}
-		if busy := p.queue.Busy(); best == g.primary || busy < least {
-			best, least = name, busy
-		}
-	}
-	return best
+	return best(g.choices(t.profile, t.readOnly, t.minPosition), g.primary)
 }
 
 func clientOf(r *daisystream.Request) daisyposition.Client {
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -141,7 +141,7 @@
 		Network: h.network, Listen: s.Operations.Listen, TLS: h.opsTLS(), OperatorToken: s.Operations.OperatorToken,
 		AnnounceToken: s.Operations.AnnounceToken, View: h.view, Ready: h.Ready,
 		Propose: h.lease.Propose, Status: h.status, Host: s.Host, Log: h.log,
-		Burn: h.Burn, Events: h.Events, HasEvents: h.coordinator != nil,
+		Burn: h.Burn, Events: h.Events, Route: h.ExplainRoute, HasEvents: h.coordinator != nil,
 	})
 	return err
 }
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -21,6 +21,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyroute"
 	"github.com/daisyglade/daisyglade/internal/net/daisynet"
 	"github.com/daisyglade/daisyglade/internal/report/daisyburn"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
@@ -74,6 +75,7 @@
 	Status        func() Status
 	Burn          func() daisyburn.Report
 	Events        func() []daisyfleet.Event
+	Route         func(daisyroute.Query) (daisyroute.Route, error)
 	HasEvents     bool // The host has a replica of the control log, which records the events.
 	Propose       func(context.Context, daisyfleet.Change) (daisyfleet.Outcome, error)
 	Log           log.Interface
@@ -134,6 +136,7 @@
 	mux.HandleFunc("GET /v1/events", s.requireToken(s.options.OperatorToken, s.events))
 	mux.HandleFunc("GET /v1/objects/{kind}", s.requireToken(s.options.OperatorToken, s.list))
 	mux.HandleFunc("POST /v1/changes", s.requireToken(s.options.OperatorToken, s.change))
+	mux.HandleFunc("POST "+RoutePath, s.requireToken(s.options.OperatorToken, RouteHandler(s.options.Route)))
 	mux.HandleFunc("POST /v1/announcements", s.requireToken(s.options.AnnounceToken, s.announce))
 	return mux
 }
--- a/internal/session/daisybalance/balancer_test.go
+++ b/internal/session/daisybalance/balancer_test.go
@@ -195,6 +195,11 @@
 			t.Fatalf("%s has the chance %v", all[i].Name, chance)
 		}
 	}
+	for i, e := range daisybalance.Explain(all, func(int) string { return "problem" }) {
+		if (e.Reason == "") != (e.Chance == 1) || e.Chance != daisybalance.Chances(all)[i] {
+			t.Fatalf("%s with the chance %v is explained by %q", e.Name, e.Chance, e.Reason)
+		}
+	}
 	if open != (picked >= 0) || open && math.Abs(sum-1) > 1e-9 || picked >= 0 && all[picked].Tried {
 		t.Fatalf("picked %d with chances that add up to %v", picked, sum)
 	}
--- a/internal/session/daisyrouter/balance_test.go
+++ b/internal/session/daisyrouter/balance_test.go
@@ -14,6 +14,7 @@
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyroute"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/session/daisyrouter"
 )
@@ -107,6 +108,11 @@
 					assert.Equal(t, got, test.want)
 					assert.Equal(t, ok, test.want != "")
 				}
+				// What is explained is what is decided.
+				for _, s := range r.Explain(daisyrouter.Query{Profile: page, MinPosition: minPosition, Exclude: test.exclude}, false) {
+					assert.Equal(t, s.Chance == 1, s.Name == test.want, "%+v", s)
+					assert.Equal(t, s.Reason == "", s.Name == test.want, "%+v", s)
+				}
 			})
 		})
 	}
@@ -167,3 +173,32 @@
 		})
 	}
 }
+
+// Guards against an explanation that changes what it explains, and against one that
+// lacks the figures or the reason of a server.
+func TestExplain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRouter(t, remote)
+		q := daisyrouter.Query{Profile: page}
+		_, _ = r.Choose(q)
+		r.RecordLoad(localRequest, daisyrequest.Load{Wait: 500 * time.Millisecond, Run: 20 * time.Millisecond})
+		time.Sleep(200 * time.Millisecond)
+		before := r.Explain(q, false)
+		assert.DeepEqual(t, before, r.Explain(q, false))
+		assert.DeepEqual(t, before, []daisyroute.Server{
+			{
+				Name: local, Distance: "same domain", Chance: 1, Share: 1, Cost: 407500 * time.Microsecond, Expected: 520 * time.Millisecond,
+				Wait: 500 * time.Millisecond, Run: 20 * time.Millisecond, Known: true, Age: 200 * time.Millisecond, Answered: 1,
+			},
+			{
+				Name: primary, Primary: true, Distance: "same domain", Cost: 18 * time.Millisecond, Expected: 30 * time.Millisecond,
+				Wait: 5 * time.Millisecond, Run: 25 * time.Millisecond, Answered: 1, Reason: "its share has yet to grow to 78%",
+			},
+			{Name: remote, Distance: "other region", Reason: "it is leaving"},
+		})
+		for _, s := range r.Explain(q, true) {
+			assert.Equal(t, s.Chance == 1, s.Name == primary)
+			assert.Equal(t, s.Reason == "", s.Name == primary)
+		}
+	})
+}
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -220,7 +220,7 @@
 	if refused != nil {
 		return daisystatement.Answer{State: daisystatement.StateIdle, Failure: refused}
 	}
-	if s.reads(st) && p.Freshness != daisyspec.FreshPrimary {
+	if p.UsesReplicas(s.reads(st)) {
 		return s.read(p, st, arrived)
 	}
 	a, _ := s.direct(p, st, arrived)
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -158,7 +158,7 @@
 func (t *transaction) target(sendBy time.Time, tried []string) (server string, begin daisystatement.Statement, freshness daisyrequest.Freshness, ok bool) {
 	s := t.session
 	begin = daisystatement.Statement{ID: daisystatement.SystemID, Kind: daisystatement.KindBegin, ReadOnly: t.readOnly}
-	if t.readOnly && t.profile.Freshness != daisyspec.FreshPrimary {
+	if t.profile.UsesReplicas(t.readOnly) {
 		minPosition, known := s.minPosition(t.profile, t.began)
 		freshness = s.freshness(t.profile, known)
 		if known || !t.onLeader && freshness != unknownPosition {
