--- a/internal/command/daisycli/cli_test.go
+++ b/internal/command/daisycli/cli_test.go
@@ -121,6 +121,39 @@
 	assert.Check(t, strings.HasPrefix(stdout, "WORKSPACE"))
 }
 
+// Guards against orders for failure domains that do not exist, and against a command
+// that fails when it is repeated.
+func TestEvacuate(t *testing.T) {
+	f, err := daisysandbox.Open(t.Context(), daisynet.TCP{}, t.TempDir(), 3, &log.Logger{Handler: discard.New()})
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, f.Close()) }()
+	access := []string{"--server", f.URLs()[0], "--token-file", filepath.Join(f.Folder, "operator.token")}
+	do := func(args ...string) (int, string, string) { return run(append(args, access...)...) }
+	status := func(want bool) {
+		t.Helper()
+		for i := 0; ; i++ {
+			_, stdout, _ := do("status")
+			if strings.Contains(stdout, `"cardiff"`) == want {
+				return
+			}
+			assert.Assert(t, i < 5000, stdout)
+		}
+	}
+	code, _, stderr := do("evacuate", "nowhere")
+	assert.Equal(t, code, 1)
+	assert.Check(t, strings.Contains(stderr, "no host or member is in failure domain nowhere"), stderr)
+	for range 2 { // A repeated order or withdrawal is acknowledged.
+		code, _, stderr = do("evacuate", "cardiff")
+		assert.Equal(t, code, 0, stderr)
+	}
+	status(true)
+	for range 2 {
+		code, _, stderr = do("evacuate", "cardiff", "--undo")
+		assert.Equal(t, code, 0, stderr)
+	}
+	status(false)
+}
+
 // revision finds the revision of the named object in a JSON list.
 func revision(t *testing.T, list, name string) string {
 	t.Helper()
--- a/internal/command/daisycli/operator.go
+++ b/internal/command/daisycli/operator.go
@@ -172,7 +172,7 @@
 		}
 		commands = append(commands, c)
 	}
-	return append(commands, newStatus())
+	return append(commands, newStatus(), newEvacuate())
 }
 
 func newList(o *operator, k objectKind) *cobra.Command {
--- a/internal/control/daisycontroller/ownership.go
+++ b/internal/control/daisycontroller/ownership.go
@@ -67,6 +67,8 @@
 		return daisyfleet.Change{}, false
 	case lookupMember(d.state, name, ownership.Primary).Leaving && countMembers(d.state, name) > 1:
 		return startTerm(o, ownership, fmt.Sprintf("primary %s of %s is leaving", ownership.Primary, name))
+	case movesForEvacuation(d.state, name, ownership.Primary):
+		return startTerm(o, ownership, fmt.Sprintf("primary %s of %s is in an evacuated failure domain", ownership.Primary, name))
 	}
 	return d.leader.checkPrimary(d.now, d.state, o, ownership)
 }
--- a/internal/holder/daisyholder/group.go
+++ b/internal/holder/daisyholder/group.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -202,6 +203,7 @@
 // followMembers starts a monitoring goroutine for every member that has none.
 func (g *group) followMembers() {
 	members := g.holder.options.View.Members(g.database)
+	evacuated := g.holder.options.View.Evacuations()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.primary == "" {
@@ -211,7 +213,7 @@
 		if g.pools[name] == nil {
 			g.pools[name] = newPool(g, m.Address)
 		}
-		g.pools[name].setLeaving(m.Leaving)
+		g.pools[name].setLeaving(m.Leaving || slices.Contains(evacuated, m.FailureDomain))
 		if g.watched[name] {
 			continue
 		}
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -354,6 +354,7 @@
 
 func (h *Host) status() daisyops.Status {
 	status := daisyops.Status{Host: h.settings.Host, Ready: h.Ready(), Revision: h.view.Revision(), Sessions: h.entry.Sessions(), Holds: h.holder.Databases()}
+	status.Evacuations = h.view.Evacuations()
 	status.Leads = h.Leads()
 	if h.node != nil {
 		for _, peer := range h.node.Configuration() {
--- a/internal/host/daisyops/server.go
+++ b/internal/host/daisyops/server.go
@@ -59,6 +59,8 @@
 	Sessions int
 	Holds    []string // Names of the databases that the host holds.
 	Seats    []Peer
+	// Evacuations are the evacuated failure domains.
+	Evacuations []string
 }
 
 // Options configure a Server.
@@ -188,6 +190,7 @@
 // operatorKinds are the kinds of objects that operators may change.
 var operatorKinds = map[daisyfleet.Kind]bool{
 	daisyfleet.KindProfile: true, daisyfleet.KindWorkspace: true, daisyfleet.KindKey: true, daisyfleet.KindDatabase: true,
+	daisyfleet.KindEvacuation: true,
 }
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
@@ -209,6 +212,10 @@
 			http.Error(w, string(op.Kind)+" objects are changed by the fleet alone", http.StatusForbidden)
 			return
 		}
+		if op.Kind == daisyfleet.KindEvacuation && op.Value != nil && !s.knowsDomain(op.Name) {
+			http.Error(w, "no host or member is in failure domain "+op.Name, http.StatusBadRequest)
+			return
+		}
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), proposeTimeout)
 	defer cancel()
--- a/internal/net/daisylink/link.go
+++ b/internal/net/daisylink/link.go
@@ -130,7 +130,9 @@
 
 // NewDialer returns a dialer that presents the certificate in the configuration.
 func NewDialer(c *tls.Config, n daisynet.Network) *Dialer {
-	return &Dialer{network: n, tls: c, scheme: "https://"}
+	return &Dialer{network: n, tls: c, scheme: "https://", header: http.Header{
+		protocolHeader: []string{strconv.Itoa(protocolLatest)},
+	}}
 }
 
 // NewPlainDialer returns a dialer for links without TLS that states the name of
