--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -34,10 +35,10 @@
 			return "", err
 		}
 	}
-	version, err := w.operator.version(2 * recoverTime)
+	version, ok := w.operator.version(2 * recoverTime)
 	w.rec.line("processes of the core ended by themselves %d times", w.fleet.exits("control"))
 	switch {
-	case err != nil:
+	case !ok:
 		return verdict(fmt.Sprintf("CONFIG: version %v was confirmed and is not read back within %v of the restart; the core's processes ended by themselves %d times",
 			confirmed, 2*recoverTime, w.fleet.exits("control"))), nil
 	case version < confirmed:
@@ -50,12 +51,12 @@
 func revokedKey(w *world, trouble bool) (verdict, error) {
 	const statements, pause = 12, 700 * time.Millisecond
 	entry := w.fleet.ofRole("entry")[0]
-	s, err := connect(w.rec, "consumer", w.fleet.frontAddr(entry), database(w.groups[0], "primary"), firstKey)
+	s, err := connect(w.rec, "consumer", w.fleet.frontAddr(entry), database(w.groups[0], "primary"))
 	if err != nil {
 		return "", err
 	}
 	defer s.close()
-	if _, err := s.query(w.id(), "BEGIN", 3*time.Second); err != nil {
+	if _, err := s.query(w.id(), "BEGIN"); err != nil {
 		return "", err
 	}
 	var confirmed time.Time
@@ -77,7 +78,7 @@
 		if i%2 == 0 {
 			text = "FETCH first"
 		}
-		a, err := s.query(id, text, 3*time.Second)
+		a, err := s.query(id, text)
 		if err != nil || a.failure != "" {
 			break
 		}
@@ -85,7 +86,7 @@
 	}
 	id := w.id()
 	sent[id] = time.Now()
-	_, _ = s.query(id, "COMMIT", 3*time.Second)
+	_, _ = s.query(id, "COMMIT")
 	if !trouble {
 		return "", nil
 	}
@@ -113,16 +114,16 @@
 	}
 	sent := make(map[string]string)
 	for _, text := range texts {
-		s, err := connect(w.rec, "consumer", w.fleet.frontAddr(entry), database(w.groups[0], "primary"), firstKey)
+		s, err := connect(w.rec, "consumer", w.fleet.frontAddr(entry), database(w.groups[0], "primary"))
 		if err != nil {
 			return "", err
 		}
-		if a, err := s.query(w.id(), "PARSE s1 STORE q2c", 3*time.Second); err != nil || a.failure != "" {
-			return "", fmt.Errorf("PARSE: %v %s", err, a.failure)
+		if a, err := s.query(w.id(), "PARSE s1 STORE q2c"); err != nil || a.failure != "" {
+			return "", errors.Join(err, errors.New("PARSE: "+a.failure))
 		}
 		id := w.id()
 		sent[id] = text
-		_, _ = s.query(id, text, 3*time.Second)
+		_, _ = s.query(id, text)
 		s.close()
 	}
 	time.Sleep(time.Second) // What was smuggled may still run.
@@ -188,12 +189,12 @@
 
 // write stores an item and notes it if the commit is acknowledged.
 func (l *lostCommits) write(w *world, item string) bool {
-	s, err := connect(w.rec, "consumer", w.fleet.frontAddr(w.fleet.ofRole("entry")[0]), database(l.group, "primary"), firstKey)
+	s, err := connect(w.rec, "consumer", w.fleet.frontAddr(w.fleet.ofRole("entry")[0]), database(l.group, "primary"))
 	if err != nil {
 		return false
 	}
 	defer s.close()
-	a, err := s.query(w.id(), "STORE "+item+" data", 3*time.Second)
+	a, err := s.query(w.id(), "STORE "+item+" data")
 	if err != nil || a.failure != "" {
 		return false
 	}
@@ -275,7 +276,7 @@
 	old.isolate()
 	cut := time.Now()
 	if lacks, err := watch.await(recoverTime); err != nil || lacks != "" {
-		return "", fmt.Errorf("first promotion: %v %s", err, lacks)
+		return "", errors.Join(err, errors.New("first promotion: "+lacks))
 	}
 	for i := 0; i < 2; {
 		if watch.write(w, fmt.Sprint("item", i)) {
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -9,6 +10,13 @@
 	"time"
 )
 
+const (
+	// startupLimit is how long a consumer waits for READY.
+	startupLimit = 2 * time.Second
+	// queryLimit is how long it waits for an answer; a route allows a statement 1 s.
+	queryLimit = 3 * time.Second
+)
+
 // answer is the complete answer to a query.
 type answer struct {
 	rows      []string
@@ -32,15 +40,16 @@
 	reader *bufio.Reader
 }
 
-// connect opens a session. The consumer gives up after 2 s without READY.
-func connect(rec *record, name, address, database, key string) (*session, error) {
-	c, err := net.DialTimeout("tcp", address, 2*time.Second)
+// connect opens a session with firstKey.
+func connect(rec *record, name, address, database string) (*session, error) {
+	dialer := net.Dialer{Timeout: startupLimit}
+	c, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	s := &session{rec: rec, name: name, conn: c, reader: bufio.NewReaderSize(c, maxLine)}
-	_ = c.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := fmt.Fprintf(c, "STARTUP %s %s\r\n", database, key); err != nil {
+	_ = c.SetDeadline(time.Now().Add(startupLimit))
+	if _, err := fmt.Fprintf(c, "STARTUP %s %s\r\n", database, firstKey); err != nil {
 		return nil, err
 	}
 	line, err := s.line()
@@ -69,7 +78,7 @@
 }
 
 // query sends a statement and returns its answer.
-func (s *session) query(id, text string, limit time.Duration) (a answer, err error) {
+func (s *session) query(id, text string) (a answer, err error) {
 	s.rec.line("%s sends: id %s text %.60q", s.name, id, text)
 	defer func() {
 		if err != nil {
@@ -78,7 +87,7 @@
 		}
 		s.rec.line("%s: id %s: %.160s", s.name, id, a.String())
 	}()
-	_ = s.conn.SetDeadline(time.Now().Add(limit))
+	_ = s.conn.SetDeadline(time.Now().Add(queryLimit))
 	if _, err := fmt.Fprintf(s.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return a, err
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -131,7 +132,7 @@
 func (f *fleet) portsFree(first, hosts int) bool {
 	for i := range hosts {
 		for port := first; port < first+3+portsPerHost; port++ {
-			l, err := net.Listen("tcp", fmt.Sprintf("%s.1.%d:%d", f.network, i+1, port))
+			l, err := listen(fmt.Sprintf("%s.1.%d:%d", f.network, i+1, port))
 			if err != nil {
 				return false
 			}
@@ -141,8 +142,13 @@
 	return true
 }
 
+// listen opens a listener on a loopback address.
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
+
 // add adds a process that is not started yet.
-func (f *fleet) add(role string, i int) *process {
+func (f *fleet) add(role string, i int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := &process{
@@ -151,7 +157,6 @@
 	}
 	p.folder = filepath.Join(f.folder, p.name)
 	f.processes = append(f.processes, p)
-	return p
 }
 
 // ofRole returns the processes of a role.
@@ -223,7 +228,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	args := f.commands[p.role]
-	c := exec.Command(filepath.Join(f.root, args[0]), args[1:]...)
+	c := exec.CommandContext(context.Background(), filepath.Join(f.root, args[0]), args[1:]...)
 	c.Dir, c.Stdout, c.Stderr = f.root, log, log
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + f.folder, "DAISYGLADE_NODE_FILE=" + filepath.Join(p.folder, "node.conf")}
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -267,17 +272,6 @@
 	}
 }
 
-// signal sends a signal to the process.
-func (f *fleet) signal(p *process, s syscall.Signal) {
-	f.mu.Lock()
-	c := p.command
-	f.mu.Unlock()
-	f.rec.line("signal %s to %s", s, p.name)
-	if c != nil {
-		_ = c.Process.Signal(s)
-	}
-}
-
 // kill ends the process with SIGKILL and waits until it has ended.
 func (f *fleet) kill(p *process) {
 	f.mu.Lock()
--- a/review/standin/infra.go
+++ b/review/standin/infra.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -104,8 +103,8 @@
 	return nil
 }
 
-// version reads the version of the desired state back.
-func (c *caller) version(limit time.Duration) (float64, error) {
+// version reads the version of the desired state back. It returns false if none comes.
+func (c *caller) version(limit time.Duration) (version float64, ok bool) {
 	status, content, err := c.call(http.MethodGet, "/config", nil, limit)
 	if err == nil && status != http.StatusOK {
 		err = fmt.Errorf("status %d", status)
@@ -116,10 +115,10 @@
 	}
 	if err != nil {
 		c.rec.line("operator: GET /config gave nothing for %v: %v", limit, err)
-		return 0, err
+		return 0, false
 	}
 	c.rec.line("operator: GET /config answered with version %v", d.Version)
-	return d.Version, nil
+	return d.Version, true
 }
 
 // ping sends one ping of the member to the nodes in turn, until one answers 2xx.
@@ -167,7 +166,7 @@
 
 // serveCloud serves POST /promotion.
 func serveCloud(rec *record, network string, groups ...*group) (address string, err error) {
-	l, err := net.Listen("tcp", network+".3.1:0")
+	l, err := listen(network + ".3.1:0")
 	if err != nil {
 		return "", err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -163,10 +163,10 @@
 	err = errors.New("not tried")
 	for until := time.Now().Add(limit); time.Now().Before(until); time.Sleep(200 * time.Millisecond) {
 		var s *session
-		if s, err = connect(w.rec, "consumer at "+p.name, w.fleet.frontAddr(p), database(w.groups[0], "primary"), firstKey); err != nil {
+		if s, err = connect(w.rec, "consumer at "+p.name, w.fleet.frontAddr(p), database(w.groups[0], "primary")); err != nil {
 			continue
 		}
-		a, queryErr := s.query(w.id(), "STORE first x", 3*time.Second)
+		a, queryErr := s.query(w.id(), "STORE first x")
 		s.close()
 		if err = queryErr; err == nil && a.failure != "" {
 			err = errors.New(a.failure)
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -108,7 +108,7 @@
 
 // heal ends the cut.
 func (m *member) heal() error {
-	l, err := net.Listen("tcp", m.address)
+	l, err := listen(m.address)
 	if err != nil {
 		return err
 	}
@@ -161,7 +161,7 @@
 func newGroup(rec *record, service, network string, size int) (*group, error) {
 	g := &group{rec: rec, service: service, term: 1}
 	for i := range size {
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.2.%d:0", network, i+1))
+		l, err := listen(fmt.Sprintf("%s.2.%d:0", network, i+1))
 		if err != nil {
 			return nil, err
 		}
