Add a case of the review: two promotions at once after the control leader is lost

Cause: the order to promote a member is known to the control leader that gave it only. A later leader chooses anew, and since ties are broken by name, it may choose another member while the first promotion is under way. The first member is confirmed although the order for the second is outstanding, so entry hosts acknowledge writes at the first member after the second has taken over.

--- a/review/standin/infra.go
+++ b/review/standin/infra.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -164,6 +165,10 @@
 	}
 }
 
+// onPromotion is called with the name of the holder that ordered a promotion, once the
+// platform has accepted it; nil if nobody listens.
+var onPromotion atomic.Pointer[func(holder string)]
+
 // serveCloud serves POST /promotion.
 func serveCloud(rec *record, network string, groups ...*group) (address string, err error) {
 	l, err := listen(network + ".3.1:0")
@@ -184,6 +189,9 @@
 			}
 		}
 		rec.line("platform: promotion of %s %s by %s, fence %s, answered with %d", p.Service, p.ID, r.Header.Get("Lease-Holder"), r.Header.Get("Fencing-Token"), status)
+		if f := onPromotion.Load(); f != nil && status == http.StatusOK {
+			go (*f)(r.Header.Get("Lease-Holder"))
+		}
 		w.WriteHeader(status)
 	})
 	go func() { _ = http.Serve(l, mux) }()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,11 +28,12 @@
 
 // cases are the cases by name. Each is told whether to bring about the disruption.
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
-	"poison":  unreadablePing,
-	"revoked": revokedKey,
-	"text":    changedText,
-	"leaving": leavingReplica,
-	"branch":  oldBranch,
+	"handover": handover,
+	"poison":   unreadablePing,
+	"revoked":  revokedKey,
+	"text":     changedText,
+	"leaving":  leavingReplica,
+	"branch":   oldBranch,
 }
 
 const firstKey = "u6wsjnbanfqasnmgkcuy"
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -44,11 +44,12 @@
 	rec     *record
 	service string
 
-	mu      sync.Mutex
-	sync    int // Replicas that must have received a commit before it is acknowledged.
-	members []*member
-	term    uint64
-	runs    []run
+	mu          sync.Mutex
+	promoteTime time.Duration // From the call until the member leads.
+	sync        int           // Replicas that must have received a commit before it is acknowledged.
+	members     []*member
+	term        uint64
+	runs        []run
 	// promoted is called with each member that begins to lead; g.mu is held.
 	promoted func(m *member)
 }
@@ -67,9 +68,10 @@
 	term     uint64
 	log      []entry
 	draining bool
-	deaf     bool // Receives nothing from the primary.
-	cut      bool // Can reach nobody, and nobody can reach it; connections are refused.
-	stopped  bool // Has crashed, or the case is over.
+	lag      time.Duration // How late it receives commits.
+	deaf     bool          // Receives nothing from the primary.
+	cut      bool          // Can reach nobody, and nobody can reach it; connections are refused.
+	stopped  bool          // Has crashed, or the case is over.
 	sequence uint64
 	conns    map[net.Conn]bool
 }
@@ -159,7 +161,7 @@
 }
 
 func newGroup(rec *record, service, network string, size int) (*group, error) {
-	g := &group{rec: rec, service: service, term: 1}
+	g := &group{rec: rec, service: service, term: 1, promoteTime: promoteTime}
 	for i := range size {
 		l, err := listen(fmt.Sprintf("%s.2.%d:0", network, i+1))
 		if err != nil {
@@ -167,7 +169,7 @@
 		}
 		m := &member{
 			group: g, id: fmt.Sprintf("i-%s%d", service, i+1), zone: zones[i%len(zones)].name, address: l.Addr().String(), listener: l,
-			born: time.Now().UnixMilli(), primary: i == 0, term: 1, conns: make(map[net.Conn]bool),
+			born: time.Now().UnixMilli(), primary: i == 0, term: 1, lag: replicaLag, conns: make(map[net.Conn]bool),
 		}
 		g.members = append(g.members, m)
 		go m.accept(l)
@@ -189,11 +191,11 @@
 			}
 		}
 		if p != nil {
-			n := 0
-			for n < len(p.log) && time.Since(p.log[n].at) >= replicaLag {
-				n++
-			}
 			for _, m := range g.members {
+				n := 0
+				for n < len(p.log) && time.Since(p.log[n].at) >= m.lag {
+					n++
+				}
 				if m != p && !m.primary && !m.stopped && !m.cut && !m.deaf && (m.term < p.term || len(m.log) < n) {
 					m.term, m.log = p.term, append([]entry(nil), p.log[:n]...)
 				}
@@ -203,7 +205,7 @@
 	}
 }
 
-// promote makes the member the primary of the next term after promoteTime. It returns
+// promote makes the member the primary of the next term after g.promoteTime. It returns
 // false if there is no such member that runs.
 func (g *group) promote(id string) bool {
 	g.mu.Lock()
@@ -215,7 +217,7 @@
 		if m.primary && m.term == g.term {
 			return true
 		}
-		time.AfterFunc(promoteTime, func() { g.lead(m) })
+		time.AfterFunc(g.promoteTime, func() { g.lead(m) })
 		return true
 	}
 	return false
@@ -382,7 +384,7 @@
 		if m.primary {
 			role = "primary"
 		}
-		row := fmt.Sprintf("DATAROW %s %d %d.%d 0 %d 0 1\r\n", role, m.term, m.term, len(m.log), replicaLag.Milliseconds())
+		row := fmt.Sprintf("DATAROW %s %d %d.%d 0 %d 0 1\r\n", role, m.term, m.term, len(m.log), m.lag.Milliseconds())
 		return row + done()
 	case "STEPDOWN":
 		if term, err := strconv.ParseUint(rest, 10, 64); err == nil && term > m.term {
