Add a case of the review: the only replica with a write is forgotten after 10 s

Cause: a succession waits for replicas that do not answer, since they may hold an acknowledged write, but counts only servers in the control state. One that has not announced itself for 10 s is removed from it, and the remaining replica is promoted.

Done: a script that crashes the primary and the replica that is up to date for 15 s, with syncReplicas 1; nothing is fixed.

--- a/review/standin/handover.go
+++ b/review/standin/handover.go
@@ -25,8 +25,9 @@
 
 // acknowledged is a write whose success was told to its consumer.
 type acknowledged struct {
-	id string
-	at time.Time
+	id   string
+	item string
+	at   time.Time
 }
 
 // leadership is the time from which a member leads.
@@ -42,10 +43,7 @@
 // acknowledged.
 func handover(w *world, trouble bool) (verdict, error) {
 	g := w.groups[0]
-	d := desired(2, []string{firstKey}, g)
-	tenant := d["tenants"].([]map[string]any)[0]
-	tenant["ratePerS"], tenant["burst"] = ampleRate, ampleRate
-	if err := w.operator.put(d, ackTime); err != nil {
+	if err := w.raiseRate(); err != nil {
 		return "", err
 	}
 	var led []leadership
@@ -75,6 +73,14 @@
 	return w.judgeLeaderships(g, all, led), nil
 }
 
+// raiseRate gives the tenant a rate limit that its consumers do not reach.
+func (w *world) raiseRate() error {
+	d := desired(2, []string{firstKey}, w.groups[0])
+	tenant := d["tenants"].([]map[string]any)[0]
+	tenant["ratePerS"], tenant["burst"] = ampleRate, ampleRate
+	return w.operator.put(d, ackTime)
+}
+
 // killOnPromotion kills the control host that orders the first promotion, and starts it
 // again after killTime.
 func (w *world) killOnPromotion() {
@@ -118,8 +124,8 @@
 	}
 }
 
-// write writes at an entry host until stop is closed, and connects again after an error.
-func (w *world) write(p *process, item string, stop <-chan struct{}) (done []acknowledged) {
+// write writes new items at an entry host until stop is closed, and connects again after an error.
+func (w *world) write(p *process, name string, stop <-chan struct{}) (done []acknowledged) {
 	var s *session
 	for n := 0; ; n++ {
 		select {
@@ -132,19 +138,19 @@
 		}
 		if s == nil {
 			var err error
-			if s, err = connect(w.rec, "consumer "+item, w.fleet.frontAddr(p), database(w.groups[0], "primary")); err != nil {
+			if s, err = connect(w.rec, "consumer "+name, w.fleet.frontAddr(p), database(w.groups[0], "primary")); err != nil {
 				s = nil
 				continue
 			}
 		}
-		id := w.id()
-		a, err := s.query(id, fmt.Sprintf("STORE %s d%d", item, n))
+		id, written := w.id(), fmt.Sprintf("%s-%d", name, n)
+		a, err := s.query(id, "STORE "+written+" x")
 		switch {
 		case err != nil:
 			s.close()
 			s = nil
 		case a.failure == "":
-			done = append(done, acknowledged{id: id, at: time.Now()})
+			done = append(done, acknowledged{id: id, item: written, at: time.Now()})
 		}
 	}
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 // cases are the cases by name. Each is told whether to bring about the disruption.
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
 	"handover": handover,
+	"expired":  expired,
 	"poison":   unreadablePing,
 	"revoked":  revokedKey,
 	"text":     changedText,
@@ -73,7 +74,7 @@
 		return exitCannotRun
 	}
 	w := &world{rec: rec}
-	if name == "leaving" || name == "branch" {
+	if name == "leaving" || name == "branch" || name == "expired" {
 		w.sync = 1
 	}
 	defer w.close()
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -108,6 +108,16 @@
 	m.group.rec.line("member %s is cut off", m.id)
 }
 
+// restart starts a member that was isolated as a new process with its log: as a replica if
+// another member was promoted meanwhile.
+func (m *member) restart() error {
+	m.group.mu.Lock()
+	m.born, m.sequence = time.Now().UnixMilli(), 0
+	m.primary = m.primary && m.term == m.group.term
+	m.group.mu.Unlock()
+	return m.heal()
+}
+
 // heal ends the cut.
 func (m *member) heal() error {
 	l, err := listen(m.address)
