Add a case of the review: a frozen control host is left out for good, and the log is lost

Cause: when a machine is replaced, the control leader may remove another voter that is silent for a moment. That replica still finds itself in its own last configuration, so it never asks to join again. The voter that is gone stays, and the fleet bears one loss less.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -27,6 +27,7 @@
 	restartDelay  = 500 * time.Millisecond
 	startupTime   = 20 * time.Second
 	portsPerHost  = 15
+	spareHosts    = 1 // Hosts that a case may add.
 	maxPortTrials = 50
 	// maxNotedExits is how many ends of one process by itself the record has.
 	maxNotedExits = 3
@@ -82,7 +83,7 @@
 		return nil, err
 	}
 	f.network = fmt.Sprintf("127.%d", 20+rand.IntN(200))
-	if err := f.choosePorts(controls + entries); err != nil {
+	if err := f.choosePorts(controls + entries + spareHosts); err != nil {
 		return nil, err
 	}
 	for i := range controls {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 // cases are the cases by name. Each is told whether to bring about the disruption.
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
 	"handover": handover,
+	"orphan":   orphan,
 	"expired":  expired,
 	"poison":   unreadablePing,
 	"revoked":  revokedKey,
