Add a case of the review: a change of settings ends a host that drains

Cause: a host gives SIGHUP back to the runtime when SIGTERM arrives, before it drains. A SIGHUP in the next seconds, which tells of changed settings, ends the process.

Nothing is fixed.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
   echo "the stand-ins are not built: run review/build.sh" >&2
   exit 2
 fi
-TROUBLE="${TROUBLE:-1}" exec "$program" leaving "$folder"
+TROUBLE="${TROUBLE:-1}" exec "$program" hangup "$folder"
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -64,6 +64,7 @@
 	control  int
 	internal int
 	cloud    string
+	seed     int // The first of the three control hosts that the settings name as seeds.
 
 	starts chan func() // Run by a thread that lives as long as the program.
 
@@ -179,7 +180,7 @@
 // writeSettings writes the settings file of a process.
 func (f *fleet) writeSettings(p *process) error {
 	var seeds []string
-	for _, c := range f.ofRole("control")[:3] {
+	for _, c := range f.ofRole("control")[f.seed : f.seed+3] {
 		seeds = append(seeds, f.controlAddr(c))
 	}
 	region := zones[slices.IndexFunc(zones, func(z struct{ name, region string }) bool { return z.name == p.zone })].region
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
 	"handover": handover,
 	"orphan":   orphan,
+	"hangup":   hangup,
 	"expired":  expired,
 	"poison":   unreadablePing,
 	"revoked":  revokedKey,
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -45,8 +45,10 @@
 	service string
 
 	mu          sync.Mutex
-	promoteTime time.Duration // From the call until the member leads.
-	sync        int           // Replicas that must have received a commit before it is acknowledged.
+	promoteTime time.Duration   // From the call until the member leads.
+	work        time.Duration   // How long a read or write runs.
+	arrived     map[string]bool // The requests that reached a member, by ID.
+	sync        int             // Replicas that must have received a commit before it is acknowledged.
 	members     []*member
 	term        uint64
 	runs        []run
@@ -171,7 +173,7 @@
 }
 
 func newGroup(rec *record, service, network string, size int) (*group, error) {
-	g := &group{rec: rec, service: service, term: 1, promoteTime: promoteTime}
+	g := &group{rec: rec, service: service, term: 1, promoteTime: promoteTime, arrived: make(map[string]bool)}
 	for i := range size {
 		l, err := listen(fmt.Sprintf("%s.2.%d:0", network, i+1))
 		if err != nil {
@@ -365,6 +367,13 @@
 func (s *conn) query(id, text string) string {
 	m := s.member
 	g := m.group
+	if id != "-" {
+		g.mu.Lock()
+		g.arrived[id] = true
+		work := g.work
+		g.mu.Unlock()
+		time.Sleep(work)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if after, ok := strings.CutPrefix(text, "AFTER "); ok {
