Let a replaced voter of the control log join again

Cause: at the maximum number of voters, a learner that has caught up takes the vote of one that has been silent for 2.5 s. That one is not told. A replica asked to join only if its own configuration did not contain it, so one that was frozen or cut off meanwhile took no part for good, while a host that was gone kept its vote.

Change: a replica that has heard from no leader for ElectionMax asks to join, whatever its configuration says, and asks the members of that configuration as well as its seeds. Members are not changed by the request; a removed one becomes a learner under its ID, which its disk backs, and takes the vote of the voter that is still silent.

--- a/internal/cluster/daisyconsensus/membership.go
+++ b/internal/cluster/daisyconsensus/membership.go
@@ -9,10 +9,11 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisylog"
 )
 
-// join asks to be added to the configuration while the replica is not in it.
+// join asks to be added to the configuration while the replica is not in it or may
+// have been removed from it.
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
-		if !n.Joined() {
+		if !n.Joined() || n.detached() {
 			for _, peer := range n.peers() {
 				n.options.Transport.Send(peer, daisylog.Join(n.options.Self))
 			}
@@ -34,19 +35,33 @@
 	changed := n.redirect != m.Peer.Address
 	n.redirect = m.Peer.Address
 	n.mu.Unlock()
-	if changed && !n.Joined() {
+	if changed && (!n.Joined() || n.detached()) {
 		n.options.Transport.Send(m.Peer.Address, daisylog.Join(n.options.Self))
 	}
 }
 
-// peers returns the control hosts that a joining replica asks.
+// detached reports whether the replica may have been removed from the configuration.
+func (n *Node) detached() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.failed == nil && n.replica.Detached(daisyclock.Now())
+}
+
+// peers returns the control hosts that a joining replica asks: the configured ones, the
+// other members of its configuration and the leader that it was redirected to. All
+// configured ones may have been replaced since the replica was last a member.
 func (n *Node) peers() []netip.AddrPort {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.redirect.IsValid() && !slices.Contains(n.options.Peers, n.redirect) {
-		return append(slices.Clone(n.options.Peers), n.redirect)
+	addrs := slices.Clone(n.options.Peers)
+	for _, peer := range n.replica.Configuration() {
+		addrs = append(addrs, peer.Address)
 	}
-	return n.options.Peers
+	addrs = append(addrs, n.redirect)
+	slices.SortFunc(addrs, netip.AddrPort.Compare)
+	return slices.DeleteFunc(slices.Compact(addrs), func(addr netip.AddrPort) bool {
+		return !addr.IsValid() || addr == n.options.Self.Address
+	})
 }
 
 // SetPeers replaces the control hosts that a joining replica asks.
--- a/internal/control/daisylog/configuration.go
+++ b/internal/control/daisylog/configuration.go
@@ -42,6 +42,16 @@
 	return slices.ContainsFunc(peers, func(peer Peer) bool { return peer.Replica == id && peer.Voting })
 }
 
+// Detached reports whether the replica must ask to be added to the configuration:
+// its own does not contain it, or it has not heard from a leader for ElectionMax. A
+// leader that removes a replica does not tell it, since the replica may be gone.
+func (r *Replica) Detached(now time.Time) bool {
+	if _, member := r.peer(r.id); !member {
+		return true
+	}
+	return r.role != Leader && now.Sub(r.lastContact) > ElectionMax
+}
+
 // Join returns the message with which a replica asks to be added to the
 // configuration.
 func Join(peer Peer) Message {
