--- a/internal/cluster/daisywal/wal_test.go
+++ b/internal/cluster/daisywal/wal_test.go
@@ -133,3 +133,19 @@
 	err := daisywal.Create(newLogFolder(t), daisylog.Bootstrap(daisylog.Peer{Replica: 8}))
 	assert.ErrorIs(t, err, daisywal.ErrExists)
 }
+
+// Guards against a control log that its own writer cannot read again: a name that is not
+// UTF-8 was written, and then refused as damage at each start.
+func TestUnreadableNameIsReadAgain(t *testing.T) {
+	folder := newLogFolder(t)
+	l, _, err := daisywal.Open(folder)
+	assert.NilError(t, err)
+	named := entry(5)
+	named.Change.Operations[0].ID.Name = "\xff\xfe"
+	assert.NilError(t, l.Append(nil, []daisylog.Entry{named, entry(6)}))
+	assert.NilError(t, l.Close())
+	l, s, err := daisywal.Open(folder)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, s.Entries[3:], []daisylog.Entry{named, entry(6)})
+	assert.NilError(t, l.Close())
+}
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -1,6 +1,6 @@
 // Package daisycodec maps domain types to the wire types by hand and encodes
 // them as CBOR. Every decoder returns an error for unknown fields, trailing bytes
-// and values out of range.
+// and values out of range. Text may hold any bytes: what is encoded is decoded again.
 //
 // Some names on the wire differ from those of the domain types and stay as they
 // are:
@@ -59,6 +59,9 @@
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
 		MaxArrayElements:  maxElements,
 		IndefLength:       cbor.IndefLengthForbidden,
+		// Names and statements come from other programs, in any character encoding.
+		// The encoder writes such text too, so that it must be decoded.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic("daisycodec: invalid CBOR decoding options")
