Name the server to promote in the log before the platform is told

Cause: the progress of a succession was in the leader's memory. A later leader ordered the promotion of another server while the first still took effect, and a leader confirmed whichever server reported to lead, also while another order was outstanding. The same followed an unanswered call (0.5 s) and an accepted promotion that the leader could not see for 2 s.

Change: an entry of the log names the server and the epoch before the call is sent; later leaders go on with it. Only that server is confirmed. Another one is named once the platform has refused the last call, or has accepted it and 2 s have passed. In leader_test.go the stand-in of the platform refuses to promote a server that is down, as the platform does, where it gave no answer.

--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,13 @@
 	leaving bool
 	domain  string // Failure domain.
 	refuses bool   // Promotions are refused.
+	cut     bool   // The control leader cannot reach it, and its announcements are lost.
+}
+
+// takeover is a promotion that the platform has received and that takes effect later.
+type takeover struct {
+	at     time.Time
+	server *server
 }
 
 // host is a simulated entry host.
@@ -53,6 +61,11 @@
 	sequence uint64
 	promoted []string // Servers, in the order of accepted promotions.
 	pending  []daisypromotion.Result
+
+	promotionTime time.Duration // From the platform's receipt of a promotion to its effect.
+	callDelay     time.Duration // How late the platform receives a promotion. Its answers are lost then.
+	takeovers     []takeover
+	late          []string // Servers that took over after the leadership of another was confirmed.
 }
 
 func newWorld(t *testing.T) *world {
@@ -75,6 +88,7 @@
 
 func (w *world) advance(d time.Duration) {
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(step) {
+		w.takeOver()
 		w.announce()
 		w.heartbeat()
 		for _, c := range w.leader.Due(w.now, &w.state) {
@@ -96,7 +110,7 @@
 func (w *world) announce() {
 	w.sequence++
 	for i, s := range w.servers {
-		if s.down {
+		if s.down || s.cut {
 			continue
 		}
 		w.leader.Announce(w.now, daisypromotion.Announcement{
@@ -126,7 +140,11 @@
 func (w *world) carryOut(o daisypromotion.Order) daisypromotion.Result {
 	r := daisypromotion.Result{Order: o}
 	for _, s := range w.servers {
-		if s.id != o.Server || s.down {
+		switch {
+		case s.id != o.Server:
+			continue
+		case o.Kind == daisypromotion.OrderPromote: // The platform is told, not the server.
+		case s.down || s.cut:
 			continue
 		}
 		switch o.Kind {
@@ -144,10 +162,17 @@
 }
 
 func (w *world) promote(s *server) daisypromotion.PromotionOutcome {
-	if s.refuses {
+	if s.refuses || s.down {
 		return daisypromotion.PromotionRefused
 	}
 	w.promoted = append(w.promoted, s.id)
+	if w.promotionTime > 0 {
+		w.takeovers = append(w.takeovers, takeover{at: w.now.Add(w.callDelay + w.promotionTime), server: s})
+		if w.callDelay > 0 {
+			return daisypromotion.PromotionUnknown
+		}
+		return daisypromotion.PromotionAccepted
+	}
 	if s.role == daisypromotion.RolePrimary && s.term == w.latestTerm() {
 		return daisypromotion.PromotionAccepted
 	}
@@ -156,6 +181,24 @@
 	return daisypromotion.PromotionAccepted
 }
 
+// takeOver carries out the promotions that take effect now.
+func (w *world) takeOver() {
+	w.takeovers = slices.DeleteFunc(w.takeovers, func(t takeover) bool {
+		if t.at.After(w.now) {
+			return false
+		}
+		s := t.server
+		if s.down || s.role == daisypromotion.RolePrimary && s.term == w.latestTerm() {
+			return true
+		}
+		if primary := w.leadership().Server; primary != "" && primary != s.id {
+			w.late = append(w.late, s.id)
+		}
+		s.term, s.role = w.latestTerm()+1, daisypromotion.RolePrimary
+		return true
+	})
+}
+
 func (w *world) latestTerm() uint64 {
 	latest := uint64(0)
 	for _, s := range w.servers {
--- a/internal/control/daisypromotion/orders.go
+++ b/internal/control/daisypromotion/orders.go
@@ -105,25 +105,16 @@
 }
 
 // continueSuccession orders the next steps of a succession: probes of all
-// servers and, once the old state is recalled, a promotion.
+// servers and, once the old state is recalled and the log names a server, its promotion.
 func (l *Leader) continueSuccession(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) []Order {
 	orders := l.probeAll(now, s, service)
-	ongoing := l.successionOf(service, leadership.Epoch)
-	if !l.oldStateRecalled(now, s, service, leadership) || ongoing.pending {
+	if !l.oldStateRecalled(now, s, service, leadership) {
 		return orders
 	}
-	if ongoing.accepted && now.Sub(ongoing.orderedAt) < confirmTimeout {
-		return orders
-	}
-	if !ongoing.orderedAt.IsZero() && now.Sub(ongoing.orderedAt) < unknownOutcomeRetry {
-		return orders
+	if o, ok := l.duePromotionCall(now, s, service, leadership.Epoch); ok {
+		orders = append(orders, o)
 	}
-	m, ok := l.chooseCandidate(now, s, service, leadership, ongoing)
-	if !ok {
-		return orders
-	}
-	ongoing.candidate, ongoing.orderedAt, ongoing.pending, ongoing.accepted = m.name, now, true, false
-	return append(orders, Order{Kind: OrderPromote, Service: service, Server: m.name, Address: m.server.Address})
+	return orders
 }
 
 // RecordResult records the result of an order.
@@ -157,18 +148,3 @@
 		p.failures++
 	}
 }
-
-func (l *Leader) recordPromotion(now time.Time, r Result) {
-	ongoing := l.successions[r.Service]
-	if ongoing == nil || ongoing.candidate != r.Server || !ongoing.pending {
-		return
-	}
-	ongoing.pending = false
-	switch r.Outcome {
-	case PromotionAccepted:
-		ongoing.accepted = true
-	case PromotionRefused:
-		ongoing.refusedAt[r.Server] = now
-	case PromotionUnknown:
-	}
-}
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -42,12 +42,10 @@
 // succession is the progress of one epoch that has no primary yet.
 type succession struct {
 	epoch      uint64
-	recalledAt time.Time // When no host could act on the old state any more; zero before.
-	askedAt    time.Time // When all servers had been probed since then; zero before.
-	candidate  string
-	orderedAt  time.Time            // When the candidate's promotion was last ordered.
-	pending    bool                 // The result of the order is outstanding.
-	accepted   bool                 // The promotion was accepted.
+	recalledAt time.Time            // When no host could act on the old state any more; zero before.
+	askedAt    time.Time            // When all servers had been probed since then; zero before.
+	named      string               // The server that this leader last proposed to promote; empty if none.
+	order      *promotionOrder      // Of the server that the log names; nil until one is looked up.
 	refusedAt  map[string]time.Time // When a server's promotion was refused, by server.
 }
 
@@ -70,6 +68,12 @@
 		}
 		if reason != "" {
 			changes = append(changes, replaceValue(o, next, reason))
+			continue
+		}
+		if ok && leadership.Server == "" {
+			if o, next, reason := l.duePromotion(now, s, service, leadership); reason != "" {
+				changes = append(changes, replaceValue(o, next, reason))
+			}
 		}
 	}
 	return changes
@@ -213,13 +217,18 @@
 }
 
 // confirmLeadership returns the leadership of the server that has become primary.
-// The reason is empty if none has.
+// The reason is empty if none has, or if the promotion of another may still take effect.
 func (l *Leader) confirmLeadership(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) (daisyfleet.Leadership, string) {
 	if !l.oldStateRecalled(now, s, service, leadership) {
 		return daisyfleet.Leadership{}, ""
 	}
 	server, status, ok := l.reportedPrimary(now, s, service, leadership.Term)
-	if ongoing := l.successionOf(service, leadership.Epoch); !ok && ongoing.accepted && ongoing.candidate == leadership.Previous {
+	ongoing := l.successionOf(service, leadership.Epoch)
+	_, promotion, named := promotionOf(s, service, leadership.Epoch)
+	if named && (ok && server != promotion.Server || !ongoing.names(promotion.Server)) {
+		return daisyfleet.Leadership{}, ""
+	}
+	if !ok && named && promotion.Server == leadership.Previous && l.orderOf(ongoing, promotion.Server).accepted {
 		// Promoting the server that was still primary did not change its term.
 		server = leadership.Previous
 		status, ok = l.statusOf(now, server)
--- a/internal/control/daisypromotion/types.go
+++ b/internal/control/daisypromotion/types.go
@@ -70,6 +70,8 @@
 	PromotionUnknown PromotionOutcome = iota
 	// PromotionAccepted means that the promotion is in progress.
 	PromotionAccepted
+	// PromotionNotSent means that the platform was not told.
+	PromotionNotSent
 	// PromotionRefused means that the server cannot be promoted.
 	PromotionRefused
 )
--- a/internal/domain/daisyfleet/service.go
+++ b/internal/domain/daisyfleet/service.go
@@ -76,6 +76,29 @@
 	return nil
 }
 
+// Promotion states which server is promoted in an epoch. The object's name is the
+// service. It is in the log before the platform is told, so that no later leader promotes
+// another server while this promotion may still take effect. It concerns control hosts
+// only; no Delta holds it.
+type Promotion struct {
+	Epoch  uint64 // Of the leadership that the promotion is to fill; Round on the wire.
+	Server string
+}
+
+// Kind implements Value.
+func (Promotion) Kind() Kind { return KindPromotion }
+
+// Check implements Value.
+func (p Promotion) Check() error {
+	switch {
+	case p.Epoch == 0:
+		return errors.New("Round is 0")
+	case p.Server == "":
+		return errors.New("Server is empty")
+	}
+	return nil
+}
+
 // Server returns the named backend server.
 func (v *View) Server(name string) (Server, bool) {
 	s, ok := v.value(KindServer, name).(Server)
--- a/internal/domain/daisyfleet/state.go
+++ b/internal/domain/daisyfleet/state.go
@@ -261,14 +261,15 @@
 // the revision is 0, below the compacted revision or above the current one.
 func (s *State) Delta(from uint64) Delta {
 	if from == 0 || from < s.compactedRevision || from > s.revision {
-		return Delta{To: s.revision, Objects: s.liveObjects()}
+		objects := slices.DeleteFunc(s.liveObjects(), func(o Object) bool { return o.Kind == KindPromotion })
+		return Delta{To: s.revision, Objects: objects}
 	}
 	d := Delta{From: from, To: s.revision}
 	start, _ := slices.BinarySearchFunc(s.recentChanges, from+1, func(c objectChange, r uint64) int {
 		return compare(c.revision, r)
 	})
 	for _, c := range s.recentChanges[start:] {
-		if o := s.objects[c.id.Kind][c.id.Name]; o.Revision == c.revision {
+		if o := s.objects[c.id.Kind][c.id.Name]; o.Revision == c.revision && o.Kind != KindPromotion {
 			d.Objects = append(d.Objects, o)
 		}
 	}
--- a/internal/domain/daisyfleet/value.go
+++ b/internal/domain/daisyfleet/value.go
@@ -22,6 +22,7 @@
 	KindServer     Kind = "Server"
 	KindLeadership Kind = "Primacy"
 	KindEvacuation Kind = "Evacuation"
+	KindPromotion  Kind = "Promotion"
 )
 
 // Acknowledge states what a write waits for before it is acknowledged.
--- a/internal/host/daisycontrolhost/orders.go
+++ b/internal/host/daisycontrolhost/orders.go
@@ -177,7 +177,7 @@
 	defer cancel()
 	term, leads := c.node.Leads()
 	if !leads {
-		return daisypromotion.PromotionUnknown
+		return daisypromotion.PromotionNotSent
 	}
 	c.options.Log.WithFields(log.Fields{"Service": o.Service, "Server": o.Server, "Fence": term}).Info("core: ordering the promotion of a server")
 	return c.options.Promoter.Promote(ctx, o, term, func() bool {
--- a/internal/wire/daisycodec/codec_test.go
+++ b/internal/wire/daisycodec/codec_test.go
@@ -29,6 +29,8 @@
 	daisyfleet.Member{Database: "d", Address: addr, FailureDomain: "f", Leaving: true},
 	daisyfleet.Host{Incarnation: 9, Address: addr, FailureDomain: "f", Region: "r", Up: true, Leaving: true},
 	daisyfleet.Evacuation{Ordered: time.Unix(8, 0).UTC()},
+	daisyfleet.Leadership{Epoch: 2, Server: "s", Term: 3, Previous: "p"},
+	daisyfleet.Promotion{Epoch: 2, Server: "s"},
 	daisyfleet.Server{Service: "s", Address: addr, FailureDomain: "f", Started: time.UnixMilli(7).UTC(), Leaving: true, Slots: 4, Cold: true},
 	daisyfleet.Ownership{Term: 3, Holder: "h", Incarnation: 9, Primary: "m", Last: "l", Avoid: "a", Revoked: true},
 }
--- a/internal/wire/daisycodec/service.go
+++ b/internal/wire/daisycodec/service.go
@@ -22,6 +22,8 @@
 		}
 	case daisyfleet.Leadership:
 		w.Primacy = &daisywire.Primacy{Round: v.Epoch, Server: v.Server, Term: v.Term, Previous: v.Previous}
+	case daisyfleet.Promotion:
+		w.Promotion = &daisywire.Promotion{Round: v.Epoch, Server: v.Server}
 	case daisyfleet.Evacuation:
 		w.Evacuation = &daisywire.Evacuation{At: fromTime(v.Ordered)}
 	}
@@ -39,6 +41,10 @@
 		if p := w.Primacy; p != nil {
 			return daisyfleet.Leadership{Epoch: p.Round, Server: p.Server, Term: p.Term, Previous: p.Previous}, nil
 		}
+	case daisyfleet.KindPromotion:
+		if p := w.Promotion; p != nil {
+			return daisyfleet.Promotion{Epoch: p.Round, Server: p.Server}, nil
+		}
 	case daisyfleet.KindEvacuation:
 		if e := w.Evacuation; e != nil {
 			return daisyfleet.Evacuation{Ordered: toTime(e.At)}, nil
--- a/internal/wire/daisywire/schema.go
+++ b/internal/wire/daisywire/schema.go
@@ -625,6 +625,9 @@
 	// Profile corresponds to the JSON schema field "Profile".
 	Profile *Profile `json:"Profile,omitempty,omitzero"`
 
+	// Promotion corresponds to the JSON schema field "Promotion".
+	Promotion *Promotion `json:"Promotion,omitempty,omitzero"`
+
 	// The log index of the object's last change.
 	Revision uint64 `json:"Revision,omitempty,omitzero"`
 
@@ -745,6 +748,15 @@
 	Wait int64 `json:"Wait,omitempty,omitzero"`
 }
 
+// Which backend server is promoted in an epoch.
+type Promotion struct {
+	// The epoch that the server is to lead.
+	Round uint64 `json:"Round"`
+
+	// The server.
+	Server string `json:"Server"`
+}
+
 // A proposal of a change for the control log.
 type Propose struct {
 	// Change corresponds to the JSON schema field "Change".
