--- a/internal/cluster/daisywal/wal_test.go
+++ b/internal/cluster/daisywal/wal_test.go
@@ -141,7 +141,7 @@
 	l, _, err := daisywal.Open(folder)
 	assert.NilError(t, err)
 	named := entry(5)
-	named.Change.Operations[0].ID.Name = "\xff\xfe"
+	named.Change.Operations[0].Name = "\xff\xfe"
 	assert.NilError(t, l.Append(nil, []daisylog.Entry{named, entry(6)}))
 	assert.NilError(t, l.Close())
 	l, s, err := daisywal.Open(folder)
