Give the processes of a test an address of their own

Cause: TestHangupDoesNotEndStoppingHost used fixed ports of one loopback address, so that two runs of the tests at a time would have met.

Change: the address on loopback follows from the process ID.

--- a/internal/command/daisycli/hangup_test.go
+++ b/internal/command/daisycli/hangup_test.go
@@ -43,16 +43,18 @@
 		ready    string // Line after which the host is told to stop.
 		stopping string // Line that tells that it stops; empty if it writes none.
 	}{
-		{"Entry", "entry", "bindAddrs.front=127.77.0.1:8465\nbindAddrs.ready=127.77.0.1:8460\nseeds=127.77.0.9:8462\n", "process: started", "front: stopping"},
-		{"Control", "control", "bindAddrs.control=127.77.0.1:8462\nseeds=127.77.0.1:8462\nbootstrap=true\n", "quorum: leads", ""},
+		{"Entry", "entry", "bindAddrs.front=HOST:8465\nbindAddrs.ready=HOST:8460\nseeds=127.77.0.9:8462\n", "process: started", "front: stopping"},
+		{"Control", "control", "bindAddrs.control=HOST:8462\nseeds=HOST:8462\nbootstrap=true\n", "quorum: leads", ""},
 	}
+	// An address of its own on loopback, so that runs of the test do not meet.
+	host := fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			folder := t.TempDir()
-			settings := "nodeName=h1\nip=127.77.0.1\nzone=a\nregion=r\nzones.a=r\ninternalPorts=7560,7575\nbounds.graceS=6\n" +
+			settings := "nodeName=h1\nip=HOST\nzone=a\nregion=r\nzones.a=r\ninternalPorts=7560,7575\nbounds.graceS=6\n" +
 				"limits.memoryMb=284\ncloudApi.address=127.77.0.9:1\ndataDir=" + filepath.Join(folder, "data") + "\n" + test.settings
 			file := filepath.Join(folder, "node.conf")
-			assert.NilError(t, os.WriteFile(file, []byte(settings), 0o600))
+			assert.NilError(t, os.WriteFile(file, []byte(strings.ReplaceAll(settings, "HOST", host)), 0o600))
 			c := exec.CommandContext(context.Background(), os.Args[0])
 			c.Env = append(os.Environ(), argsVariable+"="+test.command, platform.SettingsVariable+"="+file)
 			output, err := c.StdoutPipe()
@@ -64,7 +66,7 @@
 			// A call that the control host has accepted keeps it from ending.
 			var call net.Conn
 			if test.command == "control" {
-				call, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", "127.77.0.1:8462")
+				call, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", host+":8462")
 				assert.NilError(t, err)
 				_, err = fmt.Fprint(call, "PUT /config HTTP/1.1\r\nHost: h1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
 				assert.NilError(t, err)
@@ -77,7 +79,7 @@
 				awaitLine(t, lines, test.stopping)
 			}
 			for call != nil { // Until no further call is accepted.
-				further, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", "127.77.0.1:8462")
+				further, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", host+":8462")
 				if err != nil {
 					break
 				}
