--- a/internal/cluster/daisyconsensus/fulldisk_test.go
+++ b/internal/cluster/daisyconsensus/fulldisk_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -13,8 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/apex/log"
-	"github.com/apex/log/handlers/text"
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/cluster/daisyconsensus"
@@ -104,6 +101,7 @@
 func newDiskCluster(t *testing.T, seed uint64, waiting int) *diskCluster {
 	const voters = 5
 	c := &diskCluster{random: rand.New(rand.NewPCG(seed, 1))}
+	c.seed, c.maxVoters = seed, voters
 	c.network = &network{nodes: make(map[netip.AddrPort]*daisyconsensus.Node), cut: make(map[netip.AddrPort]bool)}
 	var peers []daisylog.Peer
 	for i := range voters + waiting {
@@ -116,16 +114,8 @@
 			d.saved = daisylog.BootstrapGroup(peer.Replica, peers[:voters])
 		}
 		_, saved, _ := d.reopen()
-		c.disks, c.views = append(c.disks, d), append(c.views, daisyfleet.NewView())
-		node, err := daisyconsensus.Open(daisyconsensus.Options{
-			Self: peer, Peers: c.seeds, Saved: saved, Storage: d, Transport: c.network, View: c.views[i], Reopen: d.reopen,
-			Random: rand.New(rand.NewPCG(seed, uint64(i))), MaxVoters: voters, Log: &log.Logger{Handler: text.New(io.Discard)},
-		})
-		assert.NilError(t, err)
-		c.nodes = append(c.nodes, node)
-		c.network.mu.Lock()
-		c.network.nodes[peer.Address] = node
-		c.network.mu.Unlock()
+		c.disks = append(c.disks, d)
+		c.open(t, peer, saved, d, d.reopen)
 	}
 	time.Sleep(3 * time.Second)
 	return c
@@ -194,9 +184,6 @@
 		t.Run(test.name, func(t *testing.T) {
 			failedSnapshots := 0
 			for seed := range test.seeds {
-				if testing.Short() && seed >= 3 {
-					break
-				}
 				synctest.Test(t, func(t *testing.T) {
 					c := newDiskCluster(t, seed, test.waiting)
 					defer c.close(t)
@@ -209,7 +196,7 @@
 				assert.Assert(t, !t.Failed(), "seed %d", seed)
 			}
 			t.Logf("%d snapshots failed", failedSnapshots)
-			assert.Assert(t, testing.Short() || failedSnapshots > 0, "no snapshot failed")
+			assert.Assert(t, failedSnapshots > 0, "no snapshot failed")
 		})
 	}
 }
--- a/internal/cluster/daisyconsensus/membership_test.go
+++ b/internal/cluster/daisyconsensus/membership_test.go
@@ -15,9 +15,9 @@
 // the loss of two disks then ended control.
 func TestReplacedVoterRejoins(t *testing.T) {
 	tests := []struct {
-		name    string
-		cut     func(c *cluster) int // Returns the node that is out of reach.
-		atStart bool                 // It is out of reach before the other one is gone.
+		name     string
+		cut      func(c *cluster) int // Returns the node that is out of reach.
+		cutFirst bool                 // It is out of reach before the other one is gone.
 	}{
 		{"Leader", func(c *cluster) int { return c.leader() }, false},
 		{"Follower", func(c *cluster) int { return (c.leader() + 1) % 5 }, false},
@@ -32,7 +32,7 @@
 				assert.Equal(t, len(c.voters()), size)
 				cut := test.cut(c)
 				gone := (c.leader() + 3) % size
-				if test.atStart {
+				if test.cutFirst {
 					c.setCut(cut, true)
 					time.Sleep(time.Second)
 				}
--- a/internal/cluster/daisyconsensus/node_test.go
+++ b/internal/cluster/daisyconsensus/node_test.go
@@ -73,6 +73,7 @@
 	reopen    map[int]func() (daisyconsensus.Storage, daisylog.PersistedState, error)
 	seeds     []netip.AddrPort
 	maxVoters int
+	seed      uint64 // Of the nodes' random numbers.
 }
 
 func newCluster(t *testing.T) *cluster { return newClusterOf(t, replicas, 0) }
@@ -82,7 +83,7 @@
 	c := &cluster{
 		network:   &network{nodes: make(map[netip.AddrPort]*daisyconsensus.Node), cut: make(map[netip.AddrPort]bool)},
 		reopen:    make(map[int]func() (daisyconsensus.Storage, daisylog.PersistedState, error)),
-		maxVoters: maxVoters,
+		maxVoters: maxVoters, seed: 1,
 	}
 	for i := range size {
 		c.seeds = append(c.seeds, nodeAddr(i))
@@ -105,23 +106,27 @@
 	if i == 0 {
 		saved = daisylog.Bootstrap(peer)
 	}
-	c.views = append(c.views, daisyfleet.NewView())
 	c.storages = append(c.storages, &discardStorage{})
+	c.open(t, peer, saved, c.storages[i], func() (daisyconsensus.Storage, daisylog.PersistedState, error) {
+		if c.reopen[i] == nil {
+			return nil, daisylog.PersistedState{}, errors.ErrUnsupported
+		}
+		return c.reopen[i]()
+	})
+}
+
+// open opens a node and connects it to the network.
+func (c *cluster) open(t *testing.T, peer daisylog.Peer, saved daisylog.PersistedState, storage daisyconsensus.Storage, reopen func() (daisyconsensus.Storage, daisylog.PersistedState, error)) {
+	view := daisyfleet.NewView()
 	node, err := daisyconsensus.Open(daisyconsensus.Options{
-		Self: peer, Peers: c.seeds, Saved: saved, Storage: c.storages[i], Transport: c.network, View: c.views[i],
-		Random: rand.New(rand.NewPCG(1, uint64(i))), MaxVoters: c.maxVoters, Log: &log.Logger{Handler: text.New(io.Discard)},
-		Reopen: func() (daisyconsensus.Storage, daisylog.PersistedState, error) {
-			if c.reopen[i] == nil {
-				return nil, daisylog.PersistedState{}, errors.ErrUnsupported
-			}
-			return c.reopen[i]()
-		},
+		Self: peer, Peers: c.seeds, Saved: saved, Storage: storage, Transport: c.network, View: view, Reopen: reopen,
+		Random: rand.New(rand.NewPCG(c.seed, uint64(len(c.nodes)))), MaxVoters: c.maxVoters, Log: &log.Logger{Handler: text.New(io.Discard)},
 	})
 	assert.NilError(t, err)
 	c.network.mu.Lock()
-	c.network.nodes[nodeAddr(i)] = node
+	c.network.nodes[peer.Address] = node
 	c.network.mu.Unlock()
-	c.nodes = append(c.nodes, node)
+	c.views, c.nodes = append(c.views, view), append(c.nodes, node)
 }
 
 // setCut cuts a node off from the network, or connects it again.
--- a/internal/command/daisycli/hangup_test.go
+++ b/internal/command/daisycli/hangup_test.go
@@ -33,9 +33,6 @@
 // Guards against a host that is ended by SIGHUP, which tells of changed settings, while it
 // stops: the requests that it had read got no answer.
 func TestHangupDoesNotEndStoppingHost(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts real processes")
-	}
 	tests := []struct {
 		name     string
 		command  string
--- a/internal/control/daisypromotion/promotion.go
+++ b/internal/control/daisypromotion/promotion.go
@@ -73,7 +73,7 @@
 func (l *Leader) orderOf(ongoing *succession, server string) *promotionOrder {
 	switch {
 	case ongoing.order != nil && ongoing.order.server == server:
-	case ongoing.named == server:
+	case ongoing.proposed == server:
 		ongoing.order = newPromotionOrder(server)
 	default:
 		ongoing.order = inheritPromotionOrder(server, l.leadingSince)
@@ -97,7 +97,7 @@
 	if !ok {
 		return o, next, ""
 	}
-	ongoing.named = m.name
+	ongoing.proposed = m.name
 	if named && current.Server == m.name {
 		ongoing.order.due = true
 		return o, next, ""
@@ -111,7 +111,7 @@
 func (l *Leader) duePromotionCall(now time.Time, s *daisyfleet.State, service string, epoch uint64) (Order, bool) {
 	ongoing := l.successionOf(service, epoch)
 	_, current, named := promotionOf(s, service, epoch)
-	if !named || !ongoing.names(current.Server) {
+	if !named || !ongoing.proposesOnly(current.Server) {
 		return Order{}, false
 	}
 	order := l.orderOf(ongoing, current.Server)
@@ -123,10 +123,10 @@
 	return Order{Kind: OrderPromote, Service: service, Server: current.Server, Address: server.Address}, true
 }
 
-// names reports whether this leader has proposed no other server than the one that the log
-// names.
-func (ongoing *succession) names(server string) bool {
-	return ongoing.named == "" || ongoing.named == server
+// proposesOnly reports whether this leader has proposed no other server than the given one,
+// which the log names.
+func (ongoing *succession) proposesOnly(server string) bool {
+	return ongoing.proposed == "" || ongoing.proposed == server
 }
 
 func (l *Leader) recordPromotion(now time.Time, r Result) {
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -44,7 +44,7 @@
 	epoch      uint64
 	recalledAt time.Time            // When no host could act on the old state any more; zero before.
 	askedAt    time.Time            // When all servers had been probed since then; zero before.
-	named      string               // The server that this leader last proposed to promote; empty if none.
+	proposed   string               // The server that this leader last proposed to promote; empty if none.
 	order      *promotionOrder      // Of the server that the log names; nil until one is looked up.
 	refusedAt  map[string]time.Time // When a server's promotion was refused, by server.
 }
@@ -225,7 +225,7 @@
 	server, status, ok := l.reportedPrimary(now, s, service, leadership.Term)
 	ongoing := l.successionOf(service, leadership.Epoch)
 	_, promotion, named := promotionOf(s, service, leadership.Epoch)
-	if named && (ok && server != promotion.Server || !ongoing.names(promotion.Server)) {
+	if named && (ok && server != promotion.Server || !ongoing.proposesOnly(promotion.Server)) {
 		return daisyfleet.Leadership{}, ""
 	}
 	if !ok && named && promotion.Server == leadership.Previous && l.orderOf(ongoing, promotion.Server).accepted {
--- a/internal/domain/daisyfleet/promotion_test.go
+++ b/internal/domain/daisyfleet/promotion_test.go
@@ -27,6 +27,7 @@
 			assert.Assert(t, s.Apply(2, daisyfleet.Change{Operations: []daisyfleet.Operation{leadership}}).Accepted)
 			assert.Assert(t, s.Apply(3, daisyfleet.Change{Operations: []daisyfleet.Operation{promotion}}).Accepted)
 			d := s.Delta(test.from)
+			assert.Equal(t, d.From, test.from)
 			assert.Equal(t, d.To, uint64(3))
 			assert.Equal(t, len(d.Objects), 1)
 			assert.Equal(t, d.Objects[0].Kind, daisyfleet.KindLeadership)
--- a/internal/domain/daisyfleet/state.go
+++ b/internal/domain/daisyfleet/state.go
@@ -258,7 +258,8 @@
 }
 
 // Delta returns the objects that changed after the revision, or the full state if
-// the revision is 0, below the compacted revision or above the current one.
+// the revision is 0, below the compacted revision or above the current one. It leaves out
+// objects of KindPromotion, which concern control hosts only.
 func (s *State) Delta(from uint64) Delta {
 	if from == 0 || from < s.compactedRevision || from > s.revision {
 		objects := slices.DeleteFunc(s.liveObjects(), func(o Object) bool { return o.Kind == KindPromotion })
