Test that a promotion of unknown outcome binds the leader

Cause: single checks of the change were taken out, one at a time, to see whether a test fails. None did without the one that keeps a server named while the outcome of a call to promote it is unknown and the platform cannot be called.

Change: a case of TestNoPromotionOutlivesItsSuccession in which the platform is out of reach for 3 s and carries the first call out after 4 s.

Result: the case fails without that check and passes with it.

--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -64,6 +64,7 @@
 
 	promotionTime time.Duration // From the platform's receipt of a promotion to its effect.
 	callDelay     time.Duration // How late the platform receives a promotion. Its answers are lost then.
+	unreachable   bool          // The platform cannot be called.
 	takeovers     []takeover
 	late          []string // Servers that took over after the leadership of another was confirmed.
 }
@@ -165,6 +166,9 @@
 	if s.refuses || s.down {
 		return daisypromotion.PromotionRefused
 	}
+	if w.unreachable {
+		return daisypromotion.PromotionNotSent
+	}
 	w.promoted = append(w.promoted, s.id)
 	if w.promotionTime > 0 {
 		w.takeovers = append(w.takeovers, takeover{at: w.now.Add(w.callDelay + w.promotionTime), server: s})
--- a/internal/control/daisypromotion/promotion_test.go
+++ b/internal/control/daisypromotion/promotion_test.go
@@ -29,6 +29,11 @@
 			w.advance(500 * time.Millisecond)
 			w.callDelay = 0
 		}, 4 * time.Second, "m3"},
+		{"PlatformLost", func(w *world) { // It carries the first call out after 4 s.
+			w.callDelay, w.unreachable = 0, true
+			w.advance(3 * time.Second)
+			w.unreachable = false
+		}, 2 * time.Second, "m3"},
 		{"CandidateCutOff", func(w *world) {
 			w.servers[2].cut = true
 			w.advance(2500 * time.Millisecond)
@@ -45,9 +50,7 @@
 			w := newWorld(t)
 			w.advance(2 * time.Second)
 			w.promotionTime = time.Second
-			if test.name == "PlatformSlow" {
-				w.callDelay = 700 * time.Millisecond
-			}
+			w.callDelay = map[string]time.Duration{"PlatformSlow": 700 * time.Millisecond, "PlatformLost": 4 * time.Second}[test.name]
 			w.servers[1].number = 9
 			w.servers[0].leaving = true
 			for range 40 {
