--- a/internal/command/daisycli/host.go
+++ b/internal/command/daisycli/host.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
@@ -21,9 +23,11 @@
 	var path string
 	c := &cobra.Command{
 		Use:   "run",
-		Short: "Run one host until SIGTERM or SIGINT",
+		Short: "Run one host until SIGTERM, SIGINT or SIGHUP",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(c.Context(), syscall.SIGHUP)
+			defer stop()
 			s, err := daisysettings.Read(path)
 			if err != nil {
 				return err
@@ -32,7 +36,7 @@
 			if err != nil {
 				return err
 			}
-			<-c.Context().Done()
+			<-ctx.Done()
 			return h.Stop()
 		},
 	}
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -49,9 +49,13 @@
 	logWriter *daisylogger.Logger
 	log       *log.Logger
 	servers   []*http.Server
+	hangup    chan os.Signal // Receives SIGHUP until the process has ended.
 }
 
 func openProcess(check func(*daisynode.Settings) error) (p *process, err error) {
+	// SIGHUP ends a process that does not ask for it, also one that starts or stops.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
 	settings, err := platform.ReadSettings()
 	if err == nil {
 		err = check(&settings)
@@ -59,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p = &process{settings: settings, logWriter: daisylogger.Open(os.Stdout, settings.Host)}
+	p = &process{settings: settings, logWriter: daisylogger.Open(os.Stdout, settings.Host), hangup: hangup}
 	p.log = &log.Logger{Handler: p.logWriter, Level: log.InfoLevel}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
@@ -98,15 +102,12 @@
 // followSettings reads the settings again on SIGHUP and every settingsInterval,
 // and passes changed seeds to setSeeds, until ctx ends.
 func (p *process) followSettings(ctx context.Context, setSeeds func([]netip.AddrPort)) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-		case <-hangup:
+		case <-p.hangup:
 			p.log.Info("process: SIGHUP received, reading the settings again")
 		case <-ctx.Done():
 			return
--- a/internal/try/daisysandbox/process_test.go
+++ b/internal/try/daisysandbox/process_test.go
@@ -175,6 +175,16 @@
 	t.Run("Sessions", func(t *testing.T) { checkSessions(t, p) })
 }
 
+// Guards against a host that a closed terminal, or a supervisor that tells of new settings,
+// ends on the spot: SIGHUP stops it like SIGTERM.
+func TestHangupStopsGracefully(t *testing.T) {
+	p := startProcesses(t, 3)
+	c := p.commands[0]
+	p.commands[0] = nil
+	assert.NilError(t, c.Process.Signal(syscall.SIGHUP))
+	assert.NilError(t, c.Wait())
+}
+
 func checkTransactions(t *testing.T, conn *pgx.Conn, key string) {
 	ctx := t.Context()
 	tx, err := conn.Begin(ctx)
