Log why a process ends, and how the one before it ended

The error of a start went to standard error only. A stop, an error, a panic and a kill left the same trace or none. A message between control hosts that could not be decoded closed its link without a word.

Ruled out: a reason in the log alone. A panic and a kill leave none, so the next process must tell.

Change: both roles log "process: ends with an error" with the reason before "process: stopped", also for settings that cannot be read. New gauge daisyglade_storage_failed.

TestClosedLogLinkIsLogged does not compile against the previous ServeLog, which has no log.

--- a/internal/cluster/daisycoordinator/transport.go
+++ b/internal/cluster/daisycoordinator/transport.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/daisyglade/daisyglade/internal/control/daisylog"
 	"github.com/daisyglade/daisyglade/internal/net/daisylink"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
@@ -161,7 +163,7 @@
 }
 
 // ServeLog passes messages from another replica to the node.
-func ServeLog(ctx context.Context, link *daisylink.Conn, step func(daisylog.Message)) {
+func ServeLog(ctx context.Context, link *daisylink.Conn, step func(daisylog.Message), l log.Interface) {
 	for {
 		b, err := link.Receive(ctx)
 		if err != nil {
@@ -169,9 +171,11 @@
 		}
 		m, err := daisycodec.DecodeLogMessage(b)
 		if err != nil {
+			l.WithError(err).WithField("Host", link.Peer()).Error("quorum: malformed message; closing the link")
 			return
 		}
 		if m.Kind == daisylog.KindJoin && (m.Peer == nil || m.Peer.Name != link.Peer()) {
+			l.WithField("Host", link.Peer()).Error("quorum: a host asks to join under another name than that of its link; closing the link")
 			return
 		}
 		step(m)
--- a/internal/cluster/daisycoordinator/transport_test.go
+++ b/internal/cluster/daisycoordinator/transport_test.go
@@ -157,3 +157,34 @@
 	_, err = link.Receive(ctx)
 	assert.Assert(t, err != nil && ctx.Err() == nil, "%v", err)
 }
+
+// Guards against links between control hosts that are closed without a word, again and
+// again, over a message that cannot be decoded.
+func TestClosedLogLinkIsLogged(t *testing.T) {
+	other := daisylog.Peer{Replica: 2, Name: "c2"}
+	tests := []struct {
+		name    string
+		message []byte
+		seen    string
+	}{
+		{"Malformed", []byte("none"), "quorum: malformed message; closing the link"},
+		{"OtherName", daisycodec.EncodeLogMessage(daisylog.Join(other)), "quorum: a host asks to join under another name than that of its link; closing the link"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			lines := make(chan string, 1)
+			logger := &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+				lines <- e.Message
+				return nil
+			}), Level: log.InfoLevel}
+			addr := listen(t, daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
+				ServeLog(ctx, c, func(daisylog.Message) {}, logger)
+			})
+			link, err := daisylink.NewPlainDialer("c1", daisynet.TCP{}).Dial(t.Context(), addr, daisylink.PathLog)
+			assert.NilError(t, err)
+			defer link.Close()
+			assert.NilError(t, link.Send(t.Context(), test.message))
+			assert.Equal(t, <-lines, test.seen)
+		})
+	}
+}
--- a/internal/command/daisycli/hangup_test.go
+++ b/internal/command/daisycli/hangup_test.go
@@ -43,25 +43,15 @@
 		{"Entry", "entry", "bindAddrs.front=HOST:8465\nbindAddrs.ready=HOST:8460\nseeds=127.77.0.9:8462\n", "process: started", "front: stopping"},
 		{"Control", "control", "bindAddrs.control=HOST:8462\nseeds=HOST:8462\nbootstrap=true\n", "quorum: leads", ""},
 	}
-	// An address of its own on loopback, so that runs of the test do not meet.
-	host := fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	host := processAddress()
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			folder := t.TempDir()
-			settings := "nodeName=h1\nip=HOST\nzone=a\nregion=r\nzones.a=r\ninternalPorts=7560,7575\nbounds.graceS=6\n" +
-				"limits.memoryMb=284\ncloudApi.address=127.77.0.9:1\ndataDir=" + filepath.Join(folder, "data") + "\n" + test.settings
-			file := filepath.Join(folder, "node.conf")
-			assert.NilError(t, os.WriteFile(file, []byte(strings.ReplaceAll(settings, "HOST", host)), 0o600))
-			c := exec.CommandContext(context.Background(), os.Args[0])
-			c.Env = append(os.Environ(), argsVariable+"="+test.command, platform.SettingsVariable+"="+file)
-			output, err := c.StdoutPipe()
-			assert.NilError(t, err)
-			assert.NilError(t, c.Start())
-			lines := bufio.NewScanner(output)
+			c, lines := startProcess(t, test.command, writeSettings(t, t.TempDir(), host, test.settings))
 			awaitLine(t, lines, test.ready)
 
 			// A call that the control host has accepted keeps it from ending.
 			var call net.Conn
+			var err error
 			if test.command == "control" {
 				call, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", host+":8462")
 				assert.NilError(t, err)
@@ -99,6 +89,37 @@
 	}
 }
 
+// processAddress returns an address on loopback of this test process, so that runs of the
+// tests do not meet.
+func processAddress() string {
+	return fmt.Sprintf("127.77.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+}
+
+// writeSettings writes a settings file for a process at the address that keeps its data in
+// the folder, and returns its path.
+func writeSettings(t *testing.T, folder, host, settings string) string {
+	t.Helper()
+	settings = "nodeName=h1\nip=HOST\nzone=a\nregion=r\nzones.a=r\ninternalPorts=7560,7575\nbounds.graceS=6\n" +
+		"limits.memoryMb=284\ncloudApi.address=127.77.0.9:1\ndataDir=" + filepath.Join(folder, "data") + "\n" + settings
+	file := filepath.Join(folder, "node.conf")
+	assert.NilError(t, os.WriteFile(file, []byte(strings.ReplaceAll(settings, "HOST", host)), 0o600))
+	return file
+}
+
+// startProcess starts the program and returns it with the lines that it logs. A program
+// that does not end is killed.
+func startProcess(t *testing.T, command, settings string) (*exec.Cmd, *bufio.Scanner) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	c := exec.CommandContext(ctx, os.Args[0])
+	c.Env = append(os.Environ(), argsVariable+"="+command, platform.SettingsVariable+"="+settings)
+	output, err := c.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, c.Start())
+	return c, bufio.NewScanner(output)
+}
+
 func awaitLine(t *testing.T, lines *bufio.Scanner, text string) {
 	t.Helper()
 	for lines.Scan() {
--- a/internal/command/daisycli/platform.go
+++ b/internal/command/daisycli/platform.go
@@ -50,6 +50,7 @@
 	log       *log.Logger
 	servers   []*http.Server
 	hangup    chan os.Signal // Receives SIGHUP until the process has ended.
+	ending    *ending        // Nil for a process without a data folder.
 }
 
 func openProcess(check func(*daisynode.Settings) error) (p *process, err error) {
@@ -60,11 +61,11 @@
 	if err == nil {
 		err = check(&settings)
 	}
-	if err != nil {
-		return nil, err
-	}
 	p = &process{settings: settings, logWriter: daisylogger.Open(os.Stdout, settings.Host), hangup: hangup}
 	p.log = &log.Logger{Handler: p.logWriter, Level: log.InfoLevel}
+	if err != nil {
+		return nil, errors.Join(err, p.close(err))
+	}
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
 	}
@@ -136,11 +137,18 @@
 	}
 }
 
-func (p *process) close() error {
+// close ends the process, which err is the reason of unless it is nil.
+func (p *process) close(err error) error {
 	var errs []error
 	for _, s := range p.servers {
 		errs = append(errs, s.Close())
 	}
+	if err != nil {
+		p.log.WithError(err).Error("process: ends with an error")
+	}
+	if p.ending != nil {
+		p.ending.close(err)
+	}
 	p.log.Info("process: stopped")
 	return errors.Join(append(errs, p.logWriter.Close())...)
 }
@@ -163,7 +171,7 @@
 			if err != nil {
 				return err
 			}
-			defer func() { err = errors.Join(err, p.close()) }()
+			defer func() { err = errors.Join(err, p.close(err)) }()
 			metrics := daisymetrics.New()
 			host, err := daisyentryhost.Open(daisyentryhost.Options{
 				Settings: p.settings, Network: daisynet.TCP{}, Dialer: platform.Dialer{Network: daisynet.TCP{}},
@@ -242,7 +250,8 @@
 			if err != nil {
 				return err
 			}
-			defer func() { err = errors.Join(err, p.close()) }()
+			defer func() { err = errors.Join(err, p.close(err)) }()
+			p.ending = openEnding(p.settings.DataFolder, p.log)
 			network := daisynet.TCP{}
 			host, err := daisycontrolhost.Open(daisycontrolhost.Options{
 				Settings: p.settings, Network: network, Prober: platform.Dialer{Network: network}, Parse: platform.ParseDocument,
@@ -254,6 +263,7 @@
 			}
 			metrics := daisymetrics.New()
 			metrics.AddGauge("daisyglade_leads", func() float64 { return boolGauge(host.Leads()) })
+			metrics.AddGauge("daisyglade_storage_failed", func() float64 { return boolGauge(host.StorageFailed()) })
 			metrics.AddGauge("daisyglade_control_links", func() float64 { open, _ := host.Links(); return float64(open) })
 			metrics.AddGauge("daisyglade_control_links_total", func() float64 { _, opened := host.Links(); return float64(opened) })
 			addEvacuations(metrics, p.settings.Regions, host.Evacuations)
--- a/internal/host/daisycontrolhost/host.go
+++ b/internal/host/daisycontrolhost/host.go
@@ -178,7 +178,7 @@
 	c.mux.Plain = true
 	c.mux.Handle(daisylink.PathHeartbeat, c.coordinator.Serve)
 	c.mux.Handle(daisylink.PathLog, func(ctx context.Context, l *daisylink.Conn) {
-		daisycoordinator.ServeLog(ctx, l, c.node.Step)
+		daisycoordinator.ServeLog(ctx, l, c.node.Step, c.options.Log)
 	})
 	listener, err := c.options.Network.Listen(c.ctx, c.options.Settings.Link)
 	if err != nil {
@@ -198,6 +198,9 @@
 	return leads
 }
 
+// StorageFailed reports whether this host takes no part because it cannot use its log.
+func (c *ControlHost) StorageFailed() bool { return c.node.Failed() != nil }
+
 // Links returns how many links of entry hosts are open, and how many were opened so far.
 func (c *ControlHost) Links() (open int64, opened uint64) { return c.coordinator.Links() }
 
--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -208,7 +208,7 @@
 	if h.coordinator != nil {
 		mux.Handle(daisylink.PathHeartbeat, h.coordinator.Serve)
 		mux.Handle(daisylink.PathLog, func(ctx context.Context, c *daisylink.Conn) {
-			daisycoordinator.ServeLog(ctx, c, h.node.Step)
+			daisycoordinator.ServeLog(ctx, c, h.node.Step, h.log)
 		})
 	}
 	listener, err := h.network.Listen(h.ctx, h.settings.Link.Listen)
