Give the control log's file a small interface for its disk

Cause: what a loss of power, an end of the process or a fault of the disk leaves could not be brought about in a test of daisywal, as it called the operating system directly.

Change: fileSystem and file hold the operations that a log uses; osFiles carries them out. No logic changed, but Create reads an existing file instead of asking for its status.

--- /dev/null
+++ b/internal/cluster/daisywal/files.go
@@ -0,0 +1,50 @@
+package daisywal
+
+import (
+	"errors"
+	"io"
+	"os"
+)
+
+// fileSystem is what a log uses of the file system.
+type fileSystem interface {
+	// readFile returns the content of a file.
+	readFile(path string) ([]byte, error)
+	// openFile opens a file for writing. The flags are those of os.OpenFile.
+	openFile(path string, flags int) (file, error)
+	// rename renames a file. An existing one of the new name is replaced.
+	rename(from, to string) error
+	// syncFolder makes the names in the folder durable.
+	syncFolder(folder string) error
+}
+
+// file is an open file.
+type file interface {
+	io.WriteSeeker
+	io.Closer
+	Truncate(length int64) error
+	Sync() error
+}
+
+// osFiles is the file system of the operating system.
+type osFiles struct{}
+
+func (osFiles) readFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+func (osFiles) openFile(path string, flags int) (file, error) {
+	f, err := os.OpenFile(path, flags, fileMode)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+func (osFiles) rename(from, to string) error { return os.Rename(from, to) }
+
+func (osFiles) syncFolder(folder string) error {
+	d, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.Join(d.Sync(), d.Close())
+}
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -43,8 +43,9 @@
 
 // Log is an open log file. It implements daisyconsensus.Storage.
 type Log struct {
+	files   fileSystem
 	folder  string
-	file    *os.File
+	file    file
 	replica daisylog.ReplicaID
 }
 
@@ -54,10 +55,14 @@
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return err
 	}
-	if _, err := os.Stat(filepath.Join(folder, fileName)); err == nil {
+	return create(osFiles{}, folder, s)
+}
+
+func create(files fileSystem, folder string, s daisylog.PersistedState) error {
+	if _, err := files.readFile(filepath.Join(folder, fileName)); err == nil {
 		return ErrExists
 	}
-	l := &Log{folder: folder, replica: s.Replica}
+	l := &Log{files: files, folder: folder, replica: s.Replica}
 	if err := l.Replace(s.HardState, s.Snapshot, s.Entries); err != nil {
 		return err
 	}
@@ -67,9 +72,13 @@
 // Open reads the log file in the folder and opens it for appending. A truncated
 // record at the end is removed.
 func Open(folder string) (l *Log, s daisylog.PersistedState, err error) {
+	return open(osFiles{}, folder)
+}
+
+func open(files fileSystem, folder string) (l *Log, s daisylog.PersistedState, err error) {
 	defer daisyerror.Annotate(&err, "open control log in %s", folder)
 	path := filepath.Join(folder, fileName)
-	content, err := os.ReadFile(path)
+	content, err := files.readFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, s, ErrNotFound
 	}
@@ -80,13 +89,13 @@
 	if err != nil {
 		return nil, s, err
 	}
-	file, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	f, err := files.openFile(path, os.O_RDWR)
 	if err != nil {
 		return nil, s, err
 	}
-	l = &Log{folder: folder, file: file, replica: s.Replica}
+	l = &Log{files: files, folder: folder, file: f, replica: s.Replica}
 	if err := l.truncate(int64(length)); err != nil {
-		return nil, s, errors.Join(err, file.Close())
+		return nil, s, errors.Join(err, f.Close())
 	}
 	return l, s, nil
 }
@@ -197,30 +206,30 @@
 func (l *Log) Replace(hardState daisylog.HardState, snapshot daisylog.Snapshot, entries []daisylog.Entry) (err error) {
 	defer daisyerror.Annotate(&err, "replace control log")
 	tempPath := filepath.Join(l.folder, tempName)
-	file, err := os.OpenFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_TRUNC, fileMode)
+	f, err := l.files.openFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return err
 	}
 	record := daisycodec.Record{Replica: l.replica, HardState: &hardState, Snapshot: &snapshot, Entries: entries}
-	err = errors.Join(write(file, record), file.Sync())
+	err = errors.Join(write(f, record), f.Sync())
 	if err == nil {
-		err = os.Rename(tempPath, filepath.Join(l.folder, fileName))
+		err = l.files.rename(tempPath, filepath.Join(l.folder, fileName))
 	}
 	if err == nil {
-		err = syncFolder(l.folder)
+		err = l.files.syncFolder(l.folder)
 	}
 	if err != nil {
-		return errors.Join(err, file.Close())
+		return errors.Join(err, f.Close())
 	}
 	if l.file != nil {
 		err = l.file.Close()
 	}
-	l.file = file
+	l.file = f
 	return err
 }
 
 // write appends a record to the file with a single call.
-func write(file *os.File, r daisycodec.Record) error {
+func write(f file, r daisycodec.Record) error {
 	payload := daisycodec.EncodeRecord(r)
 	if len(payload) > maxPayloadBytes {
 		return errors.New("record payload exceeds the maximum size")
@@ -229,17 +238,9 @@
 	binary.BigEndian.PutUint32(b, uint32(len(payload)))
 	binary.BigEndian.PutUint32(b[4:], crc32.Checksum(payload, castagnoli))
 	binary.BigEndian.PutUint32(b[headerChecksumOffset:], crc32.Checksum(b[:headerChecksumOffset], castagnoli))
-	_, err := file.Write(append(b, payload...))
+	_, err := f.Write(append(b, payload...))
 	return err
 }
 
-func syncFolder(folder string) error {
-	d, err := os.Open(folder)
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
-}
-
 // Close closes the file. All acknowledged entries are already synced.
 func (l *Log) Close() error { return l.file.Close() }
