Tell a control log of another version from a damaged one

Cause: a record that cannot be decoded was reported as ErrCorrupt although its checksums match.

Change: ErrUnreadable, which is not ErrCorrupt. A gap between entries stays ErrCorrupt.

Result: TestLogOfOtherVersionIsNotDamaged failed in its four cases with ErrCorrupt in place of the new error, and passes. TestFlippedBitIsRejected and TestTruncationAtEveryByte pass as they are.

--- /dev/null
+++ b/internal/cluster/daisywal/damage_test.go
@@ -0,0 +1,60 @@
+package daisywal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/daisyglade/daisyglade/internal/control/daisylog"
+)
+
+// newTestLog returns a disk with a log that has an entry, and the log's content.
+func newTestLog(t *testing.T) (d *disk, content []byte) {
+	t.Helper()
+	d = newDisk(1, nil)
+	assert.NilError(t, create(d, testFolder, daisylog.Bootstrap(daisylog.Peer{Replica: 7, Name: "c1"})))
+	l, _, err := open(d, testFolder)
+	assert.NilError(t, err)
+	assert.NilError(t, l.Append(&daisylog.HardState{Term: 2, Vote: 7}, []daisylog.Entry{testEntry(2, 300)}))
+	content, err = d.readFile(testPath)
+	assert.NilError(t, err)
+	return d, content
+}
+
+// frame returns a record with checksums that match.
+func frame(payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(payload, castagnoli))
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))
+	return append(b, payload...)
+}
+
+// Guards against a log of another version that is taken for a damaged one, which a host
+// may replace.
+func TestLogOfOtherVersionIsNotDamaged(t *testing.T) {
+	_, content := newTestLog(t)
+	tests := []struct {
+		name    string
+		content []byte
+	}{
+		{"First", frame([]byte("not a record"))},
+		{"Last", append(bytes.Clone(content), frame([]byte("not a record"))...)},
+		{"Empty", append(bytes.Clone(content), frame(nil)...)},
+		{"Between", append(append(bytes.Clone(content), frame([]byte("not a record"))...), content...)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDiskOf(testPath, tt.content)
+			_, _, err := open(d, testFolder)
+			assert.ErrorIs(t, err, ErrUnreadable)
+			assert.Assert(t, !errors.Is(err, ErrCorrupt))
+			left, err := d.readFile(testPath)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, left, tt.content)
+		})
+	}
+}
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -33,6 +33,9 @@
 var (
 	// ErrCorrupt is returned for damage other than a truncated record at the end.
 	ErrCorrupt = errors.New("control log is damaged")
+	// ErrUnreadable is returned for an intact record whose content cannot be decoded,
+	// as by an older version. Such a log is not damaged and must be kept.
+	ErrUnreadable = errors.New("control log is intact but cannot be read by this version")
 	// ErrNotFound is returned if the folder contains no control log.
 	ErrNotFound = errors.New("folder contains no control log")
 	// ErrExists is returned if the folder already contains a control log.
@@ -124,7 +127,7 @@
 		}
 		record, err := daisycodec.DecodeRecord(payload)
 		if err != nil {
-			return s, 0, fmt.Errorf("offset %d: %w: %w", length, ErrCorrupt, err)
+			return s, 0, fmt.Errorf("offset %d: %w: %w", length, ErrUnreadable, err)
 		}
 		if err := applyRecord(&s, record); err != nil {
 			return s, 0, fmt.Errorf("offset %d: %w", length, err)
