Let a host set a damaged control log aside

To let it join again, its damaged file must go, but be kept for whoever looks into it.

Change: daisywal.SetAside(folder) renames the file to control.log.damaged, syncs the folder and returns ErrNotFound if there is nothing to rename. An older file of that name is replaced. It does not check that the log is damaged: callers do, by ErrCorrupt from Open. Nothing calls it yet.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -58,3 +58,47 @@
 		})
 	}
 }
+
+func TestSetAside(t *testing.T) {
+	d, content := newTestLog(t)
+	assert.NilError(t, setAside(d, testFolder))
+	for _, last := range []string{"first", "second"} {
+		_, _, err := open(d, testFolder)
+		assert.ErrorIs(t, err, ErrNotFound)
+		assert.ErrorIs(t, setAside(d, testFolder), ErrNotFound)
+		aside, err := d.readFile(testFolder + "/" + damagedName)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, aside, content)
+
+		assert.NilError(t, create(d, testFolder, daisylog.Bootstrap(daisylog.Peer{Replica: 9, Name: last})))
+		content, err = d.readFile(testPath)
+		assert.NilError(t, err)
+		assert.NilError(t, setAside(d, testFolder))
+	}
+}
+
+// Guards against a damaged log that comes back in the place of the one that followed it.
+func TestLogThatIsSetAsideStaysAside(t *testing.T) {
+	for _, e := range []event{fails, ends, losesPower} {
+		for step := 1; step <= 2; step++ {
+			for seed := range uint64(20) {
+				d := newDisk(seed, map[int]event{step: e})
+				d.files[testPath] = &inode{content: []byte("damaged"), durable: []byte("damaged")}
+				d.past[testPath] = []*inode{d.files[testPath]}
+				err := setAside(d, testFolder)
+				assert.Assert(t, errors.Is(err, errFault) || errors.Is(err, errEnded))
+				d.restart()
+				if _, _, err = open(d, testFolder); errors.Is(err, ErrCorrupt) {
+					assert.NilError(t, setAside(d, testFolder))
+				} else {
+					assert.ErrorIs(t, err, ErrNotFound)
+				}
+				assert.NilError(t, create(d, testFolder, daisylog.Bootstrap(daisylog.Peer{Replica: 9, Name: "c1"})))
+				d.losePower()
+				_, s, err := open(d, testFolder)
+				assert.NilError(t, err)
+				assert.Equal(t, s.Replica, daisylog.ReplicaID(9))
+			}
+		}
+	}
+}
--- a/internal/cluster/daisywal/disk_test.go
+++ b/internal/cluster/daisywal/disk_test.go
@@ -169,6 +169,9 @@
 }
 
 func (d *disk) rename(from, to string) error {
+	if d.ended == nothing && d.files[from] == nil {
+		return os.ErrNotExist
+	}
 	operate := func() {
 		d.name(to, d.files[from])
 		d.name(from, nil)
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -23,6 +23,7 @@
 const (
 	fileName             = "control.log"
 	tempName             = "control.log.next"
+	damagedName          = "control.log.damaged"
 	headerBytes          = 12 // Length, payload checksum, header checksum.
 	maxPayloadBytes      = 256 << 20
 	fileMode             = 0o600
@@ -114,6 +115,22 @@
 	return l.file.Sync()
 }
 
+// SetAside renames a damaged log file, so that Create can write a new one. An older
+// file that was set aside is replaced. It returns ErrNotFound if there is no log file.
+func SetAside(folder string) error { return setAside(osFiles{}, folder) }
+
+func setAside(files fileSystem, folder string) (err error) {
+	defer daisyerror.Annotate(&err, "set aside control log in %s", folder)
+	err = files.rename(filepath.Join(folder, fileName), filepath.Join(folder, damagedName))
+	if errors.Is(err, os.ErrNotExist) {
+		return ErrNotFound
+	}
+	if err != nil {
+		return err
+	}
+	return files.syncFolder(folder)
+}
+
 // replay decodes the records and returns the resulting state and the length of the
 // complete records.
 func replay(content []byte) (s daisylog.PersistedState, length int, err error) {
