Report how much of an unfinished write a control log drops

Change: (*daisywal.Log).Dropped() returns the bytes that Open removed. Nothing logs it yet.

Result: TestDropped passes.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -102,3 +102,29 @@
 		}
 	}
 }
+
+func TestDropped(t *testing.T) {
+	_, content := newTestLog(t)
+	tests := []struct {
+		name  string
+		after []byte
+	}{
+		{"Complete", nil},
+		{"Beginning", content[:20]},
+		{"Zeros", make([]byte, 700)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := newDiskOf(testPath, append(bytes.Clone(content), tt.after...))
+			l, _, err := open(d, testFolder)
+			assert.NilError(t, err)
+			assert.Equal(t, l.Dropped(), len(tt.after))
+			left, err := d.readFile(testPath)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, left, content)
+			l, _, err = open(d, testFolder)
+			assert.NilError(t, err)
+			assert.Equal(t, l.Dropped(), 0)
+		})
+	}
+}
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -51,6 +51,7 @@
 	folder  string
 	file    file
 	replica daisylog.ReplicaID
+	dropped int
 }
 
 // Create writes a new log file with the given state.
@@ -97,7 +98,7 @@
 	if err != nil {
 		return nil, s, err
 	}
-	l = &Log{files: files, folder: folder, file: f, replica: s.Replica}
+	l = &Log{files: files, folder: folder, file: f, replica: s.Replica, dropped: len(content) - length}
 	if err := l.truncate(int64(length)); err != nil {
 		return nil, s, errors.Join(err, f.Close())
 	}
@@ -262,5 +263,8 @@
 	return err
 }
 
+// Dropped returns how many bytes of an unfinished write Open found and removed.
+func (l *Log) Dropped() int { return l.dropped }
+
 // Close closes the file. All acknowledged entries are already synced.
 func (l *Log) Close() error { return l.file.Close() }
