Never write a temporary file over the control log itself

Cause: Replace emptied control.log.next if it was there. After a loss of power during a rename the new name may be kept and the removal of the old one lost, so that both stand for the log.

Change: a left-over temporary file is removed and a new one is created in its place. On a full disk that also frees its room before the next try.

--- a/internal/cluster/daisywal/disk_test.go
+++ b/internal/cluster/daisywal/disk_test.go
@@ -151,13 +151,16 @@
 
 func (d *disk) openFile(path string, flags int) (f file, err error) {
 	i, ok := d.files[path]
-	if flags&os.O_CREATE == 0 && !ok {
-		return nil, os.ErrNotExist
+	if flags&os.O_CREATE == 0 {
+		if !ok {
+			return nil, os.ErrNotExist
+		}
+		return &openFile{disk: d, inode: i}, nil
 	}
-	open := &openFile{disk: d, inode: i}
-	if flags&os.O_TRUNC == 0 {
-		return open, nil
+	if ok && flags&os.O_EXCL != 0 {
+		return nil, os.ErrExist
 	}
+	open := &openFile{disk: d, inode: i}
 	err = d.step(func() {
 		if !ok {
 			open.inode = &inode{}
@@ -168,6 +171,13 @@
 	return open, err
 }
 
+func (d *disk) remove(path string) error {
+	if d.ended == nothing && d.files[path] == nil {
+		return os.ErrNotExist
+	}
+	return d.step(func() { d.name(path, nil) }, func() {})
+}
+
 func (d *disk) rename(from, to string) error {
 	if d.ended == nothing && d.files[from] == nil {
 		return os.ErrNotExist
--- a/internal/cluster/daisywal/files.go
+++ b/internal/cluster/daisywal/files.go
@@ -14,6 +14,8 @@
 	openFile(path string, flags int) (file, error)
 	// rename renames a file. An existing one of the new name is replaced.
 	rename(from, to string) error
+	// remove removes a file.
+	remove(path string) error
 	// syncFolder makes the names in the folder durable.
 	syncFolder(folder string) error
 }
@@ -41,6 +43,8 @@
 
 func (osFiles) rename(from, to string) error { return os.Rename(from, to) }
 
+func (osFiles) remove(path string) error { return os.Remove(path) }
+
 func (osFiles) syncFolder(folder string) error {
 	d, err := os.Open(folder)
 	if err != nil {
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -231,7 +231,11 @@
 func (l *Log) Replace(hardState daisylog.HardState, snapshot daisylog.Snapshot, entries []daisylog.Entry) (err error) {
 	defer daisyerror.Annotate(&err, "replace control log")
 	tempPath := filepath.Join(l.folder, tempName)
-	f, err := l.files.openFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
+	// A rename that is kept in part leaves a second name of the log itself.
+	if err := l.files.remove(tempPath); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	f, err := l.files.openFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_EXCL)
 	if err != nil {
 		return err
 	}
