Sync the folder of a control log when it is opened

Cause: a process that ends between the rename of a new file and the sync of the folder, or whose sync of the folder fails, leaves a name that is not durable. Open went on in that file, and what was confirmed in it was lost with the name. Found by reading and by the test; not known to have happened.

Change: Open syncs the folder before it returns.

--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -101,7 +101,8 @@
 		return nil, s, err
 	}
 	l = &Log{files: files, folder: folder, file: f, replica: s.Replica, dropped: len(content) - length}
-	if err := l.truncate(int64(length)); err != nil {
+	// A process that ended, or a Replace that failed, may have left the name unsynced.
+	if err := errors.Join(l.truncate(int64(length)), files.syncFolder(folder)); err != nil {
 		return nil, s, errors.Join(err, f.Close())
 	}
 	return l, s, nil
