Refuse messages between replicas that no replica sends

What callers would see: another program on the link port sends one message; the replica's step panics half way through, with the lock released, or saves a log with a gap or a term that overflows to 0. By reading, net/http recovers the panic of a link's handler, so that the process goes on with the replica as it was left.

A leader counted a reply that names an entry beyond its own log as a match.

DecodeLogMessage returns its error, so that the link is closed before the message reaches the replica. A reply beyond the leader's log is ignored.

--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Step handles a message from another replica.
+// Step handles a message from another replica, for which m.Check returns nil.
 func (r *Replica) Step(now time.Time, m Message) {
 	switch {
 	case m.Kind == KindJoin:
@@ -214,6 +214,9 @@
 		r.sendAppend(m.From, p)
 		return
 	}
+	if m.Index > r.lastIndex() {
+		return
+	}
 	if m.Index > p.match {
 		p.match = m.Index
 		p.snapshotSent = false
--- a/internal/wire/daisycodec/log.go
+++ b/internal/wire/daisycodec/log.go
@@ -60,7 +60,8 @@
 	return encode(daisywire.Frame{Consensus: w})
 }
 
-// DecodeLogMessage decodes a message between replicas of the control log.
+// DecodeLogMessage decodes a message between replicas of the control log. It returns an
+// error for one that no replica sends.
 func DecodeLogMessage(b []byte) (m daisylog.Message, err error) {
 	defer daisyerror.Annotate(&err, "decode log message")
 	f, err := decode(b)
@@ -88,8 +89,10 @@
 		}
 		m.Peer = &peer
 	}
-	m.Snapshot, err = toSnapshot(w.Image)
-	return m, err
+	if m.Snapshot, err = toSnapshot(w.Image); err != nil {
+		return m, err
+	}
+	return m, m.Check()
 }
 
 func fromPeer(p daisylog.Peer) daisywire.Seat {
