Keep changes that other hosts cannot read out of the control log

Cause: nothing decoded a change before it was appended and sent. The decoder refuses more than the encoder does: an address that does not parse again, an object without the value of its kind, a kind that it does not know, more than 2^20 elements. A leader also kept what is not encoded, such as a part of a millisecond, while all other hosts did not.

Ruled out: the calls from outside cannot make such a change today as far as was read; only code of this project, or a proposal in a form not yet known, can.

Change: Node.ProposeAll encodes and decodes each change first. What was decoded is appended, so that a leader applies what all others read. Rates, bursts and costs that are not finite are refused by Check, which compared them in a way that let NaN pass.

--- a/internal/cluster/daisyconsensus/propose.go
+++ b/internal/cluster/daisyconsensus/propose.go
@@ -7,6 +7,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
 // ErrProposalLost is returned for a change whose outcome this node cannot learn: a
@@ -34,16 +35,17 @@
 // Decision is the result of a proposed change.
 type Decision struct {
 	Outcome daisyfleet.Outcome
-	Err     error // If not nil, the outcome is unknown.
+	Err     error // If not nil, the outcome is unknown, or the change cannot be in the log.
 }
 
 // ProposeAll appends the changes with a single write to the disk and waits for
-// their outcomes.
+// their outcomes. A change that other hosts could not read from the log is not appended.
 func (n *Node) ProposeAll(ctx context.Context, changes []daisyfleet.Change) (decisions []Decision, err error) {
 	defer daisyerror.Annotate(&err, "propose")
-	waiters := make([]waiter, len(changes))
+	decisions, readable := n.reread(changes)
+	waiters := make([]waiter, len(readable))
 	n.update(func(now time.Time) {
-		index, term, proposeErr := n.replica.Propose(now, changes...)
+		index, term, proposeErr := n.replica.Propose(now, readable...)
 		if err = proposeErr; err != nil {
 			return
 		}
@@ -55,15 +57,35 @@
 	if err = errors.Join(err, n.Failed()); err != nil {
 		return nil, err
 	}
-	for _, w := range waiters {
+	for i := range decisions {
+		if decisions[i].Err != nil {
+			continue
+		}
+		w := waiters[0]
+		waiters = waiters[1:]
 		select {
-		case d := <-w.decision:
-			decisions = append(decisions, d)
+		case decisions[i] = <-w.decision:
 		case <-ctx.Done():
-			decisions = append(decisions, Decision{Err: ctx.Err()})
+			decisions[i].Err = ctx.Err()
 		case <-n.ctx.Done():
-			decisions = append(decisions, Decision{Err: ErrProposalLost})
+			decisions[i].Err = ErrProposalLost
 		}
 	}
 	return decisions, nil
 }
+
+// reread returns the changes as other hosts read them, and the decisions with an error for
+// each change that they could not read.
+func (n *Node) reread(changes []daisyfleet.Change) (decisions []Decision, readable []daisyfleet.Change) {
+	decisions = make([]Decision, len(changes))
+	for i, c := range changes {
+		read, err := daisycodec.Reread(c)
+		if err != nil {
+			n.options.Log.WithError(err).WithField("Reason", c.Reason).Error("quorum: change refused; other hosts could not read it")
+			decisions[i].Err = err
+			continue
+		}
+		readable = append(readable, read)
+	}
+	return decisions, readable
+}
--- a/internal/domain/daisyfleet/value.go
+++ b/internal/domain/daisyfleet/value.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/netip"
 	"time"
 )
@@ -56,6 +57,9 @@
 	Check() error
 }
 
+// isPositive reports whether the number is above 0 and finite.
+func isPositive(x float64) bool { return x > 0 && !math.IsInf(x, 1) }
+
 // Profile states how a class of requests is handled.
 type Profile struct {
 	Database    string        // The database group that requests go to.
@@ -81,7 +85,7 @@
 		return errors.New("Acknowledge is neither Majority nor Primary")
 	case p.Session != SessionKey && p.Session != SessionConnection:
 		return errors.New("Session is neither Key nor Connection")
-	case p.Cost <= 0:
+	case !isPositive(p.Cost):
 		return errors.New("Cost is not positive")
 	case p.Wait <= 0:
 		return errors.New("Wait is not positive")
@@ -89,7 +93,7 @@
 		return errors.New("MaxAge is negative")
 	case p.Latency < 0:
 		return errors.New("Latency is negative")
-	case p.Objective <= 0 || p.Objective >= 1:
+	case !(p.Objective > 0 && p.Objective < 1):
 		return errors.New("Objective is not between 0 and 1")
 	}
 	return nil
@@ -110,9 +114,9 @@
 	switch {
 	case w.Home == "":
 		return errors.New("Home is empty")
-	case w.Rate <= 0:
+	case !isPositive(w.Rate):
 		return errors.New("Rate is not positive")
-	case w.Burst < 1:
+	case w.Burst < 1 || !isPositive(w.Burst):
 		return errors.New("Burst is below 1")
 	}
 	return nil
