Send each entry of the control log to a replica once, 64 KiB ahead at most

What callers would see: with a desired state of 100 KB and links of 2 Mbit/s, the leader loses its lease and its term for want of answers, and a replica that is behind by several desired states does not catch up.

Cause: the leader sent all entries that were not acknowledged, up to 256, in one message, and again with each heartbeat and each commit. Heartbeats queued behind the copies.

Ruled out: the queue of the transport alone. The link of the test drops messages beyond 64 too.

Change: the leader counts entries as on their way once they are sent and sends them again only after the replica has refused a later message, which it does if they were lost: a link delivers in order. Refusals of what was sent before that are ignored. No further entries are sent while 64 KiB are on their way, though a single entry may be larger. In a batch of small changes this is the bound of 256 entries there was before, about.

Evidence: TestEntriesAreSentOnce on the code before: 603,547 and 703,765 bytes sent for a change of 100,000; TestFollowerCatchesUpOverSlowLink: no leader 2 s after a put with one of three replicas cut off. The package passes in full, and with -race -short.

Left open: one entry is one message, so that a desired state which takes longer than 450 ms on all of a leader's links can still cost it its lease.

--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -32,9 +32,25 @@
 // progress is what a leader knows about the log of another replica.
 type progress struct {
 	match        uint64
-	next         uint64
+	next         uint64    // The entry to send next; those after match and before it are on their way.
 	lastAck      time.Time // Send time of the latest broadcast that the replica has answered.
 	snapshotSent bool      // A snapshot was sent and is not acknowledged yet.
+
+	resumedFrom  uint64 // The entry from which the replica was last sent entries again.
+	resumedRound uint64 // The broadcast before that.
+}
+
+// resume makes the replica be sent the entries from next on again, after it has refused a
+// message of the broadcast. It returns false for another refusal of what was sent before
+// the last resumption.
+func (p *progress) resume(next, round, latest uint64) bool {
+	next = max(p.match+1, min(p.next-1, next))
+	if next >= p.resumedFrom && round <= p.resumedRound {
+		return false
+	}
+	p.next, p.snapshotSent = next, false
+	p.resumedFrom, p.resumedRound = next, latest
+	return true
 }
 
 // Replica is one replica of the log. It is not safe for concurrent use.
@@ -278,7 +294,7 @@
 	return index, r.hardState.Term, nil
 }
 
-// broadcast sends every other replica the entries that it lacks, or a heartbeat.
+// broadcast sends every other replica the next entries that it lacks, or a heartbeat.
 func (r *Replica) broadcast(now time.Time) {
 	r.round++
 	r.roundSentAt[r.round] = now
@@ -302,16 +318,38 @@
 		r.sendSnapshot(to, p)
 		return
 	}
-	entries := r.entriesFrom(p.next)
-	if len(entries) > maxBatchEntries {
-		entries = entries[:maxBatchEntries]
-	}
+	entries := r.nextEntries(p)
+	p.next += uint64(len(entries))
 	r.send(Message{
 		Kind: KindAppend, To: to, Index: previous, LogTerm: term,
-		Commit: r.commit, Entries: slices.Clone(entries), Round: r.round,
+		Commit: r.commit, Entries: entries, Round: r.round,
 	})
 }
 
+// nextEntries returns the entries to send next: none while maxUnacknowledgedBytes are on
+// their way, or if the replica must be sent the snapshot.
+func (r *Replica) nextEntries(p *progress) []Entry {
+	if p.next <= r.snapshot.Index || p.next > r.lastIndex() {
+		return nil
+	}
+	room, n := maxUnacknowledgedBytes, 0
+	for _, e := range r.entriesFrom(max(p.match, r.snapshot.Index) + 1) {
+		if room <= 0 || n == maxBatchEntries {
+			break
+		}
+		room -= e.size()
+		if e.Index >= p.next {
+			n++
+		}
+	}
+	return slices.Clone(r.entriesFrom(p.next)[:n])
+}
+
+// canSend reports whether there is more to send than a heartbeat.
+func (r *Replica) canSend(p *progress) bool {
+	return p.next <= r.snapshot.Index && !p.snapshotSent || len(r.nextEntries(p)) > 0
+}
+
 // sendSnapshot sends the snapshot once and then heartbeats until it is acknowledged.
 func (r *Replica) sendSnapshot(to ReplicaID, p *progress) {
 	m := Message{Kind: KindAppend, To: to, Index: r.snapshot.Index, LogTerm: r.snapshot.Term, Commit: 0, Round: r.round}
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -209,9 +209,9 @@
 		p.lastAck = sentAt
 	}
 	if m.Reject {
-		p.snapshotSent = false
-		p.next = max(p.match+1, min(p.next-1, m.Index+1))
-		r.sendAppend(m.From, p)
+		if p.resume(m.Index+1, m.Round, r.round) {
+			r.sendAppend(m.From, p)
+		}
 		return
 	}
 	if m.Index > r.lastIndex() {
@@ -223,7 +223,7 @@
 	}
 	p.next = max(p.next, p.match+1)
 	r.advanceCommit(now)
-	if p.next <= r.lastIndex() {
+	if r.canSend(p) {
 		r.sendAppend(m.From, p)
 	}
 	r.promoteLearner(now, m.From)
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -37,8 +37,13 @@
 	LeaseMargin = 100 * time.Millisecond
 )
 
-// maxBatchEntries is the maximum number of entries in one message.
-const maxBatchEntries = 256
+const (
+	// maxBatchEntries is the maximum number of entries in one message.
+	maxBatchEntries = 256
+	// maxUnacknowledgedBytes bounds the entries on their way to a replica, though one
+	// entry may be larger. A link of 2 Mbit/s takes less than ElectionMin for them.
+	maxUnacknowledgedBytes = 64 << 10
+)
 
 // ReplicaID identifies a replica together with its disk. 0 means no replica.
 type ReplicaID uint64
@@ -60,6 +65,16 @@
 	Configuration []Peer
 }
 
+// size returns about how many bytes the encoded entry takes.
+func (e *Entry) size() int {
+	const entryBytes, peerBytes = 64, 128
+	n := entryBytes + peerBytes*len(e.Configuration)
+	if e.Change != nil {
+		n += e.Change.Size()
+	}
+	return n
+}
+
 // HardState is the state besides the log that a replica must persist.
 type HardState struct {
 	Term uint64
--- a/internal/domain/daisyfleet/state.go
+++ b/internal/domain/daisyfleet/state.go
@@ -57,6 +57,22 @@
 	Operations []Operation
 }
 
+// Size returns about how many bytes the encoded change takes.
+func (c *Change) Size() int {
+	const operationBytes = 256
+	n := len(c.ID) + len(c.Reason)
+	for _, op := range c.Operations {
+		n += operationBytes + len(op.Name)
+		switch v := op.Value.(type) {
+		case Document:
+			n += len(v.Content)
+		case Server:
+			n += len(v.Service) + len(v.FailureDomain)
+		}
+	}
+	return n
+}
+
 // Outcome is the decision on a change.
 type Outcome struct {
 	ID       string
