Give a joining replica of a test the address that every one has

Cause: TestClosedLogLinkIsLogged sends a Join without an address. No replica sends one, and since such messages are refused as malformed, the case was refused for that before its name was compared with that of the link.

Change: the replica of the test has an address; what the test checks is the same.

Result: the case failed with the log line of a malformed message and passes.

--- a/internal/cluster/daisycoordinator/transport_test.go
+++ b/internal/cluster/daisycoordinator/transport_test.go
@@ -161,7 +161,7 @@
 // Guards against links between control hosts that are closed without a word, again and
 // again, over a message that cannot be decoded.
 func TestClosedLogLinkIsLogged(t *testing.T) {
-	other := daisylog.Peer{Replica: 2, Name: "c2"}
+	other := daisylog.Peer{Replica: 2, Name: "c2", Address: netip.MustParseAddrPort("127.0.0.1:1")}
 	tests := []struct {
 		name    string
 		message []byte
