--- a/internal/cluster/daisyconsensus/apply.go
+++ b/internal/cluster/daisyconsensus/apply.go
@@ -10,6 +10,10 @@
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 )
 
+// compactAfterBytes is the size of the applied entries after which a snapshot is taken,
+// since a host reads its whole log into memory when it starts.
+const compactAfterBytes = 4 << 20
+
 // Step handles a message from another replica.
 func (n *Node) Step(m daisylog.Message) {
 	if m.Kind == daisylog.KindRedirect {
@@ -53,7 +57,7 @@
 		n.apply(&ready)
 	}
 	n.logRole()
-	if n.applied-n.replica.Snapshot().Index >= compactAfterEntries {
+	if n.applied-n.replica.Snapshot().Index >= compactAfterEntries || n.replica.AppliedBytes() >= compactAfterBytes {
 		n.compact()
 	}
 }
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -76,6 +76,7 @@
 	durable            uint64  // Index of the last entry known to be on disk.
 	commit             uint64
 	applied            uint64 // Index of the last committed entry that Ready has returned.
+	appliedBytes       int    // About the size of the entries after the snapshot up to there.
 	configuration      []Peer
 	configurationIndex uint64
 
@@ -377,6 +378,9 @@
 	if r.applied < r.commit {
 		start := r.applied + 1
 		ready.Committed = slices.Clone(r.entriesFrom(start)[:r.commit-r.applied])
+		for _, e := range ready.Committed {
+			r.appliedBytes += e.size()
+		}
 		r.applied = r.commit
 	}
 	r.newSnapshot, r.outbox = nil, nil
@@ -398,10 +402,17 @@
 	if snapshot.Index <= r.snapshot.Index || snapshot.Index > r.applied {
 		return
 	}
+	for _, e := range r.entriesFrom(r.snapshot.Index + 1)[:snapshot.Index-r.snapshot.Index] {
+		r.appliedBytes -= e.size()
+	}
 	r.entries = slices.Clone(r.entriesFrom(snapshot.Index + 1))
 	r.snapshot = snapshot
 }
 
+// AppliedBytes returns about how many bytes the entries after the snapshot have that Ready
+// has returned as committed.
+func (r *Replica) AppliedBytes() int { return r.appliedBytes }
+
 // Snapshot returns the latest snapshot.
 func (r *Replica) Snapshot() Snapshot { return r.snapshot }
 
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -192,7 +192,7 @@
 		snapshot := *m.Snapshot
 		r.snapshot, r.newSnapshot = snapshot, &snapshot
 		r.entries = nil
-		r.commit, r.applied = snapshot.Index, snapshot.Index
+		r.commit, r.applied, r.appliedBytes = snapshot.Index, snapshot.Index, 0
 		r.durable, r.firstUnsaved = snapshot.Index, snapshot.Index+1
 		r.loadConfiguration()
 		reply.Index = snapshot.Index
