Give a message to another control host time by its size

What callers would see: a control host that has lost its disk, or was away for long, never gets the control state over a slow link, so that the fleet has one host less to lose.

Cause: a message had 450 ms to leave, whatever its size, before its link was given up. Each further try began from the start.

Ruled out: a dead link does not wait for longer. The connection ends once bytes stay unacknowledged for 1.5 s.

Change: 1 s more for each 125,000 bytes.

--- a/internal/cluster/daisycoordinator/transport.go
+++ b/internal/cluster/daisycoordinator/transport.go
@@ -24,6 +24,9 @@
 	// the TCP SYN is lost and is retransmitted only after 1 s; a new attempt after
 	// this timeout connects sooner. Opening a link takes two round trips.
 	peerDialTimeout = 250 * time.Millisecond
+	// minLinkRate is the least rate, in bytes a second, at which a message is sent before
+	// its link is given up. A snapshot has some 100 KB or more.
+	minLinkRate = 125_000
 	// flushTimeout is the maximum time for sending queued messages on Close.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -130,9 +133,10 @@
 }
 
 func send(ctx context.Context, link *daisylink.Conn, m daisylog.Message) error {
-	ctx, cancel := context.WithTimeout(ctx, daisylog.ElectionMin)
+	b := daisycodec.EncodeLogMessage(m)
+	ctx, cancel := context.WithTimeout(ctx, daisylog.ElectionMin+time.Duration(len(b))*time.Second/minLinkRate)
 	defer cancel()
-	return link.Send(ctx, daisycodec.EncodeLogMessage(m))
+	return link.Send(ctx, b)
 }
 
 // flush sends the queued messages, among them a leader's resignation.
