--- a/internal/wire/daisycodec/amount_test.go
+++ b/internal/wire/daisycodec/amount_test.go
@@ -20,7 +20,7 @@
 		t.Run(fmt.Sprint(bad), func(t *testing.T) {
 			demands := []daisyheartbeat.Demand{{Workspace: "w", Tokens: bad}}
 			denied := []daisyheartbeat.Demand{{Workspace: "w", Denied: bad}}
-			_, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Address: addr, Demands: demands}))
+			_, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Host: "h", Address: addr, Demands: demands}))
 			assert.Check(t, err != nil)
 			_, err = daisycodec.DecodeServerMessage(daisycodec.EncodeHeartbeatReply(daisyheartbeat.Reply{Grants: demands}))
 			assert.Check(t, err != nil)
@@ -88,7 +88,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			demands := []daisyheartbeat.Demand{test.demand}
-			m, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Address: addr, Demands: demands}))
+			m, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(daisyheartbeat.Heartbeat{Host: "h", Address: addr, Demands: demands}))
 			assert.Equal(t, err == nil, test.ok)
 			if test.ok {
 				assert.DeepEqual(t, m.Heartbeat.Demands, demands)
--- a/internal/wire/daisycodec/heartbeat.go
+++ b/internal/wire/daisycodec/heartbeat.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return h, err
 	}
+	if w.Host == "" || max(len(w.Host), len(w.FailureDomain), len(w.Region), len(w.Address)) > maxNameBytes {
+		return h, errName
+	}
 	h = daisyheartbeat.Heartbeat{
 		ID: w.ID, Host: w.Host, Incarnation: w.Incarnation, Address: addr,
 		FailureDomain: w.FailureDomain, Region: w.Region, Revision: w.Revision, Leaving: w.Leaving,
@@ -128,6 +131,12 @@
 	return ws
 }
 
+// maxNameBytes bounds the names and the address of a host in a heartbeat. They become
+// part of the control state.
+const maxNameBytes = 1 << 10
+
+var errName = errors.New("name of a host is missing, or a name or address too long")
+
 // maxReserve bounds the numbers of tokens in reserve that a message may state, so that
 // their sums do not overflow.
 const maxReserve = 1 << 20
--- a/internal/wire/daisycodec/reread_test.go
+++ b/internal/wire/daisycodec/reread_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
 	"github.com/daisyglade/daisyglade/internal/wire/daisycodec"
 )
 
@@ -18,6 +20,16 @@
 	assert.DeepEqual(t, got, want, cmpAddr)
 }
 
+// Guards against names in a heartbeat that can be no part of the control state: a leader
+// proposed each again and again.
+func TestNamesOfHostsAreBounded(t *testing.T) {
+	for _, h := range []daisyheartbeat.Heartbeat{{}, {Host: strings.Repeat("h", 1<<20)}, {Host: "h", FailureDomain: strings.Repeat("f", 1<<20)}} {
+		h.Address = addr
+		_, err := daisycodec.DecodeClientMessage(daisycodec.EncodeHeartbeat(h))
+		assert.Check(t, err != nil)
+	}
+}
+
 // BenchmarkReread is what a leader does once more for each change.
 func BenchmarkReread(b *testing.B) {
 	for _, size := range []int{100, 100 << 10, 8 << 20} {
