Write a control log anew when it is opened

Cause: after a sync that failed, the system may count the data as written. It reads well, and the next sync succeeds, but it never reaches the disk. Open went on in that file: what it returned was confirmed, and further records followed.

Change: Open writes what it read to a new file, byte by byte as it was, and renames it as Replace does, before it returns. Append and Replace refuse to go on after a failed write until the log is opened again. The caller after a failure is Open as before; there is no other function for it.

Every start does it, not only a reopening: a process may end after a failed sync, before it opens the log again, and the next one cannot tell. Cost: one write of the whole file and two syncs, and room for a second copy, which each Replace needs too. On a full disk Open now fails. A replica there could save neither a vote nor an entry, so that nothing it could do is lost as long as its host waits for the disk and tries again; a host that ends instead is a fault of its own.

Ruled out: writing the last record alone again, in place, needs no room, but a torn write would then hit a record that may be confirmed. Marking a failed sync on the disk that failed is no use.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -128,3 +128,20 @@
 		})
 	}
 }
+
+// Guards against a record that is synced after one that was not: after a loss of power
+// it would make the missing one look like damage.
+func TestNothingFollowsFailedWrite(t *testing.T) {
+	for step := 1; step <= 2; step++ {
+		d, content := newTestLog(t)
+		l, s, err := open(d, testFolder)
+		assert.NilError(t, err)
+		d.events = map[int]event{d.steps + step: fails}
+		assert.ErrorIs(t, l.Append(nil, []daisylog.Entry{testEntry(3, 300)}), errFault)
+		assert.ErrorIs(t, l.Append(nil, []daisylog.Entry{testEntry(3, 300)}), errFailed)
+		assert.ErrorIs(t, l.Replace(s.HardState, s.Snapshot, s.Entries), errFailed)
+		left, err := d.readFile(testPath)
+		assert.NilError(t, err)
+		assert.Assert(t, len(left) < 2*len(content), "a record follows the failed one")
+	}
+}
--- a/internal/cluster/daisywal/disk_test.go
+++ b/internal/cluster/daisywal/disk_test.go
@@ -41,7 +41,7 @@
 	changes []change // Made since the last sync.
 }
 
-// change is a write, or a truncation to offset if data is nil.
+// change is a write.
 type change struct {
 	offset int
 	data   []byte
@@ -149,26 +149,12 @@
 	return slices.Clone(i.content), nil
 }
 
-func (d *disk) openFile(path string, flags int) (f file, err error) {
-	i, ok := d.files[path]
-	if flags&os.O_CREATE == 0 {
-		if !ok {
-			return nil, os.ErrNotExist
-		}
-		return &openFile{disk: d, inode: i}, nil
-	}
-	if ok && flags&os.O_EXCL != 0 {
+func (d *disk) createFile(path string) (file, error) {
+	if d.files[path] != nil {
 		return nil, os.ErrExist
 	}
-	open := &openFile{disk: d, inode: i}
-	err = d.step(func() {
-		if !ok {
-			open.inode = &inode{}
-			d.name(path, open.inode)
-		}
-		open.change(change{})
-	}, func() {})
-	return open, err
+	f := &openFile{disk: d, inode: &inode{}}
+	return f, d.step(func() { d.name(path, f.inode) }, func() {})
 }
 
 func (d *disk) remove(path string) error {
@@ -224,15 +210,6 @@
 	return written, err
 }
 
-func (f *openFile) Truncate(length int64) error {
-	return f.disk.step(func() { f.change(change{offset: int(length)}) }, func() {})
-}
-
-func (f *openFile) Seek(offset int64, _ int) (int64, error) {
-	f.offset = int(offset)
-	return offset, nil
-}
-
 // Sync makes the changes durable. If it fails, some are lost for good, although
 // processes go on to see them and the next Sync succeeds.
 func (f *openFile) Sync() error {
@@ -272,9 +249,6 @@
 
 // apply returns the content with the change made.
 func (c change) apply(content []byte) []byte {
-	if c.data == nil {
-		return extend(content, c.offset)[:c.offset]
-	}
 	content = extend(content, c.offset+len(c.data))
 	copy(content[c.offset:], c.data)
 	return content
@@ -282,9 +256,6 @@
 
 // tear returns the content with a part of the write made.
 func (c change) tear(content []byte, random *rand.Rand) []byte {
-	if len(c.data) == 0 {
-		return c.apply(content)
-	}
 	from, to := random.IntN(len(c.data)), random.IntN(len(c.data))
 	switch random.IntN(3) {
 	case 0: // The beginning.
--- a/internal/cluster/daisywal/files.go
+++ b/internal/cluster/daisywal/files.go
@@ -10,8 +10,8 @@
 type fileSystem interface {
 	// readFile returns the content of a file.
 	readFile(path string) ([]byte, error)
-	// openFile opens a file for writing. The flags are those of os.OpenFile.
-	openFile(path string, flags int) (file, error)
+	// createFile creates a file, which must not exist, and opens it for writing.
+	createFile(path string) (file, error)
 	// rename renames a file. An existing one of the new name is replaced.
 	rename(from, to string) error
 	// remove removes a file.
@@ -22,9 +22,7 @@
 
 // file is an open file.
 type file interface {
-	io.WriteSeeker
-	io.Closer
-	Truncate(length int64) error
+	io.WriteCloser
 	Sync() error
 }
 
@@ -33,8 +31,8 @@
 
 func (osFiles) readFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
-func (osFiles) openFile(path string, flags int) (file, error) {
-	f, err := os.OpenFile(path, flags, fileMode)
+func (osFiles) createFile(path string) (file, error) {
+	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/cluster/daisywal/loss_test.go
+++ b/internal/cluster/daisywal/loss_test.go
@@ -274,8 +274,11 @@
 		case errors.Is(err, ErrNotFound) && p.confirmed == "":
 			initial := daisylog.Bootstrap(daisylog.Peer{Replica: 7, Name: "c1"})
 			p.attempted = key(initial)
-			if create(p.disk, testFolder, initial) == nil {
+			switch err := create(p.disk, testFolder, initial); {
+			case err == nil:
 				p.confirmed = key(initial)
+			case !errors.Is(err, errFault) && !errors.Is(err, errEnded):
+				return err
 			}
 			continue
 		case err != nil:
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -43,6 +43,8 @@
 	ErrNotFound = errors.New("folder contains no control log")
 	// ErrExists is returned if the folder already contains a control log.
 	ErrExists = errors.New("folder already contains a control log")
+
+	errFailed = errors.New("control log must be opened again after a failed write")
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -54,6 +56,7 @@
 	file    file
 	replica daisylog.ReplicaID
 	dropped int
+	failed  bool // A write failed; what the file holds is not known.
 }
 
 // Create writes a new log file with the given state.
@@ -76,8 +79,12 @@
 	return l.Close()
 }
 
-// Open reads the log file in the folder and opens it for appending. An unfinished
-// write at the end is removed.
+// Open reads the log file in the folder and opens it for appending, at a start or
+// after a failure. An unfinished write at the end is removed.
+//
+// What was read is written to a new file before Open returns: after a sync that
+// failed, the file may read well and be synced without an error although its last
+// record never reaches the disk. An earlier process may have had that failure.
 func Open(folder string) (l *Log, s daisylog.PersistedState, err error) {
 	return open(osFiles{}, folder)
 }
@@ -96,29 +103,13 @@
 	if err != nil {
 		return nil, s, err
 	}
-	f, err := files.openFile(path, os.O_RDWR)
-	if err != nil {
+	l = &Log{files: files, folder: folder, replica: s.Replica, dropped: len(content) - length}
+	if err := l.replaceFile(content[:length]); err != nil {
 		return nil, s, err
 	}
-	l = &Log{files: files, folder: folder, file: f, replica: s.Replica, dropped: len(content) - length}
-	// A process that ended, or a Replace that failed, may have left the name unsynced.
-	if err := errors.Join(l.truncate(int64(length)), files.syncFolder(folder)); err != nil {
-		return nil, s, errors.Join(err, f.Close())
-	}
 	return l, s, nil
 }
 
-// truncate removes the bytes after the last complete record.
-func (l *Log) truncate(length int64) error {
-	if err := l.file.Truncate(length); err != nil {
-		return err
-	}
-	if _, err := l.file.Seek(length, 0); err != nil {
-		return err
-	}
-	return l.file.Sync()
-}
-
 // SetAside renames a damaged log file, so that Create can write a new one. An older
 // file that was set aside is replaced. It returns ErrNotFound if there is no log file.
 func SetAside(folder string) error { return setAside(osFiles{}, folder) }
@@ -218,30 +209,54 @@
 	return nil
 }
 
-// Append implements daisyconsensus.Storage.
+// Append implements daisyconsensus.Storage. After an error the log must be opened
+// again, as no record may follow one that was not synced.
 func (l *Log) Append(hardState *daisylog.HardState, entries []daisylog.Entry) (err error) {
 	defer daisyerror.Annotate(&err, "append to control log")
-	if err := write(l.file, daisycodec.Record{Replica: l.replica, HardState: hardState, Entries: entries}); err != nil {
+	if l.failed {
+		return errFailed
+	}
+	b, err := encode(daisycodec.Record{Replica: l.replica, HardState: hardState, Entries: entries})
+	if err != nil {
 		return err
 	}
-	return l.file.Sync()
+	if _, err = l.file.Write(b); err == nil {
+		err = l.file.Sync()
+	}
+	l.failed = err != nil
+	return err
 }
 
 // Replace implements daisyconsensus.Storage. It writes a new file and renames it
-// over the old one.
+// over the old one. After an error the log must be opened again.
 func (l *Log) Replace(hardState daisylog.HardState, snapshot daisylog.Snapshot, entries []daisylog.Entry) (err error) {
 	defer daisyerror.Annotate(&err, "replace control log")
+	if l.failed {
+		return errFailed
+	}
+	b, err := encode(daisycodec.Record{Replica: l.replica, HardState: &hardState, Snapshot: &snapshot, Entries: entries})
+	if err != nil {
+		return err
+	}
+	err = l.replaceFile(b)
+	l.failed = err != nil
+	return err
+}
+
+// replaceFile writes a new file, renames it over the log and continues in it.
+func (l *Log) replaceFile(content []byte) error {
 	tempPath := filepath.Join(l.folder, tempName)
 	// A rename that is kept in part leaves a second name of the log itself.
 	if err := l.files.remove(tempPath); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
-	f, err := l.files.openFile(tempPath, os.O_RDWR|os.O_CREATE|os.O_EXCL)
+	f, err := l.files.createFile(tempPath)
 	if err != nil {
 		return err
 	}
-	record := daisycodec.Record{Replica: l.replica, HardState: &hardState, Snapshot: &snapshot, Entries: entries}
-	err = errors.Join(write(f, record), f.Sync())
+	if _, err = f.Write(content); err == nil {
+		err = f.Sync()
+	}
 	if err == nil {
 		err = l.files.rename(tempPath, filepath.Join(l.folder, fileName))
 	}
@@ -258,18 +273,17 @@
 	return err
 }
 
-// write appends a record to the file with a single call.
-func write(f file, r daisycodec.Record) error {
+// encode returns the bytes of a record in the file.
+func encode(r daisycodec.Record) ([]byte, error) {
 	payload := daisycodec.EncodeRecord(r)
 	if len(payload) > maxPayloadBytes {
-		return errors.New("record payload exceeds the maximum size")
+		return nil, errors.New("record payload exceeds the maximum size")
 	}
 	b := make([]byte, headerBytes, headerBytes+len(payload))
 	binary.BigEndian.PutUint32(b, uint32(len(payload)))
 	binary.BigEndian.PutUint32(b[4:], crc32.Checksum(payload, castagnoli))
 	binary.BigEndian.PutUint32(b[headerChecksumOffset:], crc32.Checksum(b[:headerChecksumOffset], castagnoli))
-	_, err := f.Write(append(b, payload...))
-	return err
+	return append(b, payload...), nil
 }
 
 // Dropped returns how many bytes of an unfinished write Open found and removed.
