Test that bytes of a torn payload do not pass for a record

Cause: no test failed when the search for a later record was begun right after the start of a record with an intact header (trial).

Result: TestPayloadPassesForNoRecord passes, and fails with that change.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -145,3 +145,16 @@
 		assert.Assert(t, len(left) < 2*len(content), "a record follows the failed one")
 	}
 }
+
+// Guards against a torn write that is taken for damage because its text holds the bytes
+// of a record.
+func TestPayloadPassesForNoRecord(t *testing.T) {
+	_, content := newTestLog(t)
+	torn := frame(append(append(make([]byte, 600), content...), make([]byte, 600)...))
+	clear(torn[headerBytes+100 : headerBytes+200])
+	torn[headerBytes+150] = 1
+	l, s, err := open(newDiskOf(testPath, append(bytes.Clone(content), torn...)), testFolder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Entries), 1)
+	assert.Equal(t, l.Dropped(), len(torn))
+}
