Never create a control log over one that cannot be read

Found by reading; its callers create a log only after Open found none, so that the moment is short.

Cause: Create took any error for the absence of a log.

Change: only a file that does not exist is absent.

Result: TestUnreadableLogIsNotCreatedAnew failed before and passes.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -158,3 +158,14 @@
 	assert.Equal(t, len(s.Entries), 1)
 	assert.Equal(t, l.Dropped(), len(torn))
 }
+
+// Guards against a log that is replaced by an empty one since its disk fails for a moment.
+func TestUnreadableLogIsNotCreatedAnew(t *testing.T) {
+	d, _ := newTestLog(t)
+	d.unreadable = true
+	assert.ErrorIs(t, create(d, testFolder, daisylog.Bootstrap(daisylog.Peer{Replica: 9})), errFault)
+	d.unreadable = false
+	_, s, err := open(d, testFolder)
+	assert.NilError(t, err)
+	assert.Equal(t, s.Replica, daisylog.ReplicaID(7))
+}
--- a/internal/cluster/daisywal/disk_test.go
+++ b/internal/cluster/daisywal/disk_test.go
@@ -32,6 +32,8 @@
 	steps  int
 	events map[int]event // By step.
 	ended  event         // How the process ended, or nothing.
+
+	unreadable bool // Files cannot be read.
 }
 
 // inode is the content of a file.
@@ -142,6 +144,9 @@
 	if d.ended != nothing {
 		return nil, errEnded
 	}
+	if d.unreadable {
+		return nil, errFault
+	}
 	i, ok := d.files[path]
 	if !ok {
 		return nil, os.ErrNotExist
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -71,6 +71,8 @@
 func create(files fileSystem, folder string, s daisylog.PersistedState) error {
 	if _, err := files.readFile(filepath.Join(folder, fileName)); err == nil {
 		return ErrExists
+	} else if !errors.Is(err, os.ErrNotExist) {
+		return err
 	}
 	l := &Log{files: files, folder: folder, replica: s.Replica}
 	if err := l.Replace(s.HardState, s.Snapshot, s.Entries); err != nil {
