Read the control log record by record

Cause: Open read the whole file and decoded its records beside it, so that it held the log twice.

Change: records are read one by one, and the file is copied to the new one in parts. Only the bytes after an unreadable record are read as a whole, to look for a later record in them.

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -48,7 +48,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDiskOf(testPath, tt.content)
+			d := newDiskOf(tt.content)
 			_, _, err := open(d, testFolder)
 			assert.ErrorIs(t, err, ErrUnreadable)
 			assert.Assert(t, !errors.Is(err, ErrCorrupt))
@@ -115,7 +115,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			d := newDiskOf(testPath, append(bytes.Clone(content), tt.after...))
+			d := newDiskOf(append(bytes.Clone(content), tt.after...))
 			l, _, err := open(d, testFolder)
 			assert.NilError(t, err)
 			assert.Equal(t, l.Dropped(), len(tt.after))
@@ -153,7 +153,7 @@
 	torn := frame(append(append(make([]byte, 600), content...), make([]byte, 600)...))
 	clear(torn[headerBytes+100 : headerBytes+200])
 	torn[headerBytes+150] = 1
-	l, s, err := open(newDiskOf(testPath, append(bytes.Clone(content), torn...)), testFolder)
+	l, s, err := open(newDiskOf(append(bytes.Clone(content), torn...)), testFolder)
 	assert.NilError(t, err)
 	assert.Equal(t, len(s.Entries), 1)
 	assert.Equal(t, l.Dropped(), len(torn))
--- a/internal/cluster/daisywal/disk_test.go
+++ b/internal/cluster/daisywal/disk_test.go
@@ -1,7 +1,9 @@
 package daisywal
 
 import (
+	"bytes"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -57,10 +59,10 @@
 }
 
 // newDiskOf returns a disk with a durable file.
-func newDiskOf(path string, content []byte) *disk {
+func newDiskOf(content []byte) *disk {
 	d := newDisk(1, nil)
-	d.files[path] = &inode{content: slices.Clone(content), durable: slices.Clone(content)}
-	d.past[path] = []*inode{d.files[path]}
+	d.files[testPath] = &inode{content: slices.Clone(content), durable: slices.Clone(content)}
+	d.past[testPath] = []*inode{d.files[testPath]}
 	return d
 }
 
@@ -154,6 +156,19 @@
 	return slices.Clone(i.content), nil
 }
 
+// readCloser reads the content that a file had when it was opened.
+type readCloser struct{ *bytes.Reader }
+
+func (readCloser) Close() error { return nil }
+
+func (d *disk) openFile(path string) (io.ReadSeekCloser, error) {
+	content, err := d.readFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return readCloser{bytes.NewReader(content)}, nil
+}
+
 func (d *disk) createFile(path string) (file, error) {
 	if d.files[path] != nil {
 		return nil, os.ErrExist
--- a/internal/cluster/daisywal/files.go
+++ b/internal/cluster/daisywal/files.go
@@ -8,8 +8,8 @@
 
 // fileSystem is what a log uses of the file system.
 type fileSystem interface {
-	// readFile returns the content of a file.
-	readFile(path string) ([]byte, error)
+	// openFile opens a file for reading.
+	openFile(path string) (io.ReadSeekCloser, error)
 	// createFile creates a file, which must not exist, and opens it for writing.
 	createFile(path string) (file, error)
 	// rename renames a file. An existing one of the new name is replaced.
@@ -29,7 +29,13 @@
 // osFiles is the file system of the operating system.
 type osFiles struct{}
 
-func (osFiles) readFile(path string) ([]byte, error) { return os.ReadFile(path) }
+func (osFiles) openFile(path string) (io.ReadSeekCloser, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
 
 func (osFiles) createFile(path string) (file, error) {
 	f, err := os.OpenFile(path, os.O_WRONLY|os.O_CREATE|os.O_EXCL, fileMode)
--- a/internal/cluster/daisywal/loss_test.go
+++ b/internal/cluster/daisywal/loss_test.go
@@ -100,7 +100,7 @@
 // checkTorn checks that a log that ends with the torn record opens with the state
 // before it, can be appended to and opens again.
 func checkTorn(before, torn []byte, complete bool) error {
-	d := newDiskOf(testPath, append(slices.Clone(before), torn...))
+	d := newDiskOf(append(slices.Clone(before), torn...))
 	l, s, err := open(d, testFolder)
 	if err != nil {
 		return err
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -10,10 +10,13 @@
 package daisywal
 
 import (
+	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -69,8 +72,8 @@
 }
 
 func create(files fileSystem, folder string, s daisylog.PersistedState) error {
-	if _, err := files.readFile(filepath.Join(folder, fileName)); err == nil {
-		return ErrExists
+	if f, err := files.openFile(filepath.Join(folder, fileName)); err == nil {
+		return errors.Join(ErrExists, f.Close())
 	} else if !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
@@ -93,20 +96,23 @@
 
 func open(files fileSystem, folder string) (l *Log, s daisylog.PersistedState, err error) {
 	defer daisyerror.Annotate(&err, "open control log in %s", folder)
-	path := filepath.Join(folder, fileName)
-	content, err := files.readFile(path)
+	source, err := files.openFile(filepath.Join(folder, fileName))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, s, ErrNotFound
 	}
 	if err != nil {
 		return nil, s, err
 	}
-	s, length, err := replay(content)
+	defer func() { err = errors.Join(err, source.Close()) }()
+	s, length, dropped, err := replay(source)
 	if err != nil {
 		return nil, s, err
 	}
-	l = &Log{files: files, folder: folder, replica: s.Replica, dropped: len(content) - length}
-	if err := l.replaceFile(content[:length]); err != nil {
+	if _, err := source.Seek(0, io.SeekStart); err != nil {
+		return nil, s, err
+	}
+	l = &Log{files: files, folder: folder, replica: s.Replica, dropped: dropped}
+	if err := l.replaceFile(source, length); err != nil {
 		return nil, s, err
 	}
 	return l, s, nil
@@ -128,30 +134,65 @@
 	return files.syncFolder(folder)
 }
 
-// replay decodes the records and returns the resulting state and the length of the
-// complete records.
-func replay(content []byte) (s daisylog.PersistedState, length int, err error) {
-	for length < len(content) {
-		payload, ok := readRecord(content[length:])
+// replay reads the records one by one, since a host may have little more memory than the
+// state takes. It returns the resulting state, the length of the complete records and the
+// number of bytes after them.
+func replay(source io.ReadSeeker) (s daisylog.PersistedState, length int64, dropped int, err error) {
+	size, err := source.Seek(0, io.SeekEnd)
+	if err != nil {
+		return s, 0, 0, err
+	}
+	if _, err := source.Seek(0, io.SeekStart); err != nil {
+		return s, 0, 0, err
+	}
+	reader := bufio.NewReader(source)
+	for length < size {
+		content, err := nextRecord(reader, size-length)
+		if err != nil {
+			return s, 0, 0, err
+		}
+		payload, ok := readRecord(content)
 		if !ok {
-			if next, ok := findLater(content[length:]); ok {
-				return s, 0, fmt.Errorf("offset %d: %w: record does not match its checksums, and one follows at offset %d", length, ErrCorrupt, length+next)
+			rest, err := io.ReadAll(reader)
+			if err != nil {
+				return s, 0, 0, err
 			}
+			content = append(content, rest...)
+			if next, ok := findLater(content); ok {
+				return s, 0, 0, fmt.Errorf("offset %d: %w: record does not match its checksums, and one follows at offset %d", length, ErrCorrupt, length+int64(next))
+			}
+			dropped = len(content)
 			break
 		}
 		record, err := daisycodec.DecodeRecord(payload)
 		if err != nil {
-			return s, 0, fmt.Errorf("offset %d: %w: %w", length, ErrUnreadable, err)
+			return s, 0, 0, fmt.Errorf("offset %d: %w: %w", length, ErrUnreadable, err)
 		}
 		if err := applyRecord(&s, record); err != nil {
-			return s, 0, fmt.Errorf("offset %d: %w", length, err)
+			return s, 0, 0, fmt.Errorf("offset %d: %w", length, err)
 		}
-		length += headerBytes + len(payload)
+		length += int64(len(content))
 	}
 	if s.Replica == 0 {
-		return s, 0, fmt.Errorf("%w: no snapshot at the start", ErrCorrupt)
+		return s, 0, 0, fmt.Errorf("%w: no snapshot at the start", ErrCorrupt)
 	}
-	return s, length, nil
+	return s, length, dropped, nil
+}
+
+// nextRecord reads the next record, or as much of it as there is in the remaining bytes.
+// If its header is not intact, it reads the header only.
+func nextRecord(reader io.Reader, remaining int64) (content []byte, err error) {
+	content = make([]byte, min(headerBytes, remaining))
+	if _, err := io.ReadFull(reader, content); err != nil {
+		return nil, err
+	}
+	length, ok := readHeader(content)
+	if !ok {
+		return content, nil
+	}
+	content = append(content, make([]byte, min(int64(length), remaining-headerBytes))...)
+	_, err = io.ReadFull(reader, content[headerBytes:])
+	return content, err
 }
 
 // readHeader returns the length of the payload of the first record. It returns false
@@ -240,13 +281,14 @@
 	if err != nil {
 		return err
 	}
-	err = l.replaceFile(b)
+	err = l.replaceFile(bytes.NewReader(b), int64(len(b)))
 	l.failed = err != nil
 	return err
 }
 
-// replaceFile writes a new file, renames it over the log and continues in it.
-func (l *Log) replaceFile(content []byte) error {
+// replaceFile writes a new file of so many bytes of the content, renames it over the log and
+// continues in it.
+func (l *Log) replaceFile(content io.Reader, length int64) error {
 	tempPath := filepath.Join(l.folder, tempName)
 	// A rename that is kept in part leaves a second name of the log itself.
 	if err := l.files.remove(tempPath); err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -256,7 +298,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = f.Write(content); err == nil {
+	if _, err = io.CopyN(writer{f}, content, length); err == nil {
 		err = f.Sync()
 	}
 	if err == nil {
@@ -275,6 +317,10 @@
 	return err
 }
 
+// writer hides the other methods of a file, with which a copy would leave the data to the
+// kernel, which not every file system supports.
+type writer struct{ io.Writer }
+
 // encode returns the bytes of a record in the file.
 func encode(r daisycodec.Record) ([]byte, error) {
 	payload := daisycodec.EncodeRecord(r)
