Kill hosts of the soak as they start, and look for panics and races

What callers would see: nothing; the test has more faults to find.

Cause: a host of the soak was killed 0.1 s after its start at the earliest, when it has long opened its log. A process that ended with an error after SIGTERM, and a panic that a server caught, counted as a pass. The test took a kill that follows a start at once for an end of the process by itself.

Change: a quarter of the starts are followed by a kill within 40 ms, a lost disk may hold a leftover of a log that was being created, and the test reads the exit status after SIGTERM and stderr.

--- a/internal/try/daisysoak/disk_test.go
+++ b/internal/try/daisysoak/disk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -215,10 +216,14 @@
 	}, nil
 }
 
-// empty removes all files of the data folder.
-func empty(folder string) error {
+// empty removes all files of the data folder and returns the log that was there.
+func empty(folder string) (content []byte, err error) {
+	content, err = os.ReadFile(filepath.Join(folder, logName))
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
 	if err := os.RemoveAll(folder); err != nil {
-		return err
+		return nil, err
 	}
-	return os.MkdirAll(folder, folderMode)
+	return content, os.MkdirAll(folder, folderMode)
 }
--- a/internal/try/daisysoak/faults_test.go
+++ b/internal/try/daisysoak/faults_test.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 )
 
-const allBusyWait = 20 * time.Millisecond
+const (
+	allBusyWait = 20 * time.Millisecond
+	// maxOpenMicroseconds is the time in which a process that starts opens its log.
+	maxOpenMicroseconds = 40_000
+)
 
 // player plays faults on control hosts.
 type player struct {
@@ -124,10 +130,18 @@
 	wait.Wait()
 }
 
+// startAll starts the processes of hosts, some of them again: they are killed while they
+// open their log.
 func (p *player) startAll(hosts []*host, random *rand.Rand) {
 	pause(random)
 	for _, h := range hosts {
 		p.fleet.start(h)
+		for random.IntN(4) == 0 {
+			time.Sleep(time.Duration(random.IntN(maxOpenMicroseconds)) * time.Microsecond)
+			p.fleet.note("SIGKILL to %s as it starts", h.name)
+			p.fleet.end(h, syscall.SIGKILL)
+			p.fleet.start(h)
+		}
 	}
 }
 
@@ -253,7 +267,13 @@
 	}
 	p.fleet.note("%s loses its disk", h.name)
 	p.endAll(hosts, syscall.SIGKILL)
-	if err := empty(h.data()); err != nil {
+	content, err := empty(h.data())
+	if err == nil && random.IntN(3) == 0 && selected("next-only") {
+		// It lost power again while it created its log.
+		p.fleet.note("%s: next-only", h.name)
+		err = os.WriteFile(filepath.Join(h.data(), nextName), content[:random.IntN(len(content)+1)], fileMode)
+	}
+	if err != nil {
 		p.fleet.fail("data folder of %s: %v", h.name, err)
 	}
 	p.startAll(hosts, random)
--- a/internal/try/daisysoak/fleet_test.go
+++ b/internal/try/daisysoak/fleet_test.go
@@ -63,6 +63,16 @@
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 func (h *host) output(i int) string     { return filepath.Join(h.folder, []string{"stdout", "stderr"}[i]) }
 
+// ended reports whether the process has ended; h.mu is held.
+func (h *host) ended() bool {
+	select {
+	case <-h.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // fleet is a fleet of real processes.
 type fleet struct {
 	t        *testing.T
@@ -227,10 +237,10 @@
 func (f *fleet) await(h *host, c *exec.Cmd, done chan struct{}, offsets [2]int64) {
 	began := time.Now()
 	_ = c.Wait()
-	close(done)
 	h.mu.Lock()
 	held := h.held
 	h.mu.Unlock()
+	close(done) // The test may now start the host again.
 	f.mu.Lock()
 	closed := f.closed
 	f.mu.Unlock()
@@ -260,6 +270,21 @@
 	f.note("%s ended by itself again", h.name)
 }
 
+// checkErrors fails if a process wrote of a panic or a race.
+func (f *fleet) checkErrors() {
+	for _, h := range f.hosts() {
+		content, err := os.ReadFile(h.output(1))
+		if err != nil {
+			f.fail("stderr of %s: %v", h.name, err)
+		}
+		for _, word := range []string{"panic", "fatal error", "DATA RACE"} {
+			if at := strings.Index(string(content), word); at >= 0 {
+				f.fail("%s wrote to stderr: %.2000s", h.name, content[at:])
+			}
+		}
+	}
+}
+
 // tail returns the last lines that were written from the offset on.
 func tail(path string, offset int64) string {
 	content, err := os.ReadFile(path)
@@ -273,12 +298,16 @@
 // end ends the process of a host with a signal, and after the grace period with SIGKILL.
 func (f *fleet) end(h *host, s syscall.Signal) {
 	h.mu.Lock()
+	running := !h.ended()
 	h.held = true
-	c, done := h.command, h.done
+	c, done, offset := h.command, h.done, h.offsets[1]
 	h.mu.Unlock()
 	_ = c.Process.Signal(s)
 	select {
 	case <-done:
+		if running && c.ProcessState.ExitCode() > 0 {
+			f.fail("%s ended with an error after %v: %v; stderr: %s", h.name, s, c.ProcessState, tail(h.output(1), offset))
+		}
 		return
 	case <-time.After(gracePeriod):
 	}
--- a/internal/try/daisysoak/soak_test.go
+++ b/internal/try/daisysoak/soak_test.go
@@ -107,6 +107,7 @@
 		f.note("all are back")
 		recovered(t, f, d, newRandom(), time.Now())
 	}
+	f.checkErrors()
 	for _, failure := range f.failed() {
 		t.Errorf("seed %d: %s", seed, failure)
 	}
