--- a/internal/try/daisysoak/fleet_test.go
+++ b/internal/try/daisysoak/fleet_test.go
@@ -34,7 +34,7 @@
 
 	gracePeriod  = 6 * time.Second
 	restartDelay = 500 * time.Millisecond
-	notedLines   = 3 // Of the output of a process that ended by itself.
+	notedLines   = 5 // Of the output of a process, if a check fails.
 )
 
 // zones are the failure domains with their regions.
@@ -292,7 +292,7 @@
 		return err.Error()
 	}
 	lines := strings.Split(strings.TrimSpace(string(content[min(offset, int64(len(content))):])), "\n")
-	return fmt.Sprintf("%.1000q", strings.Join(lines[max(0, len(lines)-notedLines):], " | "))
+	return fmt.Sprintf("%.2000q", strings.Join(lines[max(0, len(lines)-notedLines):], " | "))
 }
 
 // end ends the process of a host with a signal, and after the grace period with SIGKILL.
@@ -344,6 +344,12 @@
 	}
 	f.wait.Wait()
 	f.t.Logf("played and seen:\n%s", strings.Join(f.lines, "\n"))
+	if len(f.failed()) == 0 {
+		return
+	}
+	for _, h := range f.hosts() {
+		f.t.Logf("last lines of %s: %s", h.name, tail(h.output(0), 0))
+	}
 }
 
 // listen listens on a loopback address of the fleet.
