Keep a control host up that cannot use its disk at its start

A host that ran as its disk failed waited for it instead.

Cause: daisycontrolhost opened the log before everything else, and an error was the end.

Ruled out: more attempts before the end. The disk may be of no use for minutes, and a process that ends answers no call, cannot be asked for its metrics and loses the reason.

Change: daisyconsensus.Node starts without a storage and opens it with Reopen, as after a failure. Until then it takes no part, asks for no place in the configuration (a running one whose storage failed did so too, if it had been removed) and returns the reason. Failures are logged when the reason changes and every 10 s, a disk that does not answer after 1 s and then every 10 s; Close does not wait for it. Package daisystorage opens, creates and reopens the log.

Not covered: a disk that hangs under a running replica still holds up the calls to it.

--- a/internal/cluster/daisyconsensus/membership.go
+++ b/internal/cluster/daisyconsensus/membership.go
@@ -13,9 +13,9 @@
 // have been removed from it.
 func (n *Node) join() {
 	for n.ctx.Err() == nil {
-		if !n.Joined() || n.detached() {
+		if self, asks := n.joining(); asks {
 			for _, peer := range n.peers() {
-				n.options.Transport.Send(peer, daisylog.Join(n.options.Self))
+				n.options.Transport.Send(peer, daisylog.Join(self))
 			}
 		}
 		select {
@@ -35,16 +35,17 @@
 	changed := n.redirect != m.Peer.Address
 	n.redirect = m.Peer.Address
 	n.mu.Unlock()
-	if changed && (!n.Joined() || n.detached()) {
-		n.options.Transport.Send(m.Peer.Address, daisylog.Join(n.options.Self))
+	if self, asks := n.joining(); asks && changed {
+		n.options.Transport.Send(m.Peer.Address, daisylog.Join(self))
 	}
 }
 
-// detached reports whether the replica may have been removed from the configuration.
-func (n *Node) detached() bool {
+// joining returns the replica's own peer and whether it must ask to be added: the
+// configuration does not contain it, or it may have been removed from it.
+func (n *Node) joining() (self daisylog.Peer, asks bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.failed == nil && n.replica.Detached(daisyclock.Now())
+	return n.options.Self, n.failed == nil && (!n.joined() || n.replica.Detached(daisyclock.Now()))
 }
 
 // peers returns the control hosts that a joining replica asks: the configured ones, the
@@ -77,6 +78,11 @@
 func (n *Node) Joined() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.joined()
+}
+
+// joined is Joined; n.mu is held.
+func (n *Node) joined() bool {
 	for _, peer := range n.replica.Configuration() {
 		if peer.Replica == n.options.Self.Replica {
 			return peer.Address == n.options.Self.Address
--- a/internal/cluster/daisyconsensus/node.go
+++ b/internal/cluster/daisyconsensus/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -26,8 +27,17 @@
 	// reopenInterval is how often a replica whose storage failed tries to restart
 	// from it. A full disk may have free space again at any time.
 	reopenInterval = 500 * time.Millisecond
+	// failureLogInterval is how often the same failure to open the storage is logged.
+	failureLogInterval = 10 * time.Second
+	// hangInterval is the time after which a disk that does not answer is logged.
+	hangInterval = time.Second
+	// closeTimeout bounds the wait for a disk that does not answer when the node is closed.
+	closeTimeout = 200 * time.Millisecond
 )
 
+// errNotOpen is the failure of a storage that was not opened yet.
+var errNotOpen = errors.New("storage is not open yet")
+
 // Storage persists the log. Both methods return only after the data is synced.
 type Storage interface {
 	// Append saves the hard state, if it is not nil, and the entries, which replace
@@ -47,13 +57,14 @@
 
 // Options configure a Node.
 type Options struct {
-	Self      daisylog.Peer
+	Self      daisylog.Peer    // Its replica ID is that of the saved state.
 	Peers     []netip.AddrPort // The control hosts that a joining replica asks.
 	Saved     daisylog.PersistedState
-	Storage   Storage
+	Storage   Storage // Holds Saved. If it is nil, both are opened with Reopen.
 	Transport Transport
-	// Reopen reads the storage again after a failure, as at a start of the process.
-	// If it is nil, the replica stays stopped.
+	// Reopen reads the storage, at the start if none is given and again after a failure.
+	// The replica may then be another one. It may block while the disk does not answer;
+	// the node can be closed meanwhile. If Reopen is nil, the replica stays stopped.
 	Reopen    func() (Storage, daisylog.PersistedState, error)
 	View      *daisyfleet.View
 	Random    *rand.Rand
@@ -84,19 +95,28 @@
 	defer daisyerror.Annotate(&err, "open control log")
 	n = &Node{options: o, wake: make(chan struct{}, 1), waiters: make(map[uint64]waiter), addresses: make(map[daisylog.ReplicaID]netip.AddrPort)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.replica = daisylog.New(daisyclock.Now(), o.Saved, o.Random)
-	n.replica.SetMaxVoters(o.MaxVoters)
-	n.restore(o.Saved.Snapshot)
-	for _, peer := range n.replica.Configuration() {
-		if peer.Replica != o.Self.Replica {
-			o.Transport.Open(peer.Address)
-		}
+	n.load(o.Storage, o.Saved)
+	if o.Storage == nil {
+		n.failed = errNotOpen
 	}
 	n.wait.Go(n.run)
 	n.wait.Go(n.join)
 	return n, nil
 }
 
+// load starts the replica from its persisted state; n.mu is held, or n is not in use yet.
+func (n *Node) load(storage Storage, saved daisylog.PersistedState) {
+	n.options.Storage, n.options.Self.Replica = storage, saved.Replica
+	n.replica = daisylog.New(daisyclock.Now(), saved, n.options.Random)
+	n.replica.SetMaxVoters(n.options.MaxVoters)
+	n.restore(saved.Snapshot)
+	for _, peer := range n.replica.Configuration() {
+		if peer.Replica != saved.Replica {
+			n.options.Transport.Open(peer.Address)
+		}
+	}
+}
+
 func (n *Node) restore(snapshot daisylog.Snapshot) {
 	n.applied = snapshot.Index
 	state := snapshot.State
@@ -130,35 +150,99 @@
 	}
 }
 
-// reopen retries until the storage can be read and restarts the replica from it. It
+// reopen retries until the storage can be read and starts the replica from it. It
 // returns false if the node is closed or has no Reopen function.
 func (n *Node) reopen() bool {
 	if n.options.Reopen == nil {
 		return false
 	}
-	for {
+	var failures failureLog
+	first := errors.Is(n.Failed(), errNotOpen)
+	for delay := reopenInterval; ; {
+		if first {
+			delay, first = 0, false
+		}
 		select {
-		case <-time.After(reopenInterval):
+		case <-time.After(delay):
 		case <-n.ctx.Done():
 			return false
 		}
-		storage, saved, err := n.options.Reopen()
-		if err != nil {
-			n.options.Log.WithError(err).Warn("quorum: reopening the storage failed; retrying")
+		o, ok := n.openStorage()
+		switch {
+		case !ok:
+			return false
+		case o.err != nil:
+			n.mu.Lock()
+			n.failed = o.err
+			n.mu.Unlock()
+			if failures.due(o.err) {
+				n.options.Log.WithError(o.err).Warn("quorum: opening the storage failed; retrying")
+			}
+			delay = reopenInterval
 			continue
 		}
 		n.mu.Lock()
-		n.options.Storage = storage
-		n.replica = daisylog.New(daisyclock.Now(), saved, n.options.Random)
-		n.replica.SetMaxVoters(n.options.MaxVoters)
-		n.restore(saved.Snapshot)
+		n.load(o.storage, o.saved)
 		n.failed = nil
 		n.mu.Unlock()
-		n.options.Log.Info("quorum: storage reopened; the replica restarts from it")
+		if delay > 0 {
+			n.options.Log.Info("quorum: storage reopened; the replica restarts from it")
+		}
 		return true
 	}
 }
 
+// failureLog limits how often the same failure is logged.
+type failureLog struct {
+	text string
+	at   time.Time
+}
+
+// due reports whether the failure must be logged: it differs from the one before, or
+// that was logged long ago.
+func (f *failureLog) due(err error) bool {
+	now := daisyclock.Now()
+	if err.Error() == f.text && now.Sub(f.at) < failureLogInterval {
+		return false
+	}
+	f.text, f.at = err.Error(), now
+	return true
+}
+
+// opened is what Reopen returned.
+type opened struct {
+	storage Storage
+	saved   daisylog.PersistedState
+	err     error
+}
+
+// openStorage calls Reopen. It returns false if the node is closed meanwhile.
+func (n *Node) openStorage() (o opened, ok bool) {
+	results := make(chan opened, 1)
+	go func() {
+		var o opened
+		o.storage, o.saved, o.err = n.options.Reopen()
+		results <- o
+	}()
+	hang := time.NewTicker(hangInterval)
+	defer hang.Stop()
+	for {
+		select {
+		case o = <-results:
+			return o, true
+		case <-hang.C:
+			n.options.Log.Warn("quorum: the disk does not answer; the replica waits for it")
+			hang.Reset(failureLogInterval)
+		case <-n.ctx.Done():
+			select {
+			case <-results:
+			case <-time.After(closeTimeout):
+			}
+			return o, false
+		}
+	}
+}
+
 // Failed returns the storage's error while the node is stopped by one, or nil.
 func (n *Node) Failed() error {
 	n.mu.Lock()
@@ -166,7 +250,8 @@
 	return n.failed
 }
 
-// Close stops the node and waits for it to end. A leader resigns first, so that
+// Close stops the node and waits for it to end, except for a call of Reopen to a disk
+// that does not answer. A leader resigns first, so that
 // the others elect a new one without waiting for its lease to expire.
 func (n *Node) Close() error {
 	n.update(func(now time.Time) { n.replica.Resign(now) })
--- a/internal/host/daisycontrolhost/host.go
+++ b/internal/host/daisycontrolhost/host.go
@@ -17,7 +17,7 @@
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
 	"github.com/daisyglade/daisyglade/internal/cluster/daisyconsensus"
 	"github.com/daisyglade/daisyglade/internal/cluster/daisycoordinator"
-	"github.com/daisyglade/daisyglade/internal/cluster/daisywal"
+	"github.com/daisyglade/daisyglade/internal/cluster/daisystorage"
 	"github.com/daisyglade/daisyglade/internal/config/daisynode"
 	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/control/daisylog"
@@ -71,7 +71,7 @@
 	cancel  context.CancelFunc
 	wait    sync.WaitGroup
 
-	wal         *daisywal.Log
+	storage     *daisystorage.Storage
 	peers       *daisycoordinator.Transport
 	view        *daisyfleet.View
 	node        *daisyconsensus.Node
@@ -81,7 +81,8 @@
 	wake        chan struct{} // Signals that orders may be due.
 }
 
-// Open starts a control host.
+// Open starts a control host. One that cannot use its disk runs too; it takes part once
+// it can.
 func Open(o Options) (c *ControlHost, err error) {
 	defer daisyerror.Annotate(&err, "open control host")
 	c = &ControlHost{options: o, view: daisyfleet.NewView(), wake: make(chan struct{}, 1)}
@@ -94,16 +95,12 @@
 
 func (c *ControlHost) open() (err error) {
 	s := &c.options.Settings
-	saved, err := c.openWAL()
-	if err != nil {
-		return err
-	}
+	c.storage = daisystorage.New(daisystorage.Options{Folder: s.DataFolder, Initial: initialState(s), Log: c.options.Log})
 	c.peers = daisycoordinator.NewTransport(daisylink.NewPlainDialer(s.Link.String(), c.options.Network))
 	c.node, err = daisyconsensus.Open(daisyconsensus.Options{
-		Self:  daisylog.Peer{Replica: saved.Replica, Name: s.Link.String(), Address: s.Link},
-		Peers: others(s.Seeds, s.Link), Saved: saved, Storage: c.wal, Transport: c.peers,
+		Self:  daisylog.Peer{Name: s.Link.String(), Address: s.Link},
+		Peers: others(s.Seeds, s.Link), Reopen: c.storage.Open, Transport: c.peers,
 		View: c.view, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), MaxVoters: s.Voters(), Log: c.options.Log,
-		Reopen: c.reopenWAL,
 	})
 	if err != nil {
 		return err
@@ -116,38 +113,6 @@
 	return nil
 }
 
-// openWAL opens the log in the data folder. If there is none, it creates one: with the
-// fleet's initial configuration if the settings say that this host bootstraps the fleet,
-// or an empty one for a host that joins it.
-func (c *ControlHost) openWAL() (saved daisylog.PersistedState, err error) {
-	s := &c.options.Settings
-	c.wal, saved, err = daisywal.Open(s.DataFolder)
-	if !errors.Is(err, daisywal.ErrNotFound) {
-		return saved, err
-	}
-	if err := daisywal.Create(s.DataFolder, initialState(s)); err != nil {
-		return saved, err
-	}
-	c.wal, saved, err = daisywal.Open(s.DataFolder)
-	return saved, err
-}
-
-// reopenWAL opens and reads the log again after a write failed.
-func (c *ControlHost) reopenWAL() (daisyconsensus.Storage, daisylog.PersistedState, error) {
-	if c.wal != nil {
-		if err := c.wal.Close(); err != nil {
-			c.options.Log.WithError(err).Warn("core: closing the control log failed; reopening it")
-		}
-		c.wal = nil
-	}
-	wal, saved, err := daisywal.Open(c.options.Settings.DataFolder)
-	if err != nil {
-		return nil, saved, err
-	}
-	c.wal = wal
-	return wal, saved, nil
-}
-
 // initialState returns the state that a host without a log starts with. All hosts
 // that bootstrap the fleet have the same seeds in their settings, so they derive the
 // same initial configuration of the log.
@@ -227,8 +192,8 @@
 	if c.peers != nil {
 		errs = append(errs, c.peers.Close())
 	}
-	if c.wal != nil {
-		errs = append(errs, c.wal.Close())
+	if c.storage != nil {
+		errs = append(errs, c.storage.Close())
 	}
 	c.wait.Wait()
 	return errors.Join(errs...)
