Join as a new replica after the control log was damaged

Cause: damage was an error like any other. A host that came back with an empty folder while its settings still told it to bootstrap would have taken its former identity, which had acknowledged entries and granted votes that it no longer knows.

Ruled out: the records before the damage. What follows was acknowledged, so such a replica would vote for one that lacks it. Renaming the log alone: a process that ends between the renaming and the new log, or a loss of power that keeps only the removal of the old name, finds no log and bootstraps.

Change: daisystorage writes and syncs control.joins, sets the log aside as control.log.damaged and creates an empty one with a new random identity, at the start and when a running host reopens its log.

--- a/internal/cluster/daisyconsensus/fulldisk_test.go
+++ b/internal/cluster/daisyconsensus/fulldisk_test.go
@@ -30,6 +30,10 @@
 	noSpaceLate       // The same, but what is written is on the disk though the write fails.
 	noSnapshots       // Records can be written, but no snapshot.
 	spaceKinds        // Number of kinds.
+
+	// damaged is a disk that refuses writes and whose log is found to be damaged when it
+	// is reopened. The host then starts with an empty log as a new replica.
+	damaged
 )
 
 // disk is a node's storage.
@@ -38,12 +42,13 @@
 	saved           daisylog.PersistedState
 	space           space
 	failedSnapshots int
+	damages         int // How often the log was found to be damaged.
 }
 
 func (d *disk) Append(hardState *daisylog.HardState, entries []daisylog.Entry) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.space == noSpace {
+	if d.space == noSpace || d.space == damaged {
 		return errFull
 	}
 	if hardState != nil {
@@ -77,11 +82,23 @@
 	if d.space == noSpace || d.space == noSpaceLate {
 		return nil, daisylog.PersistedState{}, errFull
 	}
+	if d.space == damaged {
+		const identities = 100 // More than there are replicas.
+		d.damages, d.space = d.damages+1, hasSpace
+		d.saved = daisylog.PersistedState{Replica: d.saved.Replica + identities}
+	}
 	saved := d.saved
 	saved.Entries = slices.Clone(saved.Entries)
 	return d, saved, nil
 }
 
+// isDamaged reports whether the log is damaged and the host has not found out yet.
+func (d *disk) isDamaged() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.space == damaged
+}
+
 func (d *disk) setSpace(s space) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -122,7 +139,7 @@
 }
 
 // propose proposes some changes to the leader, if there is one, and records the accepted ones.
-func (c *diskCluster) propose(t *testing.T, limit time.Duration) (accepted bool) {
+func (c *diskCluster) propose(t *testing.T) (accepted bool) {
 	leader := c.leader()
 	if leader < 0 {
 		return false
@@ -136,7 +153,7 @@
 			ID: daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: name}, Value: daisyfleet.Workspace{Home: "d", Rate: 1, Burst: 1},
 		}}})
 	}
-	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	decisions, err := c.nodes[leader].ProposeAll(ctx, changes)
 	if err != nil {
@@ -154,7 +171,7 @@
 // proposeFor proposes changes for the duration.
 func (c *diskCluster) proposeFor(t *testing.T, d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
-		c.propose(t, time.Second)
+		c.propose(t)
 		time.Sleep(time.Duration(10+c.random.IntN(150)) * time.Millisecond)
 	}
 }
@@ -225,7 +242,7 @@
 // part, and that no accepted change is lost.
 func (c *diskCluster) checkService(t *testing.T, within time.Duration) {
 	restored := time.Now()
-	for !c.propose(t, time.Second) {
+	for !c.propose(t) {
 		assert.Assert(t, time.Since(restored) < within, "no change is accepted %v after the last disk has space", within)
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -235,11 +252,21 @@
 		assert.NilError(t, n.Failed())
 		assert.Equal(t, c.views[i].Revision(), c.views[0].Revision())
 	}
-	for _, o := range c.accepted {
-		c.views[c.random.IntN(len(c.views))].Read(func(s *daisyfleet.State) {
-			_, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: o.ID})
-			assert.Check(t, ok, "accepted change %s is lost", o.ID)
-		})
+	for i := range c.views {
+		c.checkAccepted(t, i)
 	}
 	assert.Assert(t, len(c.accepted) > 100, "%d changes accepted", len(c.accepted))
 }
+
+// checkAccepted checks that the node has all accepted changes.
+func (c *diskCluster) checkAccepted(t *testing.T, node int) {
+	var lost []string
+	c.views[node].Read(func(s *daisyfleet.State) {
+		for _, o := range c.accepted {
+			if _, ok := s.Get(daisyfleet.ID{Kind: daisyfleet.KindWorkspace, Name: o.ID}); !ok {
+				lost = append(lost, o.ID)
+			}
+		}
+	})
+	assert.Assert(t, len(lost) == 0, "%d accepted changes are lost on %d", len(lost), node)
+}
--- a/internal/host/daisycontrolhost/host.go
+++ b/internal/host/daisycontrolhost/host.go
@@ -118,7 +118,7 @@
 // same initial configuration of the log.
 func initialState(s *daisynode.Settings) daisylog.PersistedState {
 	if !s.Bootstrap || !slices.Contains(s.Seeds, s.Link) {
-		return daisylog.PersistedState{Replica: daisylog.ReplicaID(rand.Uint64() | 1)}
+		return daisystorage.Joining()
 	}
 	var peers []daisylog.Peer
 	for _, seed := range s.Seeds {
