Let hosts in front of PostgreSQL wait for their disk too

What callers would see: a host whose control log could not be opened, or was damaged, ended at its start, and one whose disk failed while it ran had no replica until it was started again.

Cause: daisyhost opened the log itself and gave the node no way to reopen it.

Change: it uses daisystorage, as control hosts on the platform do: it waits for its disk, sets a damaged log aside and joins as a new replica.

No test damages the disk of such a host; that the parts work is shown on control hosts.

--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -22,6 +22,7 @@
 	"github.com/daisyglade/daisyglade/internal/cluster/daisycoordinator"
 	"github.com/daisyglade/daisyglade/internal/cluster/daisylease"
 	"github.com/daisyglade/daisyglade/internal/cluster/daisyprobe"
+	"github.com/daisyglade/daisyglade/internal/cluster/daisystorage"
 	"github.com/daisyglade/daisyglade/internal/cluster/daisywal"
 	"github.com/daisyglade/daisyglade/internal/config/daisysettings"
 	"github.com/daisyglade/daisyglade/internal/control/daisycontroller"
@@ -67,7 +68,7 @@
 	ops         *daisyops.Server
 	coordinator *daisycoordinator.Coordinator
 	node        *daisyconsensus.Node
-	wal         *daisywal.Log
+	storage     *daisystorage.Storage
 	peers       *daisycoordinator.Transport
 
 	ctx     context.Context
@@ -156,24 +157,14 @@
 
 // openControl starts the replica of the control log. A host without a log in its
 // data folder starts with an empty one and asks to join the fleet's replicas.
-func (h *Host) openControl() error {
+func (h *Host) openControl() (err error) {
 	s := &h.settings
-	wal, saved, err := daisywal.Open(s.DataFolder)
-	if errors.Is(err, daisywal.ErrNotFound) {
-		err = daisywal.Create(s.DataFolder, daisylog.PersistedState{Replica: newReplica(*s).Replica})
-		if err == nil {
-			wal, saved, err = daisywal.Open(s.DataFolder)
-		}
-	}
-	if err != nil {
-		return err
-	}
-	h.wal = wal
+	h.storage = daisystorage.New(daisystorage.Options{Folder: s.DataFolder, Initial: daisystorage.Joining(), Log: h.log})
 	h.peers = daisycoordinator.NewTransport(h.dialer)
 	committed := daisyfleet.NewView() // What this replica has committed; h.view is filled by the lease client.
 	h.node, err = daisyconsensus.Open(daisyconsensus.Options{
-		Self:  daisylog.Peer{Replica: saved.Replica, Name: s.Host, Address: s.Link.Advertise},
-		Peers: others(s.Control.Hosts, s.Link.Advertise), Saved: saved, Storage: wal, Transport: h.peers,
+		Self:  daisylog.Peer{Name: s.Host, Address: s.Link.Advertise},
+		Peers: others(s.Control.Hosts, s.Link.Advertise), Reopen: h.storage.Open, Transport: h.peers,
 		View: committed, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Log: h.log,
 	})
 	if err != nil {
@@ -434,8 +425,8 @@
 	if h.holder != nil {
 		errs = append(errs, h.holder.Close())
 	}
-	if h.wal != nil {
-		errs = append(errs, h.wal.Close())
+	if h.storage != nil {
+		errs = append(errs, h.storage.Close())
 	}
 	h.wait.Wait()
 	return errors.Join(errs...)
