Test that a whole log of another version is left alone

Cause: only the error of daisywal.Open tells such a log from a damaged one, and only a damaged one may be set aside.

Change: TestUnreadableLogIsLeftAlone opens a log with a record that is intact but cannot be decoded.

--- a/internal/cluster/daisystorage/storage_test.go
+++ b/internal/cluster/daisystorage/storage_test.go
@@ -1,6 +1,8 @@
 package daisystorage_test
 
 import (
+	"encoding/binary"
+	"hash/crc32"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -127,3 +129,35 @@
 	assert.Equal(t, again.HardState.Term, uint64(3))
 	assert.NilError(t, s.Close())
 }
+
+// Guards against a whole log that is set aside since this version cannot read it.
+func TestUnreadableLogIsLeftAlone(t *testing.T) {
+	folder := t.TempDir()
+	s, lines := newStorage(folder)
+	_, _, err := s.Open()
+	assert.NilError(t, err)
+	assert.NilError(t, s.Close())
+	path := filepath.Join(folder, logFile)
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	payload, table := []byte("of a later version"), crc32.MakeTable(crc32.Castagnoli)
+	header := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))
+	header = binary.BigEndian.AppendUint32(header, crc32.Checksum(payload, table))
+	header = binary.BigEndian.AppendUint32(header, crc32.Checksum(header, table))
+	content = append(append(content, header...), payload...)
+	assert.NilError(t, os.WriteFile(path, content, 0o600))
+
+	s, _ = newStorage(folder)
+	for range 2 {
+		_, _, err = s.Open()
+		assert.ErrorIs(t, err, daisywal.ErrUnreadable)
+	}
+	kept, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, kept, content)
+	files, err := os.ReadDir(folder)
+	assert.NilError(t, err)
+	assert.Equal(t, len(files), 1)
+	assert.Equal(t, len(lines.Entries), 0)
+	assert.NilError(t, s.Close())
+}
