Keep a log that is missing from being created anew under the same identity

What callers would see: confirmed changes that are gone.

Cause: daisystorage created a log whenever it found none, also when it opened the log again on a running host, whose folder may be out of reach for a moment. The replica then began in term 1 with the identity under which it had acknowledged entries and granted votes.

Ruled out: the start of a process. There the identity is new, unless the settings say bootstrap, which they do at the first start only.

Change: a log that was open before is not created again, unless it was set aside as damaged; the host waits until it is back.

--- a/internal/cluster/daisystorage/storage.go
+++ b/internal/cluster/daisystorage/storage.go
@@ -43,6 +43,7 @@
 
 	mu     sync.Mutex
 	wal    *daisywal.Log // Nil while it is not open.
+	opened bool          // Whether the log was open before.
 	closed bool
 }
 
@@ -89,7 +90,8 @@
 	return daisywal.SetAside(s.options.Folder)
 }
 
-// create creates a log and opens it.
+// create creates a log and opens it. A log that was open before is not created again with
+// the same identity: its folder may be out of reach.
 func (s *Storage) create() (wal *daisywal.Log, saved daisylog.PersistedState, err error) {
 	initial := s.options.Initial
 	switch _, err := os.Stat(filepath.Join(s.options.Folder, joinsName)); {
@@ -97,6 +99,8 @@
 		initial = Joining()
 	case !errors.Is(err, os.ErrNotExist):
 		return nil, saved, err
+	case s.wasOpen():
+		return nil, saved, daisywal.ErrNotFound
 	}
 	if err := daisywal.Create(s.options.Folder, initial); err != nil {
 		return nil, saved, err
@@ -135,6 +139,12 @@
 	return wal
 }
 
+func (s *Storage) wasOpen() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.opened
+}
+
 // put keeps the open log. The storage may have been closed while the disk did not answer.
 func (s *Storage) put(wal *daisywal.Log) error {
 	s.mu.Lock()
@@ -142,7 +152,7 @@
 	if s.closed {
 		return errors.Join(errClosed, wal.Close())
 	}
-	s.wal = wal
+	s.wal, s.opened = wal, true
 	return nil
 }
 
--- a/internal/cluster/daisystorage/storage_test.go
+++ b/internal/cluster/daisystorage/storage_test.go
@@ -161,3 +161,25 @@
 	assert.Equal(t, len(lines.Entries), 0)
 	assert.NilError(t, s.Close())
 }
+
+// Guards against a replica that forgets what it acknowledged and goes on under the same
+// identity: its log is missing when it is opened again while the host runs, as below a
+// mount point whose disk failed.
+func TestLogMissingWhenOpenedAgain(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "data")
+	s, _ := newStorage(folder)
+	wal, saved, err := s.Open()
+	assert.NilError(t, err)
+	assert.NilError(t, wal.Append(&daisylog.HardState{Term: 3, Vote: 8}, nil))
+	assert.NilError(t, os.Rename(folder, folder+".away"))
+	for range 2 {
+		_, _, err = s.Open()
+		assert.ErrorIs(t, err, daisywal.ErrNotFound)
+	}
+	assert.NilError(t, os.Rename(folder+".away", folder))
+	_, again, err := s.Open()
+	assert.NilError(t, err)
+	assert.Equal(t, again.Replica, saved.Replica)
+	assert.Equal(t, again.HardState, daisylog.HardState{Term: 3, Vote: 8})
+	assert.NilError(t, s.Close())
+}
