Take bytes after an unreadable record for a sign that it was synced

What callers would see: a host that forgets several confirmed records, and its votes, under its old identity, if the last records of its log are damaged together, as by a bad sector.

Cause: an unreadable record was dropped as an unfinished write unless a whole record follows.

Change: if its header is intact, its length tells where it ends, and any bytes after that were written after it was synced. The record is damaged then.

Ruled out: the same without an intact header. Bytes cannot be told from those of the record itself (docs/PROOFS.md).

--- a/internal/cluster/daisywal/damage_test.go
+++ b/internal/cluster/daisywal/damage_test.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"errors"
 	"hash/crc32"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -169,3 +171,30 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Replica, daisylog.ReplicaID(7))
 }
+
+// Guards against damage to several records at the end of the file, as in one sector of the
+// disk, that passes for one unfinished write: a record with an intact header that more bytes
+// follow was synced before they were written.
+func TestDamagedLastRecordsAreNoUnfinishedWrite(t *testing.T) {
+	folder := t.TempDir()
+	assert.NilError(t, Create(folder, daisylog.PersistedState{Replica: 5}))
+	l, _, err := Open(folder)
+	assert.NilError(t, err)
+	path := filepath.Join(folder, fileName)
+	var offsets []int64
+	for term := range uint64(3) {
+		info, err := os.Stat(path)
+		assert.NilError(t, err)
+		offsets = append(offsets, info.Size())
+		assert.NilError(t, l.Append(&daisylog.HardState{Term: 2 + term, Vote: 7}, []daisylog.Entry{{Index: 1 + term, Term: 2 + term}}))
+	}
+	assert.NilError(t, l.Close())
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	for _, offset := range offsets {
+		content[offset+headerBytes+2] ^= 1
+	}
+	assert.NilError(t, os.WriteFile(path, content, fileMode))
+	_, s, err := Open(folder)
+	assert.ErrorIs(t, err, ErrCorrupt, "read back in term %d with %d entries", s.HardState.Term, len(s.Entries))
+}
--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -5,8 +5,8 @@
 // entries are acknowledged and before the next record is written. After a loss of
 // power any part of a write that was not synced may be missing. Therefore, an
 // unreadable record at the end of the file is an unfinished write and is dropped. One
-// that is followed by a complete record was synced: it is damaged, which is an error,
-// because its entries may have been counted towards a quorum.
+// that is followed by another was synced: it is damaged, which is an error, because its
+// entries may have been counted towards a quorum.
 package daisywal
 
 import (
@@ -159,7 +159,7 @@
 			}
 			content = append(content, rest...)
 			if next, ok := findLater(content); ok {
-				return s, 0, 0, fmt.Errorf("offset %d: %w: record does not match its checksums, and one follows at offset %d", length, ErrCorrupt, length+int64(next))
+				return s, 0, 0, fmt.Errorf("offset %d: %w: record does not match its checksums, and is followed at offset %d", length, ErrCorrupt, length+int64(next))
 			}
 			dropped = len(content)
 			break
@@ -218,15 +218,15 @@
 	return payload, crc32.Checksum(payload, castagnoli) == binary.BigEndian.Uint32(content[4:])
 }
 
-// findLater returns the offset of a complete record after the first one, which is
-// unreadable. If the header of the first one is intact, bytes of its payload cannot
-// pass for a record.
+// findLater returns the offset of what follows the first record, which is unreadable. If
+// the header of that record is intact, it tells where it ends, and nothing that its payload
+// holds can pass for a record. Otherwise a complete record is searched for.
 func findLater(content []byte) (offset int, ok bool) {
-	offset = 1
 	if length, ok := readHeader(content); ok {
 		offset = headerBytes + length
+		return offset, offset < len(content)
 	}
-	for ; offset < len(content); offset++ {
+	for offset = 1; offset < len(content); offset++ {
 		if _, ok := readRecord(content[offset:]); ok {
 			return offset, true
 		}
