Count only what a new leader has sent as on its way

Cause: a new leader knows of no match, so that entries which the others have used up the bound on what is on its way, and its first message carried no entry.

Change: what is on its way is counted from the entry from which this leader sent.

Result: TestNewLeaderSendsItsFirstEntryAtOnce failed before and passes.

--- a/internal/control/daisylog/bandwidth_test.go
+++ b/internal/control/daisylog/bandwidth_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -145,3 +146,37 @@
 		assert.Check(t, l.bytes-before[key] < 3*documentSize/2, "%d bytes were sent", l.bytes-before[key])
 	}
 }
+
+// Guards against a new leader whose first messages carry no entry, since it counts as on
+// their way what the others have had for long.
+func TestNewLeaderSendsItsFirstEntryAtOnce(t *testing.T) {
+	peers := []daisylog.Peer{{Replica: 1, Name: "c1"}, {Replica: 2, Name: "c2"}, {Replica: 3, Name: "c3"}}
+	saved := daisylog.BootstrapGroup(1, peers)
+	const documents = 4
+	for i := range uint64(documents) {
+		value := daisyfleet.Document{Version: i + 1, Content: string(make([]byte, documentSize))}
+		saved.Entries = append(saved.Entries, daisylog.Entry{Index: i + 2, Term: 1, Change: &daisyfleet.Change{ID: fmt.Sprint(i), Operations: []daisyfleet.Operation{{
+			ID: daisyfleet.ID{Kind: daisyfleet.KindDocument, Name: daisyfleet.DocumentName}, Value: value,
+		}}}})
+	}
+	now := time.Unix(0, 0)
+	r := daisylog.New(now, saved, rand.New(rand.NewPCG(1, 1)))
+	now = now.Add(daisylog.ElectionMax)
+	r.Tick(now)
+	sent := 0
+	for ready := r.Ready(); !ready.Empty(); ready = r.Ready() {
+		for _, m := range ready.Messages {
+			switch m.Kind {
+			case daisylog.KindPreVote:
+				r.Step(now, daisylog.Message{Kind: daisylog.KindPreVoteReply, From: m.To, To: 1, Term: m.Term})
+			case daisylog.KindVote:
+				r.Step(now, daisylog.Message{Kind: daisylog.KindVoteReply, From: m.To, To: 1, Term: m.Term})
+			case daisylog.KindAppend:
+				sent++
+				assert.Equal(t, len(m.Entries), 1)
+				assert.Equal(t, m.Entries[0].Index, uint64(documents+2))
+			}
+		}
+	}
+	assert.Equal(t, sent, len(peers)-1)
+}
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -36,7 +36,7 @@
 	lastAck      time.Time // Send time of the latest broadcast that the replica has answered.
 	snapshotSent bool      // A snapshot was sent and is not acknowledged yet.
 
-	resumedFrom  uint64 // The entry from which the replica was last sent entries again.
+	resumedFrom  uint64 // The entry from which the replica was first, or last again, sent entries.
 	resumedRound uint64 // The broadcast before that.
 }
 
@@ -262,7 +262,8 @@
 func (r *Replica) trackPeers() {
 	for _, peer := range r.configuration {
 		if peer.Replica != r.id && r.progress[peer.Replica] == nil {
-			r.progress[peer.Replica] = &progress{next: r.lastIndex() + 1}
+			next := r.lastIndex() + 1
+			r.progress[peer.Replica] = &progress{next: next, resumedFrom: next}
 		}
 	}
 	for id := range r.progress {
@@ -334,7 +335,7 @@
 		return nil
 	}
 	room, n := maxUnacknowledgedBytes, 0
-	for _, e := range r.entriesFrom(max(p.match, r.snapshot.Index) + 1) {
+	for _, e := range r.entriesFrom(max(p.match+1, p.resumedFrom, r.snapshot.Index+1)) {
 		if room <= 0 || n == maxBatchEntries {
 			break
 		}
