Remove a new control log that could not be written

What callers would see: a full disk on which each try to open the log, twice a second, fills what room there is, until the next one removes it. Found by reading, by the review of this work.

Cause: the temporary file stayed after a failed write.

Change: it is removed.

--- a/internal/cluster/daisywal/wal.go
+++ b/internal/cluster/daisywal/wal.go
@@ -301,10 +301,11 @@
 	if _, err = io.CopyN(writer{f}, content, length); err == nil {
 		err = f.Sync()
 	}
-	if err == nil {
-		err = l.files.rename(tempPath, filepath.Join(l.folder, fileName))
+	if err != nil {
+		// The room that it took may be what the disk lacks.
+		return errors.Join(err, f.Close(), l.files.remove(tempPath))
 	}
-	if err == nil {
+	if err = l.files.rename(tempPath, filepath.Join(l.folder, fileName)); err == nil {
 		err = l.files.syncFolder(l.folder)
 	}
 	if err != nil {
