--- a/internal/host/daisycontrolhost/damage_test.go
+++ b/internal/host/daisycontrolhost/damage_test.go
@@ -270,8 +270,8 @@
 // damaged at once than it tolerates, such as one that is bootstrapped anew.
 func TestTooManyDamagedLogs(t *testing.T) {
 	const (
-		seeds    = 4
-		duration = 10 * time.Second
+		seeds    = 6
+		duration = 30 * time.Second
 	)
 	folder := t.TempDir()
 	for seed := range uint64(seeds) {
