Count the answers that no statement waits for

Neither logs nor metrics of tell an answer that was taken for that of a later statement from one that was not: an idle connection with unread bytes is closed without a word, and an answer that repeats an earlier one is passed on silently.

Change: each connection keeps the signatures that it has received and judges each answer, without acting on it yet. Three counters, three fields of front: load, and a warning when a server is first found to answer again. An answer without a signature has an empty one inside, as an answer of daisyglade's own; nothing outside changes.

--- a/internal/backend/daisypool/conn.go
+++ b/internal/backend/daisypool/conn.go
@@ -25,8 +25,9 @@
 	Send(statements []daisystatement.Statement) error
 	// Receive returns the next answer. After an error the link is unusable.
 	Receive(deadline time.Time) (daisystatement.Answer, error)
-	// Alive returns false if the server has closed the idle connection.
-	Alive() bool
+	// Alive returns false if the server has closed the idle connection, or has sent something
+	// since the last answer was received, which it then reports as unread.
+	Alive() (alive, unread bool)
 	Close()
 }
 
@@ -53,7 +54,8 @@
 	prepared    map[string]bool
 	idleSince   time.Time
 	broken      bool
-	outstanding int // Number of statements without an answer yet.
+	history     history
+	outstanding []kindSent // The statements without an answer yet.
 	interrupted atomic.Bool
 }
 
@@ -76,8 +78,8 @@
 		c.broken = true
 		return errors.Join(ErrUnanswered, err)
 	}
-	c.outstanding += len(statements)
 	for _, s := range statements {
+		c.outstanding = append(c.outstanding, kindSent(s.Kind))
 		switch s.Kind {
 		case daisystatement.KindSet:
 			if c.values == nil {
@@ -103,7 +105,10 @@
 		c.broken = true
 		return a, errors.Join(ErrUnanswered, err)
 	}
-	c.outstanding--
+	s := c.outstanding[0]
+	c.outstanding = c.outstanding[1:]
+	c.pool.count(c.history.judge(s, a, c.pool.repeats.Load()))
+	c.history.record(s, a)
 	return a, nil
 }
 
@@ -121,7 +126,7 @@
 // Release returns the connection to the pool. It closes a connection that is
 // broken or has answers outstanding.
 func (c *Conn) Release() {
-	if c.outstanding > 0 || c.interrupted.Load() {
+	if len(c.outstanding) > 0 || c.interrupted.Load() {
 		c.broken = true
 	}
 	c.pool.release(c)
--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -37,6 +37,10 @@
 
 // Pool keeps the connections to all servers.
 type Pool struct {
+	// OnRepeat is called when a server is first found to send an answer again. It must
+	// not call the pool. It may be nil.
+	OnRepeat func(server string)
+
 	dialer Dialer
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -44,6 +48,10 @@
 	dials  atomic.Uint64
 	full   atomic.Uint64 // Dials refused since the server had too many connections.
 
+	foreign   atomic.Uint64
+	uncertain atomic.Uint64
+	unread    atomic.Uint64
+
 	mu      sync.Mutex
 	servers map[string]*serverPool
 }
@@ -185,6 +193,8 @@
 	name   string
 	pool   *Pool
 	target Target
+	// repeats is set once the server has sent an answer again.
+	repeats atomic.Bool
 
 	mu        sync.Mutex
 	share     Share
@@ -277,10 +287,15 @@
 			continue
 		}
 		s.idle = slices.Delete(s.idle, i, i+1)
-		if c.link.Alive() {
+		alive, unread := c.link.Alive()
+		if alive {
 			s.active[workspace]++
 			return c
 		}
+		if unread {
+			s.pool.unread.Add(1)
+			s.noteRepeat()
+		}
 		c.link.Close()
 		s.open--
 	}
--- a/internal/backend/daisypool/pool_test.go
+++ b/internal/backend/daisypool/pool_test.go
@@ -48,7 +48,7 @@
 func (c *connection) Receive(time.Time) (daisystatement.Answer, error) {
 	return daisystatement.Answer{}, nil
 }
-func (c *connection) Alive() bool { return true }
+func (c *connection) Alive() (alive, unread bool) { return true, false }
 func (c *connection) Close() {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -97,8 +97,8 @@
 	return daisystatement.Answer{Signature: "s", Rows: []string{"row of " + s.Text}, State: c.state, Position: daisystatement.Position{Term: 3, Number: 41}}, nil
 }
 
-func (c *connection) Alive() bool { return true }
-func (c *connection) Close()      {}
+func (c *connection) Alive() (alive, unread bool) { return true, false }
+func (c *connection) Close()                      {}
 
 // wire is one end of a connection between hosts.
 type wire struct {
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -86,8 +86,8 @@
 	return daisystatement.Answer{Signature: "s", State: c.state}, nil
 }
 
-func (c *connection) Alive() bool { return true }
-func (c *connection) Close()      {}
+func (c *connection) Alive() (alive, unread bool) { return true, false }
+func (c *connection) Close()                      {}
 
 // load sends requests to a gateway and records how they are served.
 type load struct {
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -147,6 +147,9 @@
 	s := &h.options.Settings
 	h.pacer = daisypacer.New(s.LinkSpeed)
 	h.pool = daisypool.New(h.options.Dialer)
+	h.pool.OnRepeat = func(server string) {
+		h.options.Log.WithField("Server", server).Warn("pool: backend server sends answers again")
+	}
 	h.gateway = daisygateway.New(h.pool, h.options.Log)
 	h.gateway.OnWait = h.options.OnWait
 	h.forwarder = daisyforwarder.New(daisyforwarder.Options{
--- a/internal/host/daisyentryhost/load.go
+++ b/internal/host/daisyentryhost/load.go
@@ -5,6 +5,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/entry/daisyforwarder"
 	"github.com/daisyglade/daisyglade/internal/holder/daisygateway"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyadmission"
@@ -23,6 +24,7 @@
 	Gateway   daisygateway.Counts
 	Dials     uint64 // Connections to backend servers that the host tried to open.
 	Refused   uint64 // Of these, refused since the server had too many connections.
+	Answers   daisypool.Answers
 	Checks    uint64 // Checks whether a primary can be reached.
 	Unsampled uint64 // Reads for which this host had no recent sample of the primary's position.
 	Refusals  daisyadmission.Refusals
@@ -37,7 +39,7 @@
 // Load returns the totals so far.
 func (h *EntryHost) Load() Load {
 	return Load{
-		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(),
+		Forwarder: h.forwarder.Counts(), Gateway: h.gateway.Counts(), Dials: h.pool.Dials(), Refused: h.pool.DialsRefused(), Answers: h.pool.Answers(),
 		Checks: h.router.Checks(), Unsampled: h.router.Unsampled(), HeldOff: h.router.HeldOffTotal(), NotAtHome: h.router.NotAtHome(),
 		Refusals: h.admission.Refusals(), Reserve: h.admission.ReserveUsed(), Controls: h.lease.Dials(), Chosen: h.router.Chosen(), Traffic: h.traffic.Totals(),
 	}
@@ -83,6 +85,9 @@
 		"Evacuated":    l.Gateway.Evacuated - before.Gateway.Evacuated,
 		"Dials":        l.Dials - before.Dials,
 		"DialsRefused": l.Refused - before.Refused,
+		"Foreign":      l.Answers.Foreign - before.Answers.Foreign,
+		"Uncertain":    l.Answers.Uncertain - before.Answers.Uncertain,
+		"Unread":       l.Answers.Unread - before.Answers.Unread,
 		"Checks":       l.Checks - before.Checks,
 		"Unsampled":    l.Unsampled - before.Unsampled,
 		"OverBudget":   l.Gateway.OverBudget - before.Gateway.OverBudget,
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -79,7 +79,7 @@
 	done     chan struct{} // Closed with the link.
 }
 
-func (l *link) Alive() bool { return !l.closed.Load() }
+func (l *link) Alive() (alive, unread bool) { return !l.closed.Load(), false }
 func (l *link) Close() {
 	if !l.closed.Swap(true) {
 		close(l.done)
