--- a/internal/domain/daisystatement/statement.go
+++ b/internal/domain/daisystatement/statement.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"fmt"
+	"strings"
 )
 
 // Kind is the kind of a statement.
@@ -158,7 +159,9 @@
 // Done returns a success that daisyglade answers itself.
 func Done(s State) Answer { return Answer{State: s} }
 
-// Fail returns a failed answer.
+// Fail returns a failed answer. Its text is one line.
 func Fail(s State, c Code, format string, args ...any) Answer {
-	return Answer{State: s, Failure: &Failure{Code: c, Text: fmt.Sprintf(format, args...)}}
+	// The texts of joined errors have several lines.
+	text := strings.NewReplacer("\r", " ", "\n", "; ").Replace(fmt.Sprintf(format, args...))
+	return Answer{State: s, Failure: &Failure{Code: c, Text: text}}
 }
