Match answers to statements by what the connection has received

What callers saw: other items' rows, other requests' signatures, "COMPLETE -" for reads, writes and COMMITs, and writes that were kept though they were reported as not kept.

Cause: an answer has no request ID, and a connection took the next complete answer for that of the earliest statement sent. A server that answers twice, at once or late, shifts all answers that follow, also to sessions that use the connection later.

Change: the first answers of a server come in the order of the statements, so that an answer unlike all earlier ones of its connection is surely that of the earliest statement without one. Connections keep what they have received. An answer with a known signature, without one where the server signs, or of another form than the statement's is passed over. Where answers can be alike (BEGIN, SET, failures) a connection is used only if none like it has come: for one transaction or change of values, and after a failure for reads. What may be either closes the connection: a read is tried elsewhere, a write or COMMIT is in doubt, a BEGIN is as not run. A single SET for a read goes without until the server is known to answer again, since it would cost a new connection for each third read; the answer is passed on only if it is the read's own. Transactions that do not end in a COMMIT are rolled back by closing the connection. A server that does not know a prepared statement is reported as busy, since the client's PARSE was acknowledged; a connection on which PARSE was refused is closed.

The stand-ins of the tests sign answers as servers do, each differently.

--- a/internal/backend/daisypool/conn.go
+++ b/internal/backend/daisypool/conn.go
@@ -44,6 +44,11 @@
 // was received completely.
 var ErrUnanswered = errors.New("no answer from the backend server")
 
+// ErrUncertain is returned for an answer that may be that to an earlier statement of the
+// connection, which the server sent again. The connection is unusable, and it is unknown
+// whether the statement ran.
+var ErrUncertain = errors.New("the answer cannot be told from an earlier one of the backend server")
+
 // Conn is a connection in use, with the session settings and prepared statements
 // that it has on the server. It is not safe for concurrent use.
 type Conn struct {
@@ -65,8 +70,12 @@
 // Workspace returns the workspace that the connection was opened for.
 func (c *Conn) Workspace() string { return c.workspace }
 
-// Values returns the values of the session settings made on the connection.
-func (c *Conn) Values() map[string]string { return c.values }
+// Repeats reports whether the server is known to send answers again.
+func (c *Conn) Repeats() bool { return c.pool.repeats.Load() }
+
+// Certain reports whether unsigned answers to n statements that are sent next can be told
+// from the connection's earlier ones and from each other.
+func (c *Conn) Certain(n int) bool { return n <= 1 && !c.history.unsigned && !c.history.began }
 
 // Prepared reports whether the statement is prepared on the connection.
 func (c *Conn) Prepared(name string) bool { return c.prepared[name] }
@@ -98,18 +107,29 @@
 	return nil
 }
 
-// Receive returns the answer to the earliest outstanding statement.
+// Receive returns the answer to the earliest outstanding statement. It passes over answers
+// that belong to earlier ones. It returns ErrUncertain for an answer that may.
 func (c *Conn) Receive(deadline time.Time) (daisystatement.Answer, error) {
-	a, err := c.link.Receive(deadline)
-	if err != nil {
-		c.broken = true
-		return a, errors.Join(ErrUnanswered, err)
-	}
 	s := c.outstanding[0]
-	c.outstanding = c.outstanding[1:]
-	c.pool.count(c.history.judge(s, a, c.pool.repeats.Load()))
-	c.history.record(s, a)
-	return a, nil
+	for {
+		a, err := c.link.Receive(deadline)
+		if err != nil {
+			c.broken = true
+			return a, errors.Join(ErrUnanswered, err)
+		}
+		v := c.history.judge(s, a, c.Repeats())
+		c.pool.count(v)
+		switch v {
+		case verdictForeign:
+			continue
+		case verdictUncertain:
+			c.broken = true
+			return daisystatement.Answer{}, ErrUncertain
+		}
+		c.outstanding = c.outstanding[1:]
+		c.history.record(s, a)
+		return a, nil
+	}
 }
 
 // MarkBroken makes Release close the connection.
@@ -124,9 +144,9 @@
 }
 
 // Release returns the connection to the pool. It closes a connection that is
-// broken or has answers outstanding.
+// broken, has answers outstanding or has received maxSignatures.
 func (c *Conn) Release() {
-	if len(c.outstanding) > 0 || c.interrupted.Load() {
+	if len(c.outstanding) > 0 || c.history.full() || c.interrupted.Load() {
 		c.broken = true
 	}
 	c.pool.release(c)
--- a/internal/backend/daisypool/doc.go
+++ b/internal/backend/daisypool/doc.go
@@ -8,6 +8,11 @@
 // served first. One with up to orderCredit more goes before it if its request does in the
 // order of package daisyorder.
 //
+// An answer names no statement, and a server may send one again. So a connection keeps what
+// it has received, passes over an answer that it knows, and is used only for statements
+// whose answers can be told from the earlier ones: for one transaction or change of the
+// session values, one request for the status, and after a failure for reads only.
+//
 // If a server refuses a connection since it has too many, as hosts with different states
 // of the fleet use it, the pool closes idle ones, opens none for a while, and the request
 // waits.
--- a/internal/backend/daisypool/history.go
+++ b/internal/backend/daisypool/history.go
@@ -22,6 +22,7 @@
 	state      daisystatement.State // With the last answer.
 	failed     bool                 // A failure was received.
 	began      bool                 // An unsigned answer in an open transaction was received.
+	unsigned   bool                 // Another unsigned answer was received.
 	sampled    bool                 // The answer to a request for the status was received.
 }
 
@@ -82,6 +83,8 @@
 		h.sampled = true
 	case a.State == daisystatement.StateOpen:
 		h.began = true
+	default:
+		h.unsigned = true
 	}
 }
 
--- a/internal/backend/daisypool/pool.go
+++ b/internal/backend/daisypool/pool.go
@@ -108,14 +108,14 @@
 	return p.servers[name]
 }
 
-// Acquire returns a connection to the server for the workspace. It waits until
-// one is available or ctx ends, before those that the order places after it.
-func (p *Pool) Acquire(ctx context.Context, server, workspace string, o daisyorder.Order) (*Conn, error) {
+// Acquire returns a connection to the server for the workspace that fits the use. It waits
+// until one is available or ctx ends, before those that the order places after it.
+func (p *Pool) Acquire(ctx context.Context, server, workspace string, u Use, o daisyorder.Order) (*Conn, error) {
 	s := p.server(server)
 	if s == nil {
 		return nil, ErrUnknownServer
 	}
-	return s.acquire(ctx, workspace, o)
+	return s.acquire(ctx, workspace, u, o)
 }
 
 // Dials returns the number of connections that the pool has tried to open.
@@ -184,6 +184,7 @@
 // channel allows it to open one, unless the server was removed meanwhile.
 type waiter struct {
 	workspace string
+	use       Use
 	order     daisyorder.Order
 	ready     chan *Conn
 }
@@ -232,10 +233,10 @@
 
 // acquire returns an idle connection of the workspace, opens one, or waits. If the server
 // refuses one, since it has too many, it waits for another.
-func (s *serverPool) acquire(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
-	c, err := s.acquireOnce(ctx, workspace, o)
+func (s *serverPool) acquire(ctx context.Context, workspace string, u Use, o daisyorder.Order) (*Conn, error) {
+	c, err := s.acquireOnce(ctx, workspace, u, o)
 	for tooMany(err) && ctx.Err() == nil {
-		again, waitErr := s.awaitTurn(ctx, workspace, o)
+		again, waitErr := s.awaitTurn(ctx, workspace, u, o)
 		if errors.Is(waitErr, ErrFull) {
 			return nil, err // The server's refusal says more.
 		}
@@ -244,13 +245,13 @@
 	return c, err
 }
 
-func (s *serverPool) acquireOnce(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
+func (s *serverPool) acquireOnce(ctx context.Context, workspace string, u Use, o daisyorder.Order) (*Conn, error) {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		return nil, ErrUnknownServer
 	}
-	if c := s.takeIdle(workspace); c != nil {
+	if c := s.takeIdle(workspace, u); c != nil {
 		s.mu.Unlock()
 		return c, nil
 	}
@@ -260,17 +261,17 @@
 		return s.dial(ctx, workspace)
 	}
 	s.mu.Unlock()
-	return s.awaitTurn(ctx, workspace, o)
+	return s.awaitTurn(ctx, workspace, u, o)
 }
 
 // awaitTurn waits for a connection among the waiters.
-func (s *serverPool) awaitTurn(ctx context.Context, workspace string, o daisyorder.Order) (*Conn, error) {
+func (s *serverPool) awaitTurn(ctx context.Context, workspace string, u Use, o daisyorder.Order) (*Conn, error) {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		return nil, ErrUnknownServer
 	}
-	w := &waiter{workspace: workspace, order: o, ready: make(chan *Conn, 1)}
+	w := &waiter{workspace: workspace, use: u, order: o, ready: make(chan *Conn, 1)}
 	s.waiters = append(s.waiters, w)
 	s.progress.Add(o, time.Now())
 	s.serveWaiters()
@@ -278,15 +279,21 @@
 	return s.await(ctx, w)
 }
 
-// takeIdle removes and returns the workspace's most recently used idle
-// connection that is still alive. It returns nil if there is none.
-func (s *serverPool) takeIdle(workspace string) *Conn {
-	for i := len(s.idle) - 1; i >= 0; i-- {
-		c := s.idle[i]
-		if c.workspace != workspace {
-			continue
+// takeIdle removes and returns the idle connection of the workspace that suits the use best
+// and is still alive. It returns nil if there is none.
+func (s *serverPool) takeIdle(workspace string, u Use) *Conn {
+	for {
+		best := -1
+		for i := len(s.idle) - 1; i >= 0; i-- {
+			if c := s.idle[i]; c.workspace == workspace && c.fits(u) && (best < 0 || !s.idle[best].preferred(u, c)) {
+				best = i
+			}
 		}
-		s.idle = slices.Delete(s.idle, i, i+1)
+		if best < 0 {
+			return nil
+		}
+		c := s.idle[best]
+		s.idle = slices.Delete(s.idle, best, best+1)
 		alive, unread := c.link.Alive()
 		if alive {
 			s.active[workspace]++
@@ -299,7 +306,6 @@
 		c.link.Close()
 		s.open--
 	}
-	return nil
 }
 
 // reserveSlot reserves room for a new connection. If no further connection may be
@@ -420,7 +426,7 @@
 			w.ready <- nil
 			continue
 		}
-		c := s.takeIdle(w.workspace)
+		c := s.takeIdle(w.workspace, w.use)
 		if c == nil {
 			s.reserveSlot()
 			s.active[w.workspace]++
--- a/internal/backend/daisypool/pool_test.go
+++ b/internal/backend/daisypool/pool_test.go
@@ -69,7 +69,7 @@
 		former, present := newPool(s, 4), newPool(s, 6)
 		acquire := func(p *daisypool.Pool, n int) (conns []*daisypool.Conn) {
 			for i := range n {
-				c, err := p.Acquire(t.Context(), serverName, fmt.Sprint("w", i), daisyorder.Order{})
+				c, err := p.Acquire(t.Context(), serverName, fmt.Sprint("w", i), daisypool.Use{}, daisyorder.Order{})
 				assert.NilError(t, err)
 				conns = append(conns, c)
 			}
@@ -86,7 +86,7 @@
 		began := time.Now()
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		c, err := present.Acquire(ctx, serverName, "new", daisyorder.Order{})
+		c, err := present.Acquire(ctx, serverName, "new", daisypool.Use{}, daisyorder.Order{})
 		assert.NilError(t, err) // An idle connection of another workspace made room.
 		assert.Assert(t, time.Since(began) <= 200*time.Millisecond, "%v", time.Since(began))
 		assert.Equal(t, s.refused, 1)
@@ -94,7 +94,7 @@
 		s.mu.Lock()
 		s.limit = 0 // It stays full: the refusal is the answer.
 		s.mu.Unlock()
-		_, err = present.Acquire(ctx, serverName, "other", daisyorder.Order{})
+		_, err = present.Acquire(ctx, serverName, "other", daisypool.Use{}, daisyorder.Order{})
 		var refused *daisystatement.Failure
 		assert.Assert(t, errors.As(err, &refused), "%v", err)
 		assert.Assert(t, s.refused <= 5, "%d dials were refused", s.refused)
@@ -132,7 +132,7 @@
 				p := newPool(&server{limit: 8}, len(test.busy))
 				var held []*daisypool.Conn
 				for _, workspace := range test.busy {
-					c, err := p.Acquire(t.Context(), serverName, workspace, daisyorder.Order{})
+					c, err := p.Acquire(t.Context(), serverName, workspace, daisypool.Use{}, daisyorder.Order{})
 					assert.NilError(t, err)
 					held = append(held, c)
 				}
@@ -141,7 +141,7 @@
 				var wait sync.WaitGroup
 				for _, r := range test.requests {
 					wait.Go(func() {
-						c, err := p.Acquire(t.Context(), serverName, r.workspace, r.order)
+						c, err := p.Acquire(t.Context(), serverName, r.workspace, daisypool.Use{}, r.order)
 						assert.Check(t, err)
 						mu.Lock()
 						served = append(served, r.workspace)
--- /dev/null
+++ b/internal/backend/daisypool/use.go
@@ -0,0 +1,69 @@
+package daisypool
+
+import "maps"
+
+// Use is what a connection is acquired for. It decides which earlier answers the
+// connection may have received, so that the next ones can be told from them.
+type Use struct {
+	Kind UseKind
+	// Values are the session values that the statement runs with. On a connection with
+	// others they are set; the answer to a BEGIN after that shows that the server has
+	// accepted them all.
+	Values map[string]string
+}
+
+// UseKind classifies the statements for which a connection is acquired.
+type UseKind int
+
+const (
+	// UseRead is for a read. It may end without an answer, since another server can run it.
+	UseRead UseKind = iota
+	// UseWrite is for a write. Its failure must not be taken for that of an earlier
+	// statement: the client is told that nothing is kept.
+	UseWrite
+	// UseTransaction is for a transaction. The answer to its BEGIN must not be taken for an
+	// earlier one either: the next statements would run outside a transaction.
+	UseTransaction
+	// UseStatus is for a request for the status.
+	UseStatus
+)
+
+// fits reports whether the answers that the use needs can be told from the earlier ones of
+// the connection. Unless the server is known to send answers again, a read may also follow a
+// single SET, and a request for the status another one.
+func (c *Conn) fits(u Use) bool {
+	h, repeats := &c.history, c.Repeats()
+	aligned := !h.began || maps.Equal(c.values, u.Values)
+	switch u.Kind {
+	case UseWrite:
+		return !h.failed && aligned
+	case UseTransaction:
+		return !h.failed && !h.began
+	case UseStatus:
+		return !h.sampled || !repeats
+	}
+	return aligned || !repeats && len(c.Alignment(u.Values)) == 1
+}
+
+// preferred reports whether the connection suits the use better than the other, which is
+// used less recently: it needs no session values set, or leaves the other for uses
+// that this one does not fit.
+func (c *Conn) preferred(u Use, other *Conn) bool {
+	if u.Kind != UseStatus {
+		equal, otherEqual := maps.Equal(c.values, u.Values), maps.Equal(other.values, u.Values)
+		if equal != otherEqual {
+			return equal
+		}
+	}
+	return c.uses() <= other.uses()
+}
+
+// uses returns for how many kinds of use the connection fits.
+func (c *Conn) uses() (n int) {
+	for _, k := range []UseKind{UseRead, UseWrite, UseTransaction, UseStatus} {
+		if c.fits(Use{Kind: k, Values: c.values}) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -115,7 +115,7 @@
 	// Do runs the request on the connection. Its server and workspace must be those
 	// of the request that pinned the connection.
 	Do(req Request) (daisystatement.Answer, error)
-	// Close rolls back an open transaction and returns the connection to its pool.
-	// It does not wait for the rollback.
+	// Close closes the connection, unless its transaction has ended. The server rolls back
+	// an open one.
 	Close()
 }
--- a/internal/entry/daisyforwarder/forwarder_test.go
+++ b/internal/entry/daisyforwarder/forwarder_test.go
@@ -70,6 +70,7 @@
 	server *server
 	sent   []daisystatement.Statement
 	state  daisystatement.State
+	signed int // Answers with a signature.
 }
 
 func (c *connection) Send(s []daisystatement.Statement) error {
@@ -94,11 +95,28 @@
 	}
 	c.server.executed = append(c.server.executed, s.Text)
 	c.server.asserted = append(c.server.asserted, s.MinPosition)
-	return daisystatement.Answer{Signature: "s", Rows: []string{"row of " + s.Text}, State: c.state, Position: daisystatement.Position{Term: 3, Number: 41}}, nil
+	a := daisystatement.Answer{State: c.state, Position: daisystatement.Position{Term: 3, Number: 41}}
+	switch s.Kind {
+	case daisystatement.KindRead, daisystatement.KindWrite, daisystatement.KindExecute, daisystatement.KindCommit:
+		c.signed++
+		a.Signature, a.Rows = fmt.Sprint("s", c.signed), []string{"row of " + s.Text}
+	case daisystatement.KindStatus:
+		a.Rows = []string{"status"}
+	}
+	return a, nil
 }
 
 func (c *connection) Alive() (alive, unread bool) { return true, false }
-func (c *connection) Close()                      {}
+
+// Close rolls back an open transaction.
+func (c *connection) Close() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.state == daisystatement.StateOpen {
+		c.server.rolledBack++
+		c.state = daisystatement.StateIdle
+	}
+}
 
 // wire is one end of a connection between hosts.
 type wire struct {
@@ -282,7 +300,6 @@
 	f.cancel()
 	f.wait.Wait()
 	for _, h := range f.hosts {
-		assert.NilError(f.t, h.gateway.Close())
 		assert.NilError(f.t, h.pool.Close())
 	}
 }
--- a/internal/entry/daisyforwarder/home_test.go
+++ b/internal/entry/daisyforwarder/home_test.go
@@ -69,7 +69,7 @@
 func (f *homeFleet) Dial(_ context.Context, t daisypool.Target) (daisypool.Link, error) {
 	for i, s := range f.servers {
 		if serverAt(i) == t.Server && !s.lost {
-			return &homeConn{fleet: f, region: s.region}, nil
+			return &homeConn{connection: connection{server: &server{}}, fleet: f, region: s.region}, nil
 		}
 	}
 	return nil, errors.New("unreachable")
@@ -89,7 +89,6 @@
 	for _, st := range s {
 		c.fleet.record(st.Text, c.region)
 	}
-	c.server = &server{}
 	return c.connection.Send(s)
 }
 
@@ -193,7 +192,6 @@
 	wait.Wait()
 	time.Sleep(time.Minute) // Attempts that lost the race end.
 	assert.NilError(t, forwarder.Close())
-	assert.NilError(t, gateway.Close())
 	assert.NilError(t, pool.Close())
 	return answers
 }
--- a/internal/holder/daisygateway/align.go
+++ b/internal/holder/daisygateway/align.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -13,12 +12,19 @@
 
 // align sets the session values of the connection to those of the request. It
 // waits until the server has accepted them, so that no statement runs with other
-// values.
+// values. Answers to SET are alike, and a server may send them again; the answer to a mark after
+// them shows that all have come.
 func align(c *daisypool.Conn, req daisyrequest.Request) error {
-	statements := alignment(c.Values(), req.Values)
+	if req.Statement.Kind == daisystatement.KindStatus {
+		return nil
+	}
+	statements := c.Alignment(req.Values)
 	if len(statements) == 0 {
 		return nil
 	}
+	if !follows(c, req, len(statements)) {
+		statements = append(statements, mark(req)...)
+	}
 	if err := c.Send(statements); err != nil {
 		return fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, err)
 	}
@@ -35,28 +41,24 @@
 	return nil
 }
 
-// alignment returns the statements that change the current values to the wanted
-// ones.
-func alignment(current, wanted map[string]string) []daisystatement.Statement {
-	var all []daisystatement.Statement
-	for name := range current {
-		if _, ok := wanted[name]; !ok {
-			all = append(all, systemStatement(daisystatement.KindDiscard))
-			current = nil
-			break
-		}
+// follows reports whether the statement may follow n statements that set the session values
+// without a mark.
+func follows(c *daisypool.Conn, req daisyrequest.Request, n int) bool {
+	if req.Statement.Kind == daisystatement.KindBegin || c.Certain(n) {
+		return true
 	}
-	if maps.Equal(current, wanted) {
-		return all
-	}
-	for name, value := range wanted {
-		if v, ok := current[name]; !ok || v != value {
-			set := systemStatement(daisystatement.KindSet)
-			set.Name, set.Value = name, value
-			all = append(all, set)
-		}
+	return n == 1 && !req.Pin && !mayPersist(&req) && !c.Repeats()
+}
+
+// mark returns statements whose answers are unlike those to SET. Only those of a BEGIN use no
+// slot of the server, which a transaction does not allow.
+func mark(req daisyrequest.Request) []daisystatement.Statement {
+	if req.Pin {
+		return []daisystatement.Statement{systemStatement(daisystatement.KindStatus)}
 	}
-	return all
+	begin := systemStatement(daisystatement.KindBegin)
+	begin.ReadOnly = true
+	return []daisystatement.Statement{begin, systemStatement(daisystatement.KindRollback)}
 }
 
 func systemStatement(k daisystatement.Kind) daisystatement.Statement {
--- a/internal/holder/daisygateway/burst_test.go
+++ b/internal/holder/daisygateway/burst_test.go
@@ -154,9 +154,6 @@
 }
 
 func (b *burst) close(t *testing.T) {
-	for _, g := range b.gateways {
-		assert.NilError(t, g.Close())
-	}
 	for _, p := range b.pools {
 		assert.NilError(t, p.Close())
 	}
--- a/internal/holder/daisygateway/cold_test.go
+++ b/internal/holder/daisygateway/cold_test.go
@@ -57,7 +57,6 @@
 }
 
 func (g coldGateway) close(t assert.TestingT) {
-	assert.NilError(t, g.Close())
 	assert.NilError(t, g.pool.Close())
 }
 
--- a/internal/holder/daisygateway/gateway.go
+++ b/internal/holder/daisygateway/gateway.go
@@ -41,7 +41,6 @@
 
 	pool *daisypool.Pool
 	log  log.Interface
-	wait sync.WaitGroup
 
 	counters counters
 	active   atomic.Int64 // Statements running, and pinned connections.
@@ -245,7 +244,7 @@
 	if !free {
 		slot.Release()
 	}
-	c, err := g.pool.Acquire(ctx, req.Server, req.Workspace, o)
+	c, err := g.pool.Acquire(ctx, req.Server, req.Workspace, use(&req), o)
 	if err != nil && free {
 		slot.Release()
 	}
@@ -284,8 +283,23 @@
 	return fmt.Errorf("%w: %w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrUnreachable, err)
 }
 
+// use returns what the request needs a connection for.
+func use(req *daisyrequest.Request) daisypool.Use {
+	u := daisypool.Use{Values: req.Values}
+	switch {
+	case req.Pin:
+		u.Kind = daisypool.UseTransaction
+	case req.Statement.Kind == daisystatement.KindStatus:
+		u.Kind = daisypool.UseStatus
+	case mayPersist(req):
+		u.Kind = daisypool.UseWrite
+	}
+	return u
+}
+
 // run sets the session values on the connection, prepares the statement to be
-// executed if the connection lacks it, and runs the statement.
+// executed if the connection lacks it, and runs the statement. The connection is not used
+// again if the state of its session on the server is not certain.
 func run(s *serverState, c *daisypool.Conn, req daisyrequest.Request) (a daisystatement.Answer, err error) {
 	if err := s.evacuation.begin(c, &req); err != nil {
 		return a, err
@@ -297,22 +311,48 @@
 		return a, err
 	}
 	sent := time.Now()
+	a, err = exchange(c, req)
+	if errors.Is(err, daisypool.ErrUncertain) && !mayPersist(&req) {
+		// Nothing is kept of a read, nor of a transaction whose connection is closed.
+		return daisystatement.Fail(daisystatement.StateFailed, daisystatement.CodeBusy, "%v", err), nil
+	}
+	if err != nil {
+		return a, err
+	}
+	if !req.Pin && a.State != daisystatement.StateIdle {
+		c.MarkBroken()
+	}
+	if ends := !req.Pin || req.Statement.Kind == daisystatement.KindCommit; ends && a.Failure == nil && a.State != daisystatement.StateIdle {
+		c.MarkBroken()
+		return a, fmt.Errorf("%w: a transaction is still open", daisypool.ErrUncertain)
+	}
+	s.observe(req, time.Since(sent))
+	return a, nil
+}
+
+// exchange sends the statement, after one that prepares it if the connection lacks it, and
+// returns its answer.
+func exchange(c *daisypool.Conn, req daisyrequest.Request) (a daisystatement.Answer, err error) {
 	statements := withPrepare(c, req.Statement)
 	if err := c.Send(statements); err != nil {
 		return a, err
 	}
 	for range statements {
-		if a, err = c.Receive(req.Deadline); err != nil {
-			return a, err
+		a, err = c.Receive(req.Deadline)
+		if err != nil || a.Failure != nil {
+			break
 		}
 	}
-	if !req.Pin && a.State != daisystatement.StateIdle {
-		c.MarkBroken()
+	if err != nil || a.Failure == nil {
+		return a, err
+	}
+	if len(statements) > 1 || req.Statement.Kind == daisystatement.KindBegin {
+		c.MarkBroken() // The failure may be that of an earlier statement of the request.
 	}
-	if a.Failure != nil && a.Failure.Code == daisystatement.CodeNoStatement {
+	if a.Failure.Code == daisystatement.CodeNoStatement {
 		c.MarkBroken()
+		a.Failure = &daisystatement.Failure{Code: daisystatement.CodeBusy, Text: "the backend server did not keep the prepared statement"}
 	}
-	s.observe(req, time.Since(sent))
 	return a, nil
 }
 
@@ -331,9 +371,3 @@
 // Active returns the number of statements that are running and of connections that are
 // pinned for transactions.
 func (g *Gateway) Active() int { return int(g.active.Load()) }
-
-// Close waits for the rollbacks of pinned connections that were closed.
-func (g *Gateway) Close() error {
-	g.wait.Wait()
-	return nil
-}
--- a/internal/holder/daisygateway/load_test.go
+++ b/internal/holder/daisygateway/load_test.go
@@ -59,6 +59,7 @@
 	backend *backend
 	sent    []daisystatement.Statement
 	state   daisystatement.State
+	signed  int // Answers with a signature.
 }
 
 func (c *connection) Send(s []daisystatement.Statement) error {
@@ -83,7 +84,15 @@
 		}
 		c.backend.work(run)
 	}
-	return daisystatement.Answer{Signature: "s", State: c.state}, nil
+	a := daisystatement.Answer{State: c.state}
+	switch s.Kind {
+	case daisystatement.KindRead, daisystatement.KindWrite, daisystatement.KindExecute, daisystatement.KindCommit:
+		c.signed++
+		a.Signature = fmt.Sprint("s", c.signed)
+	case daisystatement.KindStatus:
+		a.Rows = []string{"status"}
+	}
+	return a, nil
 }
 
 func (c *connection) Alive() (alive, unread bool) { return true, false }
@@ -115,7 +124,6 @@
 
 func (l *load) close(t *testing.T) {
 	l.wait.Wait()
-	assert.NilError(t, l.gateway.Close())
 	assert.NilError(t, l.pool.Close())
 }
 
--- a/internal/holder/daisygateway/pinned.go
+++ b/internal/holder/daisygateway/pinned.go
@@ -10,10 +10,6 @@
 	"github.com/daisyglade/daisyglade/internal/holder/daisyqueue"
 )
 
-// rollbackTimeout is how long a rollback may take before the connection is closed
-// instead.
-const rollbackTimeout = 500 * time.Millisecond
-
 // localPinnedConn is a daisyrequest.PinnedConn over a connection of this host's pool.
 type localPinnedConn struct {
 	gateway *Gateway
@@ -63,28 +59,9 @@
 
 // Close implements daisyrequest.PinnedConn.
 func (p *localPinnedConn) Close() {
-	c := p.conn
-	if c == nil {
+	if p.conn == nil {
 		return
 	}
-	p.conn = nil
-	p.server.observeClass(p.class, p.runTime)
-	p.gateway.wait.Go(func() {
-		defer p.gateway.active.Add(-1)
-		defer c.Release()
-		defer p.server.evacuation.end(c)
-		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
-		defer cancel()
-		if p.server.cold.await(ctx) != nil {
-			c.MarkBroken()
-			return
-		}
-		if err := c.Send([]daisystatement.Statement{systemStatement(daisystatement.KindRollback)}); err != nil {
-			return
-		}
-		a, err := c.Receive(time.Now().Add(rollbackTimeout))
-		if err != nil || a.State != daisystatement.StateIdle {
-			c.MarkBroken()
-		}
-	})
+	p.conn.MarkBroken() // Closing it rolls back, whatever the server answers.
+	p.end()
 }
--- a/internal/host/daisyentryhost/host.go
+++ b/internal/host/daisyentryhost/host.go
@@ -409,7 +409,7 @@
 		errs = append(errs, h.links.Close())
 		h.mux.Wait()
 	}
-	errs = append(errs, h.lease.Close(), h.pacer.Close(), h.forwarder.Close(), h.gateway.Close(), h.pool.Close())
+	errs = append(errs, h.lease.Close(), h.pacer.Close(), h.forwarder.Close(), h.pool.Close())
 	h.wait.Wait()
 	return errors.Join(errs...)
 }
--- a/internal/session/daisysession/fleet_test.go
+++ b/internal/session/daisysession/fleet_test.go
@@ -50,6 +50,7 @@
 	refuse      func(s daisystatement.Statement) daisystatement.Code // Returns the code with which the statement is refused without being run.
 	runs        []run
 	commits     int
+	signed      int     // Answers with a signature.
 	links       []*link // All that were opened.
 }
 
@@ -168,7 +169,15 @@
 		}
 		v.runs[len(v.runs)-1].text = shape
 	}
-	return daisystatement.Answer{Signature: "signed-" + v.name, State: l.state, Position: v.position}
+	a := daisystatement.Answer{State: l.state, Position: v.position}
+	switch s.Kind {
+	case daisystatement.KindRead, daisystatement.KindWrite, daisystatement.KindExecute, daisystatement.KindCommit:
+		v.signed++
+		a.Signature = fmt.Sprint("signed-", v.name, "-", v.signed)
+	case daisystatement.KindStatus:
+		a.Rows = []string{"status"}
+	}
+	return a
 }
 
 func (l *link) Receive(deadline time.Time) (daisystatement.Answer, error) {
@@ -274,7 +283,6 @@
 }
 
 func (f *fleet) close() {
-	assert.NilError(f.t, f.gateway.Close())
 	assert.NilError(f.t, f.pool.Close())
 }
 
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -45,8 +45,7 @@
 	t.end()
 }
 
-// end releases the connection, which rolls back what is still open. It does not
-// wait for the rollback.
+// end releases the connection, which rolls back what is still open.
 func (t *transaction) end() {
 	if t.conn != nil {
 		t.conn.Close()
