Let the test of a late storage look between the node's timers

TestStartBeforeStorageOpens failed at the assertion that a join message has been sent: 'assertion failed: len(sent) is <= 0'. One process a run, 40 of 300 runs failed, and 178 of 300 with the race detector.

The cause is the test. In virtual time it looked at exactly 21 s, the instant at which the next attempt to join is due, and gave the disk space at exactly 20 s, the instant of an attempt to open it. A trace of the order of events (ms since the start) of a run that failed:

reopen fails 20000 | test gives space 20000 | join asks nothing 20500 | reopen succeeds 20500 | test looks 21000 | join asks 21000

and of one that passed, with the same times:

reopen fails 20000 | test gives space 20000 | join asks nothing 20500 | reopen succeeds 20500 | join asks 21000 | test looks 21000

Of 300 traced runs, all that failed looked before or while the join due at that instant was sent. The node asked in time in all of them: it opens the storage within 500 ms and asks within 500 ms more.

The test now looks 100 ms after the node's timers.

--- a/internal/cluster/daisyconsensus/start_test.go
+++ b/internal/cluster/daisyconsensus/start_test.go
@@ -63,7 +63,10 @@
 // each attempt. Once the storage opens it starts with the saved identity.
 func TestStartBeforeStorageOpens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const failure = "quorum: opening the storage failed; retrying"
+		const (
+			failure = "quorum: opening the storage failed; retrying"
+			phase   = 100 * time.Millisecond // No timer of the node is due when the test looks.
+		)
 		var mu sync.Mutex
 		refusal := errFull
 		n, r := openWithout(t, func() (daisyconsensus.Storage, daisylog.PersistedState, error) {
@@ -71,7 +74,7 @@
 			defer mu.Unlock()
 			return &discardStorage{}, daisylog.PersistedState{Replica: 7}, refusal
 		})
-		time.Sleep(9 * time.Second)
+		time.Sleep(9*time.Second + phase)
 		lines, sent := r.take()
 		assert.DeepEqual(t, lines, []string{failure})
 		assert.Equal(t, len(sent), 0)
