Close a pinned connection that is given up while a statement runs on it

Callers saw nothing of it but less room: a transaction whose statement the entry host had given up stayed open at the server, with its locks and its slot of the pool, until the link between the hosts ended. A COMMIT that arrived while another ran on the same connection would have been answered as rolled back.

Cause: the gateway host took a pinned connection out of its table while a statement ran. A request to unpin it found nothing, and the connection went back into the table.

Now the table keeps it and notes its use. An unpin during a statement closes it once that has ended, and a second statement meanwhile is answered as of unknown outcome.

--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -46,10 +46,9 @@
 	pacing  Pacing
 	traffic daisytraffic.Counter
 	wait    sync.WaitGroup
+	pinned  pinnedConns
 
 	mu      sync.Mutex
-	lastID  uint64
-	pinned  map[uint64]daisyrequest.PinnedConn
 	waiting map[uint64]context.CancelFunc // Ends the wait of the call with the ID.
 }
 
@@ -61,7 +60,7 @@
 func Serve(ctx context.Context, conn Conn, g *daisygateway.Gateway, samples Samples, pacing Pacing, traffic daisytraffic.Counter, logger log.Interface) {
 	s := &peer{
 		pacing: pacing, gateway: g, samples: samples, conn: conn, traffic: traffic,
-		pinned: make(map[uint64]daisyrequest.PinnedConn), waiting: make(map[uint64]context.CancelFunc),
+		waiting: make(map[uint64]context.CancelFunc),
 	}
 	defer s.close()
 	var t transit
@@ -85,9 +84,7 @@
 func (s *peer) handle(ctx context.Context, call daisycodec.Call) {
 	switch call.Action {
 	case daisycodec.ActionUnpin:
-		if pinned := s.takePinned(call.PinnedConn); pinned != nil {
-			pinned.Close()
-		}
+		s.pinned.unpin(call.PinnedConn)
 	case daisycodec.ActionRun:
 		abandoned := s.begin(&call)
 		s.wait.Go(func() {
@@ -101,33 +98,6 @@
 	}
 }
 
-// takePinned removes a pinned connection from the map and returns it, so that no
-// other call uses it meanwhile. It returns nil if there is none.
-func (s *peer) takePinned(id uint64) daisyrequest.PinnedConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	pinned := s.pinned[id]
-	delete(s.pinned, id)
-	return pinned
-}
-
-// keepPinned stores a pinned connection and returns its ID, a new one if id is
-// 0. If the link has ended meanwhile, it closes the connection and returns 0.
-func (s *peer) keepPinned(id uint64, pinned daisyrequest.PinnedConn) uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.pinned == nil {
-		pinned.Close()
-		return 0
-	}
-	if id == 0 {
-		s.lastID++
-		id = s.lastID
-	}
-	s.pinned[id] = pinned
-	return id
-}
-
 func (s *peer) run(call daisycodec.Call) (r daisycodec.CallReply) {
 	r.ID = call.ID
 	var pinned daisyrequest.PinnedConn
@@ -140,14 +110,14 @@
 		if err == nil && r.Answer.Failure == nil && epoch > 0 && call.Request.Statement.Samples() {
 			s.samples.RecordPeerPosition(call.Request.Service, epoch, arrived, r.Answer.Position)
 		}
-	} else if pinned = s.takePinned(call.PinnedConn); pinned == nil {
-		err = daisyrequest.ErrPinnedConnClosed
-	} else if r.Answer, err = pinned.Do(call.Request); err != nil {
-		pinned.Close()
-		pinned = nil
-	}
-	if pinned != nil {
-		r.PinnedConn = s.keepPinned(call.PinnedConn, pinned)
+		if pinned != nil {
+			r.PinnedConn = s.pinned.add(pinned)
+		}
+	} else if pinned, err = s.pinned.take(call.PinnedConn); err == nil {
+		r.Answer, err = pinned.Do(call.Request)
+		if s.pinned.release(call.PinnedConn, err == nil) {
+			r.PinnedConn = call.PinnedConn
+		}
 	}
 	r.Fault, r.Text = fault(err)
 	s.addCold(&r, call.Request.Server, err)
@@ -222,14 +192,8 @@
 	}
 }
 
-// close closes the pinned connections and waits for running requests.
+// close unpins all connections and waits for running requests.
 func (s *peer) close() {
-	s.mu.Lock()
-	all := s.pinned
-	s.pinned = nil
-	s.mu.Unlock()
-	for _, pinned := range all {
-		pinned.Close()
-	}
+	s.pinned.close()
 	s.wait.Wait()
 }
