Unpin the connection of a BEGIN whose reply comes too late

Callers saw nothing of it but less room: a transaction that was begun while its entry host had given up stayed open at the server until the link between the hosts ended.

Cause: a late reply was counted and dropped, though it named a pinned connection that nobody knew. A reply that came just as its caller gave up was dropped without a count.

Now the link unpins the connection that a late reply names. A reply is handed to its call under the lock under which the call gives up, so that it is either used or late.

--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -63,12 +63,16 @@
 	failedAt    time.Time
 	lastID      uint64
 	pending     map[uint64]chan daisycodec.CallReply
-	silentSince time.Time // Since when calls are outstanding and nothing was received; zero if none is.
+	unwanted    map[uint64]bool // Calls that were given up and whose reply names a connection to unpin.
+	silentSince time.Time       // Since when calls are outstanding and nothing was received; zero if none is.
 	pingSent    bool
 }
 
 func newLink(addr netip.AddrPort, c *counters, delayed func() bool) *link {
-	return &link{addr: addr, counters: c, delayed: delayed, ready: make(chan struct{}), pending: make(map[uint64]chan daisycodec.CallReply)}
+	return &link{
+		addr: addr, counters: c, delayed: delayed, ready: make(chan struct{}),
+		pending: make(map[uint64]chan daisycodec.CallReply), unwanted: make(map[uint64]bool),
+	}
 }
 
 // hasFailed reports whether the link was lost or could not be opened.
@@ -148,23 +152,55 @@
 		if err != nil {
 			return err
 		}
-		l.mu.Lock()
-		replies := l.pending[r.ID]
-		delete(l.pending, r.ID)
-		l.silentSince, l.pingSent = time.Time{}, false
-		if len(l.pending) > 0 {
-			l.silentSince = time.Now()
+		if l.deliver(r) || r.ID == 0 { // Pings have no ID.
+			continue
 		}
-		l.mu.Unlock()
-		switch {
-		case replies != nil:
-			replies <- r
-		case r.ID != 0: // Pings have no ID.
-			l.counters.lateReplies.Add(1)
+		l.counters.lateReplies.Add(1)
+		if l.isUnwanted(r) {
+			l.send(ctx, conn, daisycodec.Call{Action: daisycodec.ActionUnpin, PinnedConn: r.PinnedConn})
 		}
 	}
 }
 
+// deliver hands the reply to the call that waits for it, if there is one.
+func (l *link) deliver(r daisycodec.CallReply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	replies := l.pending[r.ID]
+	delete(l.pending, r.ID)
+	l.silentSince, l.pingSent = time.Time{}, false
+	if len(l.pending) > 0 {
+		l.silentSince = time.Now()
+	}
+	if replies != nil {
+		replies <- r // It has room for the only reply.
+	}
+	return replies != nil
+}
+
+// isUnwanted reports whether the late reply names a pinned connection that nobody uses. It
+// is used for each reply once.
+func (l *link) isUnwanted(r daisycodec.CallReply) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	unwanted := l.unwanted[r.ID]
+	delete(l.unwanted, r.ID)
+	return unwanted && r.PinnedConn != 0
+}
+
+// giveUp ends the wait for the reply to a call. It returns false if that has come, or the
+// link has failed.
+func (l *link) giveUp(call daisycodec.Call) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, waits := l.pending[call.ID]
+	delete(l.pending, call.ID)
+	if waits && call.Request.Pin && call.PinnedConn == 0 {
+		l.unwanted[call.ID] = true
+	}
+	return waits
+}
+
 // fail marks the link as failed and ends all outstanding calls.
 func (l *link) fail(err error) {
 	l.mu.Lock()
@@ -261,9 +297,9 @@
 				l.send(context.Background(), conn, daisycodec.Call{ID: call.ID, Action: daisycodec.ActionAbandon})
 			}
 		case <-timer.C:
-			l.mu.Lock()
-			delete(l.pending, call.ID)
-			l.mu.Unlock()
+			if !l.giveUp(call) {
+				continue
+			}
 			l.counters.timedOut.Add(1)
 			return r, context.DeadlineExceeded
 		}
