Fail a transaction of which a statement is answered with a promise

A caller could be told BUSY, or another code that promises that nothing of the operation is kept, for one statement of a transaction, and then commit the statements before it.

Cause: a transaction failed only if the server said so in the state that follows the answer. A server that refuses a statement and leaves the transaction open was taken at its word, and so was a statement whose name was never prepared, which this host refuses itself.

Now such an answer fails the transaction, whatever the state: the caller reads that it has failed, and its COMMIT is answered ABORTED and rolls back.

--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -228,6 +228,10 @@
 func (s *Session) run(st daisystatement.Statement, arrived time.Time) daisystatement.Answer {
 	if st.Kind == daisystatement.KindExecute {
 		if _, ok := s.prepared[st.Name]; !ok {
+			if s.tx != nil {
+				s.tx.fail()
+				s.tx.failureReported = true
+			}
 			return daisystatement.Fail(s.state(), daisystatement.CodeNoStatement, "the statement is not prepared")
 		}
 	}
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -88,7 +88,7 @@
 		t.failureReported = true
 		return daisystatement.Fail(daisystatement.StateFailed, daisystatement.CodeInDoubt, "the backend server left the transaction")
 	}
-	if a.State != daisystatement.StateOpen {
+	if a.State != daisystatement.StateOpen || a.Failure != nil && a.Failure.Code.NotRun() {
 		t.failed, t.failureReported = true, true
 		a.State = daisystatement.StateFailed
 	}
