Tell the test's observer of a withdrawn evacuation before the gateway

TestNoStatementBeginsOnEvacuatedServer reported, in a few of a hundred runs, 'statement 20 of kind 5 began on m2' after its failure domain was evacuated.

No statement did. When an evacuation was withdrawn, the test told the gateway, then the router, and only then its observer. The router wakes statements that wait for the server, and those of them that began before the test went on were reported. A trace of a failure (virtual ms):

step 14: m1 evacuated; gateway told, observer told 803123 step 20: withdrawn; gateway told 803929 begins 18 of kind 4 on m1 (observer: evacuated) 803929 router told, observer told 803929

With this trace, 8 of 200 runs failed, with 10 reported statements, which are writes, reads and settings; all 10 lie between the lines 'gateway told' and 'observer told' of a withdrawal.

The observer is now told first, of orders and of withdrawals. At that time all goroutines wait (synctest.Wait), so that no statement can begin between the two calls. For orders this is stricter than before: a statement that begins while the gateway or the router is being told is reported too. 0 of 600 runs fail, and 0 of 60 with the race detector. The test still finds the fault that it is for: without the second check of the order in the gateway's run, it failed in 3 of 3 runs.

--- a/internal/session/daisysession/evacuation_property_test.go
+++ b/internal/session/daisysession/evacuation_property_test.go
@@ -94,11 +94,12 @@
 			queues[s.session] <- st
 		} else {
 			synctest.Wait() // No statement is between its check and its server.
+			// Before the gateway: statements may begin as soon as it knows of a withdrawal.
+			o.setEvacuated(serverNames[s.server], s.ordered)
 			f.gateway.SetEvacuated(serverNames[s.server], s.ordered)
 			if !s.late {
 				f.order(s.server, s.ordered)
 			}
-			o.setEvacuated(serverNames[s.server], s.ordered)
 			if s.leads {
 				f.lead(serverNames[1-s.server])
 			}
