Reject calls and answers between hosts that stand for nothing known

Cause: a call with an action that a host does not know was taken for a ping and answered with its ID: to the caller, a success without rows. Kinds of statements and states of transactions were not checked either.

--- a/internal/wire/daisycodec/call.go
+++ b/internal/wire/daisycodec/call.go
@@ -105,7 +105,7 @@
 	if w == nil {
 		return c, ErrKind
 	}
-	if err := checkDurations(w.Sent); err != nil {
+	if err := errors.Join(checkDurations(w.Sent), checkRange(w.Act, int64(ActionAbandon))); err != nil {
 		return c, err
 	}
 	c = Call{ID: w.ID, PinnedConn: w.Lane, Action: Action(w.Act), Sent: time.Duration(w.Sent)}
@@ -115,7 +115,8 @@
 	if w.Statement == nil {
 		return c, errors.New("statement request has no statement")
 	}
-	if err := errors.Join(checkAmounts(w.Weight), checkDurations(w.MaxAge, w.ObjectiveLeft)); err != nil {
+	kind := checkRange(w.Statement.Kind, int64(daisystatement.KindStepDown))
+	if err := errors.Join(checkAmounts(w.Weight), checkDurations(w.MaxAge, w.ObjectiveLeft), kind); err != nil {
 		return c, err
 	}
 	c.Request = daisyrequest.Request{
@@ -180,7 +181,8 @@
 	if w == nil {
 		return r, ErrKind
 	}
-	if err := errors.Join(checkDurations(w.RetryAfter, w.SampleAge), checkAmounts(w.BudgetLeft)); err != nil {
+	state := checkRange(w.State, int64(daisystatement.StateFailed))
+	if err := errors.Join(checkDurations(w.RetryAfter, w.SampleAge), checkAmounts(w.BudgetLeft), state); err != nil {
 		return r, err
 	}
 	r = CallReply{ID: w.ID, PinnedConn: w.Lane, Fault: Fault(w.Fault), RetryAfter: time.Duration(w.RetryAfter), OwnShare: w.OwnShare, Text: w.Text}
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -81,6 +81,7 @@
 	// errDuration is returned for a negative duration. A position of a negative age
 	// would count as fresh for longer than it is.
 	errDuration = errors.New("duration is negative")
+	errRange    = errors.New("number stands for nothing that this host knows")
 )
 
 // checkAmounts returns an error unless all numbers are finite and not negative.
@@ -103,6 +104,14 @@
 	return nil
 }
 
+// checkRange returns an error unless the number is one of those from 0 to last.
+func checkRange(n, last int64) error {
+	if n < 0 || n > last {
+		return errRange
+	}
+	return nil
+}
+
 func encode(f daisywire.Frame) []byte {
 	b, err := encMode.Marshal(f)
 	if err != nil {
