Let the stand-in send answers twice

A member can be made to send an answer again, at once or after a delay, so that tests can show which answers are taken for those of other statements. SHOW is answered with PostgreSQL's tag and no longer counts as a statement on data.

--- a/internal/standin/daisystandin/group.go
+++ b/internal/standin/daisystandin/group.go
@@ -97,11 +97,13 @@
 	defer func() { _ = conn.Close() }()
 	g.mu.Lock()
 	g.nextPID++
+	out := newOutput(conn, m)
 	s := &session{
 		group:     g,
 		member:    m,
 		conn:      conn,
-		backend:   pgproto3.NewBackend(conn, conn),
+		out:       out,
+		backend:   pgproto3.NewBackend(conn, out),
 		pid:       g.nextPID,
 		prepared:  make(map[string]string),
 		portals:   make(map[string]portal),
@@ -208,7 +210,7 @@
 func (g *Group) LoginsOverLimit() int64 { return g.loginsOverLimit.Load() }
 
 // ExecutedStatements returns the number of statements that a member has executed,
-// not counting transaction control, SET, DISCARD and platform functions.
+// not counting transaction control, SET, SHOW, DISCARD and platform functions.
 func (g *Group) ExecutedStatements(m *Member) int64 { return m.executed.Load() }
 
 // Stop makes the member unreachable: it closes its listener and its sessions and
--- a/internal/standin/daisystandin/member.go
+++ b/internal/standin/daisystandin/member.go
@@ -61,6 +61,7 @@
 	stalled      bool
 	leaving      bool
 	overstate    bool // Report the upstream's position as the member's own.
+	repeat       func() (time.Duration, bool)
 	conns        map[*session]bool
 }
 
--- a/internal/standin/daisystandin/session.go
+++ b/internal/standin/daisystandin/session.go
@@ -21,6 +21,7 @@
 	group     *Group
 	member    *Member
 	conn      net.Conn
+	out       *output
 	backend   *pgproto3.Backend
 	term      uint64 // The term for which the connection was opened; 0 if none was given.
 	pid       uint32
@@ -103,6 +104,7 @@
 
 // serve answers messages until the connection ends.
 func (s *session) serve() {
+	s.out.forget()
 	for {
 		message, err := s.backend.Receive()
 		if err != nil {
@@ -115,6 +117,10 @@
 		if s.backend.Flush() != nil {
 			return
 		}
+		switch message.(type) {
+		case *pgproto3.Query, *pgproto3.Sync:
+			s.out.endAnswer()
+		}
 	}
 }
 
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -127,6 +127,11 @@
 		return &result{tag: "DISCARD ALL"}, nil
 	case "copy":
 		return nil, errCopyUnsupported
+	case "show":
+		name := strings.Join(words[1:], " ")
+		r := singleValue(name, s.settings[name])
+		r.tag = "SHOW"
+		return r, nil
 	}
 	return s.runData(sql, params)
 }
@@ -162,9 +167,6 @@
 		}
 		return st.run(strings.ToLower(m[1]), args)
 	}
-	if name, ok := strings.CutPrefix(strings.ToLower(sql), "show "); ok {
-		return singleValue(name, s.settings[name]), nil
-	}
 	if text, ok := strings.CutPrefix(strings.ToLower(sql), "select "); ok && !strings.Contains(text, " ") {
 		v, err := resolve(text, params)
 		return singleValue("value", v), err
