Tell the answers to a member's control calls apart

A Control sends all calls to a member over one connection and took the next answer for that of the call. A server that answers twice so shifts all answers by one: the status of before is taken for that of fence() or promote(), and a takeover counts members as fenced that are not. A primary of an earlier term could then go on committing writes that the new one does not have. Late second answers to await() also gave old log positions, and a primary's old status.

Each call now asks for a fresh nonce in front of the status. An answer without it is not used: the connection is closed and the function, which may be called again, is called once more on a new one. A row without columns, which caused a panic, is refused in the same way. Weighed: a connection for each call costs a login every 250 ms and member, and needs a free connection; a comparison of the answer with what was asked cannot tell two statuses apart.

--- a/internal/holder/daisymember/control.go
+++ b/internal/holder/daisymember/control.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -54,6 +57,10 @@
 	return pgconn.ConnectConfig(ctx, config)
 }
 
+// ErrForeignAnswer is returned if the server sent an answer that may not be the one to
+// the statement that was sent.
+var ErrForeignAnswer = errors.New("the server sent an answer that may not belong to the request")
+
 // Control calls the platform's SQL functions on one member. It opens its only
 // connection at the first call and reopens it after an error.
 type Control struct {
@@ -87,24 +94,44 @@
 	c.conn = nil
 }
 
-func (c *Control) call(ctx context.Context, sql string) (s daisytakeover.Status, err error) {
+// call calls a function. It calls it again on a new connection if the answer is not that
+// of the call, as the functions may be called again.
+func (c *Control) call(ctx context.Context, function string) (s daisytakeover.Status, err error) {
 	defer daisyerror.Annotate(&err, "member %s", c.addr)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s, err = c.callOnce(ctx, function); errors.Is(err, ErrForeignAnswer) {
+		s, err = c.callOnce(ctx, function)
+	}
+	return s, err
+}
+
+// callOnce calls a function with a nonce in its answer, and closes the connection unless
+// that is the answer which comes.
+func (c *Control) callOnce(ctx context.Context, function string) (s daisytakeover.Status, err error) {
+	defer func() {
+		if err != nil {
+			c.disconnect()
+		}
+	}()
 	if c.conn == nil {
 		if c.conn, err = c.backend.connect(ctx, c.addr, c.term); err != nil {
 			return s, err
 		}
 	}
-	results, err := c.conn.Exec(ctx, sql).ReadAll()
+	nonce := rand.Text()
+	results, err := c.conn.Exec(ctx, fmt.Sprintf("SELECT '%s ' || %s", nonce, function)).ReadAll()
 	if err != nil {
-		c.disconnect()
 		return s, err
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return s, fmt.Errorf("%s returned %d results, expected one result with one row", sql, len(results))
+	if len(results) != 1 || len(results[0].Rows) != 1 || len(results[0].Rows[0]) != 1 {
+		return s, ErrForeignAnswer
+	}
+	status, ok := strings.CutPrefix(string(results[0].Rows[0][0]), nonce+" ")
+	if !ok {
+		return s, ErrForeignAnswer
 	}
-	return parseStatus(string(results[0].Rows[0][0]))
+	return parseStatus(status)
 }
 
 // parseStatus parses a status of the form "term role received applied".
@@ -123,26 +150,26 @@
 
 // Status returns the member's status.
 func (c *Control) Status(ctx context.Context) (daisytakeover.Status, error) {
-	return c.call(ctx, "SELECT platform.member_status()")
+	return c.call(ctx, "platform.member_status()")
 }
 
 // Fence implements daisytakeover.Member.
 func (c *Control) Fence(ctx context.Context, term uint64) (daisytakeover.Status, error) {
-	return c.call(ctx, fmt.Sprintf("SELECT platform.fence(%d)", term))
+	return c.call(ctx, fmt.Sprintf("platform.fence(%d)", term))
 }
 
 // Promote implements daisytakeover.Member.
 func (c *Control) Promote(ctx context.Context, term uint64) (daisytakeover.Status, error) {
-	return c.call(ctx, fmt.Sprintf("SELECT platform.promote(%d)", term))
+	return c.call(ctx, fmt.Sprintf("platform.promote(%d)", term))
 }
 
 // Follow makes the member replicate from the primary at the address.
 func (c *Control) Follow(ctx context.Context, term uint64, primary netip.AddrPort) (daisytakeover.Status, error) {
-	return c.call(ctx, fmt.Sprintf("SELECT platform.follow(%d, '%s')", term, primary))
+	return c.call(ctx, fmt.Sprintf("platform.follow(%d, '%s')", term, primary))
 }
 
 // Await returns the member's status once its received or applied position differs
 // from the given one, or when the timeout has passed.
 func (c *Control) Await(ctx context.Context, received, applied daisystream.Position, timeout time.Duration) (daisytakeover.Status, error) {
-	return c.call(ctx, fmt.Sprintf("SELECT platform.await('%s', '%s', %d)", received, applied, timeout.Milliseconds()))
+	return c.call(ctx, fmt.Sprintf("platform.await('%s', '%s', %d)", received, applied, timeout.Milliseconds()))
 }
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -21,7 +21,7 @@
 	countPattern    = compilePattern(`select count\(\*\) from (\w+)`)
 	repeatPattern   = compilePattern(`select repeat\('(\w)', (\d+)\) from generate_series\(1,\s*` + valuePattern + `\s*\)`)
 	sleepPattern    = compilePattern(`select pg_sleep\(\s*` + valuePattern + `\s*\)`)
-	platformPattern = compilePattern(`select platform\.(\w+)\(([^)]*)\)`)
+	platformPattern = compilePattern(`select (?:'(\w+ )' \|\| )?platform\.(\w+)\(([^)]*)\)`)
 	paramPattern    = regexp.MustCompile(`\$(\d+)`)
 )
 
@@ -138,7 +138,7 @@
 
 func (s *session) runData(sql string, params []string) (*result, error) {
 	if m := platformPattern.FindStringSubmatch(sql); m != nil {
-		return s.runPlatformFunction(strings.ToLower(m[1]), m[2])
+		return s.runPlatformFunction(m[1], strings.ToLower(m[2]), m[3])
 	}
 	s.member.executed.Add(1)
 	statements := []struct {
@@ -297,8 +297,8 @@
 }
 
 // runPlatformFunction executes a platform function. Its result is one text value:
-// the member's term, role, received position and applied position.
-func (s *session) runPlatformFunction(name, list string) (*result, error) {
+// the member's term, role, received position and applied position, after the prefix.
+func (s *session) runPlatformFunction(prefix, name, list string) (*result, error) {
 	args := strings.Split(list, ",")
 	for i := range args {
 		args[i] = strings.Trim(strings.TrimSpace(args[i]), "'")
@@ -307,7 +307,7 @@
 	if err != nil {
 		return nil, &sqlError{"55000", err.Error()}
 	}
-	return singleValue("value", fmt.Sprintf("%d %s %s %s", status.Term, status.Role, status.Received, status.Applied)), nil
+	return singleValue("value", prefix+fmt.Sprintf("%d %s %s %s", status.Term, status.Role, status.Received, status.Applied)), nil
 }
 
 func (s *session) callPlatformFunction(name string, args []string) (Status, error) {
