Let the stand-in refuse to parse statements in a failed transaction

As PostgreSQL does: in a failed transaction Parse is refused already, unless the statement ends the transaction. Before, the stand-in refused Execute only.

--- a/internal/standin/daisystandin/session.go
+++ b/internal/standin/daisystandin/session.go
@@ -175,6 +175,9 @@
 		if _, ok := s.prepared[m.Name]; ok && m.Name != "" {
 			return &sqlError{"42P05", "prepared statement already exists: " + m.Name}
 		}
+		if err := s.checkAborted(m.Query); err != nil {
+			return err
+		}
 		s.prepared[m.Name] = m.Query
 		s.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -105,8 +105,8 @@
 	if len(words) == 0 {
 		return &result{}, nil
 	}
-	if s.status == daisystream.StatusFailed && words[0] != "rollback" && words[0] != "commit" {
-		return nil, &sqlError{"25P02", "current transaction is aborted"}
+	if err := s.checkAborted(sql); err != nil {
+		return nil, err
 	}
 	switch words[0] {
 	case "begin", "start":
@@ -136,6 +136,15 @@
 	return s.runData(sql, params)
 }
 
+// checkAborted refuses a statement that does not end a failed transaction.
+func (s *session) checkAborted(sql string) error {
+	words := strings.Fields(strings.ToLower(sql))
+	if s.status != daisystream.StatusFailed || len(words) == 0 || words[0] == "rollback" || words[0] == "commit" {
+		return nil
+	}
+	return &sqlError{"25P02", "current transaction is aborted"}
+}
+
 func (s *session) runData(sql string, params []string) (*result, error) {
 	if m := platformPattern.FindStringSubmatch(sql); m != nil {
 		return s.runPlatformFunction(m[1], strings.ToLower(m[2]), m[3])
