Pass on a server's answer only if it is surely that of the request

What callers saw: rows of other callers' statements, and transactions that were acknowledged and rolled back, on servers that send an answer twice.

Cause: a request's answer ended at the next ReadyForQuery, whichever statement that belonged to. A second answer moved all later ones on the connection by one: within the transaction, to the DISCARD ALL of the reset, which took any ReadyForQuery for its end, and through the pool to other sessions. An idle connection was looked at before use, but not the bytes that were already buffered.

Now a marker follows each request in the same write: SET and SHOW of a setting with a fresh nonce. As a server answers in order, the answer is that of the request if no other one comes before the marker's, or only equal ones. Else the connection is closed; a read of which nothing was passed on runs again, other outcomes are reported as unknown. In a failed transaction, the nonce comes back in the error of a Describe. The reset ends with a marker too, and what waits on a connection is read away before a request is sent.

A long answer is passed on before its marker comes. Another message within its rows now ends it. In the same transaction, an answer with the same first row is kept back up to 1 MiB until its marker has come, and a connection over which such an answer went is closed after the transaction instead of pooled.

A server that waits for the data of a COPY would take the marker for a part of it.

A ReadyForQuery message without a status, which caused a panic, and a malformed CommandComplete, ErrorResponse or first row now close the connection.

--- a/internal/holder/daisyholder/stream.go
+++ b/internal/holder/daisyholder/stream.go
@@ -83,6 +83,10 @@
 		tx := s.tx
 		s.tx = nil
 		tx.group.leave()
+		if len(tx.streamed) > 0 {
+			tx.pooled.discard()
+			break
+		}
 		tx.group.wait.Go(tx.pooled.recycle)
 	}
 	if o.err != nil {
--- a/internal/holder/daisyholder/transaction.go
+++ b/internal/holder/daisyholder/transaction.go
@@ -1,14 +1,18 @@
 package daisyholder
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"fmt"
+	"hash/maphash"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystream"
+	"github.com/daisyglade/daisyglade/internal/holder/daisymember"
 	"github.com/daisyglade/daisyglade/internal/holder/daisyposition"
 	"github.com/daisyglade/daisyglade/internal/net/daisymessage"
 )
@@ -16,6 +20,14 @@
 // chunkBytes is the size from which buffered rows of an answer are emitted.
 const chunkBytes = 32 << 10
 
+const (
+	// heldBytes is the size up to which an answer is kept back whose rows begin like those
+	// of an earlier one.
+	heldBytes = 1 << 20
+	// drainLimit bounds the reading of what a server sent beyond its answers.
+	drainLimit = 500 * time.Millisecond
+)
+
 // positionParameter is the parameter in whose status message a member reports
 // the log position of a commit on the connection.
 const positionParameter = "platform.position"
@@ -48,6 +60,12 @@
 	status      daisystream.Status
 	prepared    map[string]bool
 	started     bool
+	copies      bool // A statement of the transaction may be COPY.
+
+	// streamed has the hashes of the first rows of answers that were passed on before
+	// they were complete. A second such answer could not be told apart in time, so their
+	// like are kept back, and the connection serves no other transaction.
+	streamed map[uint64]bool
 }
 
 // outcome is how a request ended. Unless err is set, answer is the last part of
@@ -72,6 +90,11 @@
 	muted       bool // The rest of the answer is dropped after refuseTag.
 	completions []completion
 	position    daisystream.Position
+	marker      daisymember.Marker
+	received    *daisymember.Answer
+	firstRow    uint64 // Hash of the first row.
+	inRows      bool   // The last message was a row.
+	emitErr     error
 }
 
 // completion is an expected ParseComplete or CloseComplete message, with whether
@@ -83,30 +106,60 @@
 
 // exec sends the request and emits its answer, except for the last part.
 func (t *transaction) exec(ctx context.Context, r *daisystream.Request, emit func(*daisystream.Answer) error) outcome {
-	x := &exchange{tx: t, request: r, emit: emit}
+	x := &exchange{tx: t, request: r, emit: emit, marker: daisymember.NewMarker(), received: daisymember.NewAnswer()}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	conn := t.pooled.conn
+	if err := conn.Drain(drainLimit); err != nil {
+		return x.connectionLost(err)
+	}
 	stop := context.AfterFunc(ctx, func() { x.interrupt() })
 	defer stop()
 	if err := conn.Write(x.encode()); err != nil {
 		return x.connectionLost(err)
 	}
+	if err := x.receive(); err != nil {
+		if x.emitErr != nil {
+			return outcome{err: x.emitErr, broken: true}
+		}
+		if errors.Is(err, daisymember.ErrForeignAnswer) {
+			t.group.log.WithField("member", t.pooled.pool.addr).Warn("holder: " + err.Error() + "; closing the connection")
+		}
+		return x.connectionLost(err)
+	}
+	if !stop() {
+		return x.connectionLost(ctx.Err())
+	}
+	return x.finish(ctx, x.received.Status())
+}
+
+// receive reads the answer and makes sure that it is that of the request.
+func (x *exchange) receive() error {
+	conn := x.tx.pooled.conn
 	for {
 		m, err := conn.Next()
 		if err != nil {
-			return x.connectionLost(err)
+			return err
 		}
-		if m.Type == daisymessage.TypeReady && !x.skipPrefix {
-			if !stop() {
-				return x.connectionLost(ctx.Err())
+		if !x.skipPrefix {
+			end, err := x.received.Add(m)
+			if err != nil {
+				return err
+			}
+			if end {
+				break
 			}
-			return x.finish(ctx, daisystream.Status(m.Body()[0]))
 		}
 		if err := x.handle(m); err != nil {
-			return outcome{err: err, broken: true}
+			return err
 		}
 	}
+	if x.tx.copies {
+		if err := conn.Write(x.marker.Append(nil)); err != nil {
+			return err
+		}
+	}
+	return conn.AwaitMarker(x.marker, x.received)
 }
 
 // interrupt cancels the statement of a request whose client is gone or has
@@ -120,7 +173,8 @@
 
 // encode returns the messages to send: for a read-only transaction on the primary,
 // a prefix that makes the primary refuse its writes; then the request's parts, each
-// after the definition of its prepared statement if the connection lacks it.
+// after the definition of its prepared statement if the connection lacks it; then the
+// marker, which a server that waits for the data of a COPY would take for a part of it.
 func (x *exchange) encode() []byte {
 	t := x.tx
 	var b []byte
@@ -150,7 +204,26 @@
 		x.expectClose(p.Bytes)
 		b = append(b, p.Bytes...)
 	}
-	return b
+	if t.copies = t.copies || x.mentionsCopy(); t.copies {
+		return b
+	}
+	return x.marker.Append(b)
+}
+
+// mentionsCopy reports whether a statement of the request may be COPY.
+func (x *exchange) mentionsCopy() bool {
+	word := []byte("copy")
+	for _, p := range x.request.Parts {
+		if bytes.Contains(bytes.ToLower(p.Bytes), word) {
+			return true
+		}
+	}
+	for _, s := range x.request.Statements {
+		if bytes.Contains(bytes.ToLower(s.Parse), word) {
+			return true
+		}
+	}
+	return false
 }
 
 // appendRecord adds the statement that records the request's name. It runs in the
@@ -201,6 +274,9 @@
 
 // handle processes one message of the answer other than the last ReadyForQuery.
 func (x *exchange) handle(m daisymessage.Message) error {
+	if err := x.checkRows(m); err != nil {
+		return err
+	}
 	if x.skipRecord && !x.skipPrefix && m.Type != daisymessage.TypeParameterStatus {
 		return x.handleRecordAnswer(m)
 	}
@@ -229,12 +305,41 @@
 	}
 	x.chunk = append(x.chunk, m.Raw...)
 	streaming := m.Type == daisymessage.TypeDataRow || m.Type == daisymessage.TypeCopyData
-	if streaming && len(x.chunk) >= chunkBytes {
-		return x.flush()
+	switch {
+	case !streaming || len(x.chunk) < chunkBytes:
+		return nil
+	case !x.emitted && x.tx.streamed[x.firstRow]:
+		if len(x.chunk) > heldBytes {
+			return daisymember.ErrForeignAnswer
+		}
+		return nil
+	}
+	return x.flush()
+}
+
+// checkRows returns an error if the message cannot follow the previous one, since it is
+// within rows and neither goes on with them nor ends them.
+func (x *exchange) checkRows(m daisymessage.Message) error {
+	switch m.Type {
+	case daisymessage.TypeDataRow, daisymessage.TypeCopyData:
+		if !x.inRows {
+			x.firstRow = maphash.Bytes(rowSeed, m.Raw)
+		}
+		x.inRows = true
+	case daisymessage.TypeCommandComplete, daisymessage.TypeError, daisymessage.TypePortalSuspended, daisymessage.TypeCopyDone:
+		x.inRows = false
+	case daisymessage.TypeNotice, daisymessage.TypeParameterStatus, daisymessage.TypeNotification:
+	default:
+		if x.inRows {
+			return daisymember.ErrForeignAnswer
+		}
 	}
 	return nil
 }
 
+// rowSeed is the seed of the hashes of first rows.
+var rowSeed = maphash.MakeSeed()
+
 // handleRecordAnswer skips the answer to the INSERT of the request name. If it is
 // an error, the error is passed on, with CodeRecorded if the name exists.
 func (x *exchange) handleRecordAnswer(m daisymessage.Message) error {
@@ -258,10 +363,16 @@
 }
 
 func (x *exchange) flush() error {
-	x.emitted = true
-	err := x.emit(&daisystream.Answer{ID: x.request.ID, Bytes: x.chunk})
+	if !x.emitted {
+		x.emitted = true
+		if x.tx.streamed == nil {
+			x.tx.streamed = make(map[uint64]bool)
+		}
+		x.tx.streamed[x.firstRow] = true
+	}
+	x.emitErr = x.emit(&daisystream.Answer{ID: x.request.ID, Bytes: x.chunk})
 	x.chunk = x.chunk[:0]
-	return err
+	return x.emitErr
 }
 
 // takeCompletion removes the next expected completion of the type and reports
@@ -312,6 +423,9 @@
 // failCopy makes a COPY FROM STDIN fail, since COPY from the client is not
 // supported.
 func (x *exchange) failCopy() error {
+	if !x.tx.copies {
+		return daisymember.ErrForeignAnswer
+	}
 	b := appendMessage(nil, &pgproto3.CopyFail{Message: "COPY from the caller is not supported"})
 	parts := x.request.Parts
 	if last := parts[len(parts)-1].Bytes; len(last) > 0 && last[0] != 'Q' {
--- a/internal/holder/daisymember/conn.go
+++ b/internal/holder/daisymember/conn.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/daisyglade/daisyglade/internal/base/daisyerror"
+	"github.com/daisyglade/daisyglade/internal/domain/daisystream"
 	"github.com/daisyglade/daisyglade/internal/net/daisymessage"
 )
 
@@ -22,6 +23,8 @@
 	net     net.Conn
 	hijack  *pgconn.HijackedConn
 	reader  *daisymessage.Reader
+
+	repeated bool // The server sent an answer twice.
 }
 
 // Open opens a connection for statements in the term.
@@ -35,6 +38,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if h.Frontend.ReadBufferLen() > 0 {
+		_ = h.Conn.Close()
+		return nil, ErrForeignAnswer
+	}
 	return &Conn{backend: b, addr: addr, net: h.Conn, hijack: h, reader: daisymessage.NewReader(h.Conn)}, nil
 }
 
@@ -58,29 +65,48 @@
 	if err := c.net.SetDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
-	query, err := (&pgproto3.Query{String: "DISCARD ALL"}).Encode(nil)
-	if err != nil {
+	marker := NewMarker()
+	if err := c.Write(marker.Append(appendConstant(nil, &pgproto3.Query{String: discardAll}))); err != nil {
+		return err
+	}
+	answer, err := c.nextAnswer()
+	switch {
+	case err != nil:
+		return err
+	case answer.is("E"):
+		return pgconn.ErrorResponseToPgError(&answer.err)
+	case !answer.is("C") || answer.tag != discardAll || answer.status != daisystream.StatusIdle:
+		return ErrForeignAnswer
+	}
+	if err := c.AwaitMarker(marker, answer); err != nil {
 		return err
 	}
-	if err := c.Write(query); err != nil {
+	if c.repeated {
+		return ErrForeignAnswer
+	}
+	return c.net.SetDeadline(time.Time{})
+}
+
+// discardAll is a statement and its command tag.
+const discardAll = "DISCARD ALL"
+
+// Drain reads what the server sent since the last answer, none of which can be the
+// answer to a request that is still to be sent.
+func (c *Conn) Drain(limit time.Duration) (err error) {
+	defer daisyerror.Annotate(&err, "read what no statement waits for")
+	if c.Alive() {
+		return nil
+	}
+	if err := c.net.SetDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
-	for {
-		m, err := c.Next()
-		if err != nil {
+	for !c.Alive() {
+		if _, err := c.Next(); err != nil {
 			return err
 		}
-		switch m.Type {
-		case daisymessage.TypeError:
-			var e pgproto3.ErrorResponse
-			if err := e.Decode(m.Body()); err != nil {
-				return err
-			}
-			return pgconn.ErrorResponseToPgError(&e)
-		case daisymessage.TypeReady:
-			return c.net.SetDeadline(time.Time{})
-		}
+		c.repeated = true
 	}
+	return c.net.SetDeadline(time.Time{})
 }
 
 // Cancel asks the server to cancel the statement that the connection is
@@ -114,6 +140,9 @@
 // Alive reports whether the connection is still open and has no unread data, as
 // an idle connection must be. It does not block.
 func (c *Conn) Alive() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
 	if p, ok := c.net.(liveness); ok {
 		return p.Alive()
 	}
--- a/internal/net/daisymessage/message.go
+++ b/internal/net/daisymessage/message.go
@@ -30,6 +30,8 @@
 	TypeCopyIn          = 'G'
 	TypeCopyBoth        = 'W'
 	TypeCopyData        = 'd'
+	TypeCopyDone        = 'c'
+	TypePortalSuspended = 's'
 	TypeParameterStatus = 'S'
 	TypeNotification    = 'A'
 	TypeNotice          = 'N'
@@ -56,6 +58,9 @@
 	return &Reader{r: bufio.NewReaderSize(r, bufferBytes)}
 }
 
+// Buffered returns the number of bytes that were received and not returned yet.
+func (r *Reader) Buffered() int { return r.r.Buffered() }
+
 // Next reads one message.
 func (r *Reader) Next() (Message, error) {
 	var header [headerBytes]byte
