--- a/internal/holder/daisymember/marker_test.go
+++ b/internal/holder/daisymember/marker_test.go
@@ -45,10 +45,27 @@
 	return encode(&pgproto3.ErrorResponse{Code: code, Message: message}, &pgproto3.ReadyForQuery{TxStatus: 'E'})
 }
 
-// connOf returns a connection over which the server sends the bytes and ends, and which
-// discards what is written to it.
+// connOf returns a connection over which the server sends the bytes and ends.
 func connOf(sent ...[]byte) *Conn {
-	client, server := net.Pipe()
+	c, server := openConnOf(sent...)
+	go func() {
+		<-server.sent
+		_ = server.Close()
+	}()
+	return c
+}
+
+// sender is the server's side of a connection.
+type sender struct {
+	net.Conn
+	sent chan struct{} // Closed when all is sent.
+}
+
+// openConnOf returns a connection over which the server sends the bytes, and the server's
+// side, which discards what it receives.
+func openConnOf(sent ...[]byte) (*Conn, sender) {
+	client, conn := net.Pipe()
+	server := sender{Conn: conn, sent: make(chan struct{})}
 	go func() {
 		var b [1024]byte
 		for {
@@ -58,12 +75,12 @@
 		}
 	}()
 	go func() {
+		defer close(server.sent)
 		for _, b := range sent {
 			_, _ = server.Write(b)
 		}
-		_ = server.Close()
 	}()
-	return &Conn{net: client, reader: daisymessage.NewReader(client)}
+	return &Conn{net: client, reader: daisymessage.NewReader(client)}, server
 }
 
 // TestAnswerBeforeMarkerIsThatOfTheRequest guards against an answer that is passed on
@@ -178,7 +195,7 @@
 // taken for that of the next request.
 func TestDrainLeavesNothingToRead(t *testing.T) {
 	own := answerOf("own", 'T')
-	c := connOf(append(append([]byte{}, own...), answerOf("other", 'T')...))
+	c, _ := openConnOf(append(append([]byte{}, own...), answerOf("other", 'T')...))
 	defer c.Close()
 	answer, err := c.nextAnswer()
 	assert.NilError(t, err)
