--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -21,7 +21,7 @@
 	countPattern    = compilePattern(`select count\(\*\) from (\w+)`)
 	repeatPattern   = compilePattern(`select repeat\('(\w)', (\d+)\) from generate_series\(1,\s*` + valuePattern + `\s*\)`)
 	sleepPattern    = compilePattern(`select pg_sleep\(\s*` + valuePattern + `\s*\)`)
-	platformPattern = compilePattern(`select platform\.(\w+)\(([^)]*)\)`)
+	platformPattern = compilePattern(`select (?:'(\w+ )' \|\| )?platform\.(\w+)\(([^)]*)\)`)
 	paramPattern    = regexp.MustCompile(`\$(\d+)`)
 )
 
@@ -105,8 +105,8 @@
 	if len(words) == 0 {
 		return &result{}, nil
 	}
-	if s.status == daisystream.StatusFailed && words[0] != "rollback" && words[0] != "commit" {
-		return nil, &sqlError{"25P02", "current transaction is aborted"}
+	if err := s.checkAborted(sql); err != nil {
+		return nil, err
 	}
 	switch words[0] {
 	case "begin", "start":
@@ -127,13 +127,27 @@
 		return &result{tag: "DISCARD ALL"}, nil
 	case "copy":
 		return nil, errCopyUnsupported
+	case "show":
+		name := strings.Join(words[1:], " ")
+		r := singleValue(name, s.settings[name])
+		r.tag = "SHOW"
+		return r, nil
 	}
 	return s.runData(sql, params)
 }
 
+// checkAborted refuses a statement that does not end a failed transaction.
+func (s *session) checkAborted(sql string) error {
+	words := strings.Fields(strings.ToLower(sql))
+	if s.status != daisystream.StatusFailed || len(words) == 0 || words[0] == "rollback" || words[0] == "commit" {
+		return nil
+	}
+	return &sqlError{"25P02", "current transaction is aborted"}
+}
+
 func (s *session) runData(sql string, params []string) (*result, error) {
 	if m := platformPattern.FindStringSubmatch(sql); m != nil {
-		return s.runPlatformFunction(strings.ToLower(m[1]), m[2])
+		return s.runPlatformFunction(m[1], strings.ToLower(m[2]), m[3])
 	}
 	s.member.executed.Add(1)
 	statements := []struct {
@@ -162,9 +176,6 @@
 		}
 		return st.run(strings.ToLower(m[1]), args)
 	}
-	if name, ok := strings.CutPrefix(strings.ToLower(sql), "show "); ok {
-		return singleValue(name, s.settings[name]), nil
-	}
 	if text, ok := strings.CutPrefix(strings.ToLower(sql), "select "); ok && !strings.Contains(text, " ") {
 		v, err := resolve(text, params)
 		return singleValue("value", v), err
@@ -295,8 +306,8 @@
 }
 
 // runPlatformFunction executes a platform function. Its result is one text value:
-// the member's term, role, received position and applied position.
-func (s *session) runPlatformFunction(name, list string) (*result, error) {
+// the member's term, role, received position and applied position, after the prefix.
+func (s *session) runPlatformFunction(prefix, name, list string) (*result, error) {
 	args := strings.Split(list, ",")
 	for i := range args {
 		args[i] = strings.Trim(strings.TrimSpace(args[i]), "'")
@@ -305,7 +316,7 @@
 	if err != nil {
 		return nil, &sqlError{"55000", err.Error()}
 	}
-	return singleValue("value", fmt.Sprintf("%d %s %s %s", status.Term, status.Role, status.Received, status.Applied)), nil
+	return singleValue("value", prefix+fmt.Sprintf("%d %s %s %s", status.Term, status.Role, status.Received, status.Applied)), nil
 }
 
 func (s *session) callPlatformFunction(name string, args []string) (Status, error) {
