Refuse messages of clients that are longer than their fields

What callers saw: a statement whose text has a zero byte ran without the rest. "DELETE FROM t", three zero bytes and " WHERE key = 1" in a Parse message was run as DELETE FROM t.

Cause: the decoder of Parse, Bind and Execute stops at the last field and drops what follows, and the message is then built anew. PostgreSQL refuses such a message.

Messages are now read whole and compared with what their fields encode to; one that differs ends the session with 08P01 before anything is run. The decoder checks the length of the other types.

TestMessageLongerThanItsFieldsIsRefused before: Parse, Bind and Execute fail, as the request is run and no error comes within 20 s.

--- a/internal/entry/daisyentry/entry_test.go
+++ b/internal/entry/daisyentry/entry_test.go
@@ -321,6 +321,52 @@
 	assert.NilError(t, s.Close())
 }
 
+// TestMessageLongerThanItsFieldsIsRefused guards against a statement that is run without
+// the text after a zero byte.
+func TestMessageLongerThanItsFieldsIsRefused(t *testing.T) {
+	encode := func(m pgproto3.FrontendMessage) []byte {
+		b, err := m.Encode(nil)
+		assert.NilError(t, err)
+		return b
+	}
+	longer := func(m pgproto3.FrontendMessage) []byte {
+		b := append(encode(m), " WHERE key = 1"...)
+		binary.BigEndian.PutUint32(b[1:], uint32(len(b)-1))
+		return b
+	}
+	parse, bind, execute := &pgproto3.Parse{Query: "DELETE FROM t"}, &pgproto3.Bind{Parameters: [][]byte{{1}, nil, {}}}, &pgproto3.Execute{MaxRows: 1}
+	sync := encode(&pgproto3.Sync{})
+	tests := []struct {
+		name string
+		send [][]byte
+		run  bool
+	}{
+		{"Whole", [][]byte{encode(parse), encode(bind), encode(execute), sync}, true},
+		{"Parse", [][]byte{longer(parse), sync}, false},
+		{"Bind", [][]byte{encode(parse), longer(bind), sync}, false},
+		{"Execute", [][]byte{encode(parse), encode(bind), longer(execute), sync}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			h := &fakeHolder{}
+			s := openServer(t, h)
+			c := dial(t, s)
+			c.login()
+			_, err := c.conn.Write(bytes.Join(test.send, nil))
+			assert.NilError(t, err)
+			if test.run {
+				c.until(isReady)
+				assert.Equal(t, len(h.last().Parts), 2)
+			} else {
+				assert.Equal(t, c.errorCode(), daisystream.CodeProtocol)
+				assert.Equal(t, len(h.requests), 0)
+			}
+			assert.NilError(t, c.conn.Close())
+			assert.NilError(t, s.Close())
+		})
+	}
+}
+
 // FuzzClient sends arbitrary bytes after a login. The server must neither panic
 // nor hang.
 func FuzzClient(f *testing.F) {
--- a/internal/entry/daisyentry/session.go
+++ b/internal/entry/daisyentry/session.go
@@ -32,6 +32,7 @@
 	server  *Server
 	conn    net.Conn
 	reader  *requestReader
+	frames  *frameReader
 	backend *pgproto3.Backend
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -73,7 +74,8 @@
 func (c *session) attach(conn net.Conn) {
 	c.conn = conn
 	c.reader = &requestReader{conn: conn}
-	c.backend = pgproto3.NewBackend(c.reader, conn)
+	c.frames = newFrameReader(c.reader, maxPasswordBytes)
+	c.backend = pgproto3.NewBackend(c.frames, conn)
 }
 
 // requestReader bounds the time from the first byte of a request to its last,
@@ -193,6 +195,8 @@
 		c.fatal(daisystream.CodeUnsupported, unsupported.Error())
 	case errors.Is(err, errRequestTooLarge):
 		c.fatal(daisystream.CodeTooLarge, "not run: "+err.Error())
+	case errors.Is(err, errTrailingBytes):
+		c.fatal(daisystream.CodeProtocol, "not run: "+err.Error())
 	case errors.As(err, new(*pgproto3.ExceededMaxBodyLenErr)):
 		c.fatal(daisystream.CodeTooLarge, "not run: the message is larger than the limit")
 	}
--- a/internal/entry/daisyentry/startup.go
+++ b/internal/entry/daisyentry/startup.go
@@ -142,6 +142,7 @@
 		c.fatal("3D000", "the profile that the database name picks does not exist")
 		return errLoginRefused
 	}
+	c.frames.limit = c.server.options.MaxRequestBytes
 	c.backend.SetMaxBodyLen(c.server.options.MaxRequestBytes)
 	return nil
 }
