Refuse a statement or an answer that is too long for a message between hosts

A caller whose session values and statement were longer than 24 MiB together, or whose rows were, ended the calls of all others between the same two hosts: their writes were in doubt, and their transactions aborted.

Cause: a message beyond the limit of a link was sent. The receiver refuses it and closes the link. The same holds for arrays of more than a million elements.

Now such a statement is refused as not sent, at once and without blame for the server, and such an answer is replaced by the statement that there is none.

--- a/internal/domain/daisyrequest/request.go
+++ b/internal/domain/daisyrequest/request.go
@@ -25,6 +25,9 @@
 	// ErrOverBudget is returned, with ErrNotSent, if the server is cold and gets no more
 	// requests at the moment.
 	ErrOverBudget = errors.New("the requests of the cold backend server are limited; retry in 200ms")
+	// ErrTooLong is returned, with ErrNotSent, for a statement that is too long, with its
+	// session values, for a message between hosts.
+	ErrTooLong = errors.New("the statement with its session values is too long")
 	// ErrPinnedConnClosed is returned for a pinned connection that was closed; its
 	// transaction is rolled back.
 	ErrPinnedConnClosed = errors.New("pinned connection is closed")
--- a/internal/entry/daisyforwarder/link.go
+++ b/internal/entry/daisyforwarder/link.go
@@ -162,6 +162,31 @@
 	}
 }
 
+// nextCall returns the open connection and the ID of a new call; a nil connection if the link
+// is not open.
+func (l *link) nextCall() (Conn, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastID++
+	return l.conn, l.lastID
+}
+
+// expect returns a channel that receives the reply to a call that is about to be sent, and
+// is closed if the link fails. It returns false if that has failed.
+func (l *link) expect(id uint64) (replies chan daisycodec.CallReply, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == nil {
+		return nil, false
+	}
+	replies = make(chan daisycodec.CallReply, 1)
+	l.pending[id] = replies
+	if l.silentSince.IsZero() {
+		l.silentSince = time.Now()
+	}
+	return replies, true
+}
+
 // deliver hands the reply to the call that waits for it, if there is one.
 func (l *link) deliver(r daisycodec.CallReply) bool {
 	l.mu.Lock()
@@ -245,9 +270,9 @@
 	}
 }
 
-func (l *link) send(ctx context.Context, conn Conn, call daisycodec.Call) {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
-	defer cancel()
+// encode returns the message of a call, or an error if the other host would refuse it and
+// close the link.
+func (l *link) encode(conn Conn, call daisycodec.Call) ([]byte, error) {
 	if conn.Protocol() >= daisylink.ProtocolOverload {
 		call.Sent = max(1, daisyclock.Now().Sub(l.opened)) // 0 states nothing.
 	}
@@ -255,6 +280,22 @@
 		call.Request.Objective = time.Time{}
 	}
 	message := daisycodec.EncodeCall(call, time.Now())
+	if isTooLong(message, len(call.Request.Values)) {
+		return nil, fmt.Errorf("%w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrTooLong)
+	}
+	return message, nil
+}
+
+// send sends a call that is not too long.
+func (l *link) send(ctx context.Context, conn Conn, call daisycodec.Call) {
+	if message, err := l.encode(conn, call); err == nil {
+		l.write(ctx, conn, call, message)
+	}
+}
+
+func (l *link) write(ctx context.Context, conn Conn, call daisycodec.Call, message []byte) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
 	l.traffic.Add(purpose(call), len(message))
 	if conn.Send(ctx, message) != nil {
 		conn.Close() // Then receive returns an error and the link fails.
@@ -265,22 +306,21 @@
 // the other host, which refuses the call if it still waits, and goes on waiting: the
 // statement may be running.
 func (l *link) call(client context.Context, call daisycodec.Call, deadline time.Time) (r daisycodec.CallReply, err error) {
-	replies := make(chan daisycodec.CallReply, 1)
-	l.mu.Lock()
-	conn := l.conn
+	conn, id := l.nextCall()
 	if conn == nil {
-		l.mu.Unlock()
 		return r, fmt.Errorf("%w: %w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrUnreachable, errLinkLost)
 	}
-	l.lastID++
-	call.ID = l.lastID
-	l.pending[call.ID] = replies
-	if l.silentSince.IsZero() {
-		l.silentSince = time.Now()
+	call.ID = id
+	message, err := l.encode(conn, call)
+	if err != nil {
+		return r, err
+	}
+	replies, ok := l.expect(id)
+	if !ok {
+		return r, fmt.Errorf("%w: %w: %w", daisyrequest.ErrNotSent, daisyrequest.ErrUnreachable, errLinkLost)
 	}
-	l.mu.Unlock()
 	l.counters.calls.Add(1)
-	l.send(context.Background(), conn, call)
+	l.write(context.Background(), conn, call, message)
 	timer := time.NewTimer(time.Until(deadline) + replyMargin)
 	defer timer.Stop()
 	left := client.Done()
--- a/internal/entry/daisyforwarder/pacing.go
+++ b/internal/entry/daisyforwarder/pacing.go
@@ -68,7 +68,7 @@
 		s.reply(ctx, call, r)
 		return
 	}
-	message := daisycodec.EncodeCallReply(r)
+	message := encodeReply(r)
 	waitCtx, cancel := context.WithDeadline(ctx, call.Request.Deadline)
 	defer cancel()
 	if s.pacing.wait(waitCtx, &call.Request, len(message)) != nil {
--- a/internal/entry/daisyforwarder/serve.go
+++ b/internal/entry/daisyforwarder/serve.go
@@ -178,7 +178,7 @@
 
 // reply sends a reply without waiting for others.
 func (s *peer) reply(ctx context.Context, call daisycodec.Call, r daisycodec.CallReply) {
-	message := daisycodec.EncodeCallReply(r)
+	message := encodeReply(r)
 	s.pacing.Pacer.Charge(len(message))
 	s.send(ctx, call, message)
 }
--- a/internal/net/daisylink/link.go
+++ b/internal/net/daisylink/link.go
@@ -39,8 +39,8 @@
 	PathStatement Path = "/errand" // Statement requests to the gateway hosts of backend servers.
 )
 
-// limit returns the most bytes that a received frame may have.
-func (p Path) limit() int64 {
+// Limit returns the most bytes that a message may have. A longer one ends the link.
+func (p Path) Limit() int64 {
 	if p == PathLog || p == PathHeartbeat {
 		return 64 << 20
 	}
@@ -191,7 +191,7 @@
 	if err != nil {
 		return nil, errors.Join(err, conn.Close())
 	}
-	ws.SetReadLimit(path.limit())
+	ws.SetReadLimit(path.Limit())
 	peer := addr.String()
 	if response.TLS != nil {
 		peer = daisycert.PeerName(response.TLS)
@@ -230,7 +230,7 @@
 		if err != nil {
 			return
 		}
-		ws.SetReadLimit(path.limit())
+		ws.SetReadLimit(path.Limit())
 		m.wait.Add(1)
 		defer m.wait.Done()
 		c := &Conn{ws: ws, peer: peer, protocol: parseProtocol(r.Header)}
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -73,14 +73,16 @@
 }
 
 // refusal returns the answer to a statement that was not sent since the server's
-// queue is too long, evacuations leave it no server or the home regions have no place for
-// it, if err is that. It is final: the client is told when to return, and the hosts add
+// queue is too long, evacuations leave it no server, the home regions have no place for it
+// or it is too long, if err is that. It is final: the client is told when to return, and the hosts add
 // no attempts of their own.
 func refusal(state daisystatement.State, err error) (a daisystatement.Answer, ok bool) {
 	var overload *daisyrequest.OverloadError
 	var evacuation *daisyrequest.EvacuationError
 	var home *daisyrequest.HomeError
 	switch {
+	case errors.Is(err, daisyrequest.ErrTooLong):
+		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", daisyrequest.ErrTooLong), true
 	case errors.As(err, &home):
 		return daisystatement.Fail(state, daisystatement.CodeBusy, "%v", home), true
 	case errors.As(err, &evacuation):
--- a/internal/session/daisysession/request.go
+++ b/internal/session/daisysession/request.go
@@ -112,7 +112,7 @@
 	switch {
 	case err == nil:
 		s.env.Router.Ended(req.Service, req.Server, sent, true)
-	case errors.Is(err, daisyrequest.ErrNoPosition), isHomeError(err), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
+	case errors.Is(err, daisyrequest.ErrNoPosition), errors.Is(err, daisyrequest.ErrTooLong), isHomeError(err), errors.Is(err, daisyrequest.ErrNotSent) && s.clientContext().Err() != nil:
 		s.env.Router.Withdrawn(req.Server)
 	case errors.Is(err, daisyrequest.ErrNotSent) && !errors.Is(err, daisyrequest.ErrUnreachable):
 		s.env.Router.Refused(req.Server)
--- a/internal/wire/daisycodec/frame.go
+++ b/internal/wire/daisycodec/frame.go
@@ -37,8 +37,8 @@
 	"github.com/daisyglade/daisyglade/internal/wire/daisywire"
 )
 
-// maxElements is the most elements that a decoded array may have.
-const maxElements = 1 << 20
+// MaxElements is the most elements that a decoded array may have.
+const MaxElements = 1 << 20
 
 var (
 	encMode = mustEncMode()
@@ -57,7 +57,7 @@
 	m, err := cbor.DecOptions{
 		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
 		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		MaxArrayElements:  maxElements,
+		MaxArrayElements:  MaxElements,
 		IndefLength:       cbor.IndefLengthForbidden,
 		// Names and statements come from other programs, in any character encoding.
 		// The encoder writes such text too, so that it must be decoded.
