Let an answer arrive that the change of the ownership overtakes

Callers of a host that is not the holder were told, now and then as a holder stopped as planned, that it is not known whether their request ran ('context canceled'). The holder had answered all of them before it released the database. The entry host learns of the new ownership over another link, and cancelled its requests at once, though the answers were on their way. A trace (virtual microseconds) of TestOwnershipReturnsToRestartedHost:

 h3 answers four requests: not run, the database moved h1 receives two of the answers h1 learns of term 67 and cancels; one outcome is unknown

An attempt at a holder that has lost the database is now cancelled 100 ms after the change; an answer that comes before counts. It was released under the lease of that holder, as one that came before the change.

--- a/internal/entry/daisyentry/entry_test.go
+++ b/internal/entry/daisyentry/entry_test.go
@@ -67,7 +67,12 @@
 
 func openServer(t testing.TB, h *fakeHolder) *daisyentry.Server {
 	t.Helper()
-	view := daisyfleet.NewView()
+	return openServerOn(t, daisynet.TCP{}, daisyfleet.NewView(), h)
+}
+
+// openServerOn returns a server on the network, whose state it stores in the view.
+func openServerOn(t testing.TB, n daisynet.Network, view *daisyfleet.View, h daisyentry.Holder) *daisyentry.Server {
+	t.Helper()
 	objects := []daisyfleet.Object{
 		{ID: daisyfleet.ID{Kind: daisyfleet.KindKey, Name: "k"}, Revision: 1, Value: daisyfleet.Key{Workspace: "w", Hash: sha256.Sum256([]byte(key))}},
 		{ID: daisyfleet.ID{Kind: daisyfleet.KindProfile, Name: "p"}, Revision: 1, Value: daisyfleet.Profile{Database: "db", Wait: 100 * time.Millisecond}},
@@ -75,7 +80,7 @@
 	}
 	assert.NilError(t, view.Update(func(s *daisyfleet.State) error { return s.Merge(daisyfleet.Delta{To: 1, Objects: objects}) }))
 	s, err := daisyentry.Open(daisyentry.Options{
-		Network: daisynet.TCP{}, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Host: "h", MaxSessions: 3, MaxRequestBytes: 1 << 16,
+		Network: n, Listen: netip.MustParseAddrPort("127.0.0.1:0"), Host: "h", MaxSessions: 3, MaxRequestBytes: 1 << 16,
 		View: view, Lease: fixedLease(true), Holder: h, Streams: daisydialer.New(nil), Recorder: discardRecorder{}, Log: &log.Logger{Handler: text.New(io.Discard)},
 	})
 	assert.NilError(t, err)
--- a/internal/entry/daisyentry/session.go
+++ b/internal/entry/daisyentry/session.go
@@ -56,6 +56,7 @@
 	cancelAttempt   context.CancelFunc // Cancels the running attempt; nil if there is none.
 	attemptDatabase string             // Database of the latest attempt.
 	attemptTerm     uint64             // Ownership term of the latest attempt.
+	abandon         *time.Timer        // Cancels the running attempt, whose holder has lost the database; nil if it has not.
 	cancelRequested bool               // The client sent a cancel request.
 	endReason       string
 }
@@ -127,13 +128,18 @@
 	}
 }
 
-// abandonIfStale cancels an attempt at a holder that has lost the database,
+// overtakenAnswer is how long after the change of the ownership an answer of the previous
+// holder may arrive. A holder that hands its database over has answered before, but over
+// another link.
+const overtakenAnswer = 100 * time.Millisecond
+
+// abandonIfStale has an attempt at a holder that has lost the database cancelled soon,
 // since its answer may never come.
 func (c *session) abandonIfStale(current func(database string) uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.cancelAttempt != nil && c.attemptTerm != current(c.attemptDatabase) {
-		c.cancelAttempt()
+	if c.cancelAttempt != nil && c.abandon == nil && c.attemptTerm != current(c.attemptDatabase) {
+		c.abandon = time.AfterFunc(overtakenAnswer, c.cancelAttempt)
 	}
 }
 
@@ -150,6 +156,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.cancelAttempt = nil
+	if c.abandon != nil {
+		c.abandon.Stop()
+		c.abandon = nil
+	}
 }
 
 func (c *session) cancelWasRequested() bool {
