Refuse requests for a database that has moved before the rate limit

A host that has handed its database over let requests for it wait for tokens of the workspace, up to the profile's wait, before it refused them as moved. If it stopped meanwhile, or the caller's host gave up the attempt, the caller was told that the outcome is unknown, though the request could not run.

The holder now looks at the ownership first, takes no tokens for what it cannot run, and ends the wait for tokens as the database moves.

--- a/internal/holder/daisyholder/group.go
+++ b/internal/holder/daisyholder/group.go
@@ -376,6 +376,13 @@
 	return daisystream.CauseNone, true
 }
 
+// leaves reports whether the group accepts no more transactions on this host.
+func (g *group) leaves() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.draining || g.ctx.Err() != nil
+}
+
 func (g *group) leave() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/holder/daisyholder/stream.go
+++ b/internal/holder/daisyholder/stream.go
@@ -36,7 +36,8 @@
 	return s.begin(ctx, r, emit)
 }
 
-// admit takes the request's rate-limit tokens.
+// admit takes the request's rate-limit tokens. It does not wait for them, and takes none,
+// for a transaction that this host cannot begin since the database has moved.
 func (s *stream) admit(ctx context.Context, r *daisystream.Request) *daisystream.Refusal {
 	profile, ok := s.holder.options.View.Profile(r.Profile)
 	if !ok {
@@ -44,9 +45,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.Wait)
 	defer cancel()
+	moved := func() bool { return false }
+	if s.tx == nil {
+		g := s.holder.group(profile.Database)
+		if g == nil || g.leaves() {
+			return refuse(daisystream.CauseMoved)
+		}
+		moved = g.leaves
+		defer context.AfterFunc(g.ctx, cancel)()
+	}
 	retry := s.holder.options.Limiter.Take(ctx, r.Workspace, profile.Cost)
-	if retry == 0 {
+	switch {
+	case retry == 0:
 		return nil
+	case moved():
+		return refuse(daisystream.CauseMoved)
 	}
 	return &daisystream.Refusal{
 		Code: daisystream.CodeLimit, Message: "not run: the workspace is over its rate",
