Read a second answer of a PostgreSQL server to its end before the next request

What callers could get, shown by a review: rows of an answer that the server sent again, streamed as the beginning of the next answer, if only a part of it had come when the request was sent.

Cause: what waits on a connection was read until nothing was there, which may be within an answer.

Evidence: TestDrainReadsWholeAnswers fails before where the rest never comes.

--- a/internal/holder/daisymember/conn.go
+++ b/internal/holder/daisymember/conn.go
@@ -91,7 +91,7 @@
 const discardAll = "DISCARD ALL"
 
 // Drain reads what the server sent since the last answer, none of which can be the
-// answer to a request that is still to be sent.
+// answer to a request that is still to be sent. It does not stop within an answer.
 func (c *Conn) Drain(limit time.Duration) (err error) {
 	defer daisyerror.Annotate(&err, "read what no statement waits for")
 	if c.Alive() {
@@ -100,11 +100,16 @@
 	if err := c.net.SetDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
-	for !c.Alive() {
-		if _, err := c.Next(); err != nil {
+	for within := false; within || !c.Alive(); {
+		m, err := c.Next()
+		if err != nil {
 			return err
 		}
-		c.repeated = true
+		switch m.Type {
+		case daisymessage.TypeNotice, daisymessage.TypeParameterStatus, daisymessage.TypeNotification:
+			continue // They may come at any time.
+		}
+		within, c.repeated = m.Type != daisymessage.TypeReady, true
 	}
 	return c.net.SetDeadline(time.Time{})
 }
--- a/internal/holder/daisymember/marker_test.go
+++ b/internal/holder/daisymember/marker_test.go
@@ -1,6 +1,7 @@
 package daisymember
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"testing"
@@ -205,3 +206,33 @@
 	assert.Check(t, c.Alive())
 	assert.Check(t, c.repeated)
 }
+
+// TestDrainReadsWholeAnswers guards against the rest of an answer that is taken for the answer
+// to the next request, since only its beginning had come before.
+func TestDrainReadsWholeAnswers(t *testing.T) {
+	own := answerOf("own", 'T')
+	begin := bytes.IndexByte(own, 'C') // Its row has come, its CommandComplete has not.
+	tests := []struct {
+		name string
+		rest []byte
+		err  string
+	}{
+		{"Whole", own[begin:], ""},
+		{"CutOff", nil, "timeout"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, _ := openConnOf(append(append([]byte{}, own...), own[:begin]...), test.rest)
+			defer c.Close()
+			_, err := c.nextAnswer()
+			assert.NilError(t, err)
+			err = c.Drain(50 * time.Millisecond)
+			if test.err != "" {
+				assert.ErrorContains(t, err, test.err)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Check(t, c.Alive())
+		})
+	}
+}
