Keep the latest position of the answers to BEGIN

A SET within a transaction could lower the position that a later BEGIN must exceed, if a promotion had shortened the server's log.

Change: the latest position counts. The package's comment names what a connection is used for.

--- a/internal/backend/daisypool/doc.go
+++ b/internal/backend/daisypool/doc.go
@@ -10,8 +10,9 @@
 //
 // An answer names no statement, and a server may send one again. So a connection keeps what
 // it has received, passes over an answer that it knows, and is used only for statements
-// whose answers can be told from the earlier ones: for one transaction or change of the
-// session values, one request for the status, and after a failure for reads only.
+// whose answers can be told from the earlier ones: for another transaction or change of the
+// session values once the server's log has gone on, for one request for the status, and after a
+// failure for reads only.
 //
 // If a server refuses a connection since it has too many, as hosts with different states
 // of the fleet use it, the pool closes idle ones, opens none for a while, and the request
--- a/internal/backend/daisypool/history.go
+++ b/internal/backend/daisypool/history.go
@@ -16,13 +16,14 @@
 // server may send one again, at once or after any time. Its first answers come in the order
 // of the statements, so that an answer unlike all earlier ones of the connection belongs to
 // the earliest statement without one. A read, a write and a COMMIT are told apart by their
-// signatures, which are unique.
+// signatures, no two of which are equal, and BEGINs by the position of the server's log once that
+// has gone on.
 type history struct {
 	signatures []uint64                // Hashes of the signatures received.
 	state      daisystatement.State    // With the last answer.
 	failed     bool                    // A failure was received.
 	began      bool                    // An unsigned answer in an open transaction was received.
-	position   daisystatement.Position // The last one of such an answer.
+	position   daisystatement.Position // The latest one in such an answer.
 	unsigned   bool                    // Another unsigned answer was received.
 	sampled    bool                    // The answer to a request for the status was received.
 }
@@ -82,7 +83,7 @@
 	case daisystatement.Kind(s) == daisystatement.KindStatus:
 		h.sampled = true
 	case a.State == daisystatement.StateOpen:
-		h.began, h.position = true, a.Position
+		h.began, h.position = true, daisystatement.Max(h.position, a.Position)
 	default:
 		h.unsigned = true
 	}
