--- a/internal/try/daisysandbox/repeat_test.go
+++ b/internal/try/daisysandbox/repeat_test.go
@@ -264,3 +264,52 @@
 		do(m)
 	}
 }
+
+// TestLateCancelReachesNoOtherSession cancels statements at about the time at which they
+// end. It guards against a cancel request that stops the next statement on the server's
+// connection, which is another session's.
+func TestLateCancelReachesNoOtherSession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		ctx, cancel := context.WithCancel(context.Background())
+		var wait sync.WaitGroup
+		var mu sync.Mutex
+		cancelled, ended, others := 0, 0, 0
+		for i := range 4 {
+			random := rand.New(rand.NewPCG(uint64(i), 3))
+			wait.Go(func() {
+				f.repeatOnConn(ctx, i, daisysandbox.ProfileWrite, func(ctx context.Context, conn *pgx.Conn, _ int) {
+					sent := make(chan struct{})
+					time.AfterFunc(time.Duration(random.Int64N(int64(12*time.Millisecond))), func() {
+						defer close(sent)
+						_ = conn.PgConn().CancelRequest(ctx)
+					})
+					_, err := conn.Exec(ctx, "SELECT pg_sleep(0.004)")
+					<-sent
+					mu.Lock()
+					defer mu.Unlock()
+					if err != nil {
+						cancelled++
+						return
+					}
+					ended++
+				})
+			})
+			wait.Go(func() {
+				f.repeatOnConn(ctx, i, daisysandbox.ProfileWrite, func(_ context.Context, conn *pgx.Conn, _ int) {
+					_, err := conn.Exec(context.Background(), "SELECT pg_sleep(0.002)")
+					mu.Lock()
+					defer mu.Unlock()
+					others++
+					assert.Check(t, err, "a session that sent no cancel request")
+				})
+			})
+		}
+		time.Sleep(3 * time.Second)
+		cancel()
+		wait.Wait()
+		t.Logf("%d statements cancelled, %d ended before, %d of other sessions", cancelled, ended, others)
+		assert.Check(t, cancelled > 50 && ended > 50 && others > 500)
+	})
+}
