--- a/internal/standin/daisystandin/session.go
+++ b/internal/standin/daisystandin/session.go
@@ -14,7 +14,7 @@
 // textOID is the OID of the PostgreSQL type text.
 const textOID = 25
 
-var errCopyUnsupported = errors.New("copy")
+var errCopyEnded = errors.New("unexpected message during COPY from stdin")
 
 // session is one connection to a member.
 type session struct {
@@ -206,6 +206,31 @@
 	return nil
 }
 
+// copyIn asks for the data of a COPY and fails. Like PostgreSQL, it closes the connection
+// at a message that is no part of the data.
+func (s *session) copyIn() error {
+	s.backend.Send(&pgproto3.CopyInResponse{})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	for {
+		message, err := s.backend.Receive()
+		if err != nil {
+			return err
+		}
+		switch m := message.(type) {
+		case *pgproto3.CopyData, *pgproto3.Flush, *pgproto3.Sync:
+		case *pgproto3.CopyDone:
+			return &sqlError{"0A000", "COPY is not supported"}
+		case *pgproto3.CopyFail:
+			return &sqlError{"57014", "COPY from stdin failed: " + m.Message}
+		default:
+			_ = s.conn.Close()
+			return errCopyEnded
+		}
+	}
+}
+
 func (s *session) bind(m *pgproto3.Bind) error {
 	sql, ok := s.prepared[m.PreparedStatement]
 	if !ok {
--- a/internal/standin/daisystandin/statement.go
+++ b/internal/standin/daisystandin/statement.go
@@ -126,7 +126,7 @@
 		s.settings = make(map[string]string)
 		return &result{tag: "DISCARD ALL"}, nil
 	case "copy":
-		return nil, errCopyUnsupported
+		return nil, s.copyIn()
 	case "show":
 		name := strings.Join(words[1:], " ")
 		r := singleValue(name, s.settings[name])
--- a/internal/try/daisysandbox/sessions_test.go
+++ b/internal/try/daisysandbox/sessions_test.go
@@ -367,6 +367,33 @@
 	})
 }
 
+// TestCopyFailsWithoutLosingTheConnection sends COPY FROM STDIN, which is refused. It
+// guards against a server that takes what is sent after the statement for its data.
+func TestCopyFailsWithoutLosingTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 3)
+		defer f.close()
+		for host := range 3 {
+			conn, err := f.connect(t.Context(), host, daisysandbox.ProfileWrite)
+			assert.NilError(t, err)
+			for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+				_, err = conn.Exec(t.Context(), "COPY bookings FROM STDIN", mode)
+				assert.ErrorContains(t, err, "COPY from the caller is not supported")
+				_, err = conn.Exec(t.Context(), "SELECT 1", mode)
+				assert.NilError(t, err)
+				tx, err := conn.Begin(t.Context())
+				assert.NilError(t, err)
+				_, err = tx.Exec(t.Context(), "COPY bookings FROM STDIN", mode)
+				assert.ErrorContains(t, err, "COPY from the caller is not supported")
+				_, err = tx.Exec(t.Context(), "SELECT 1", mode)
+				assert.ErrorContains(t, err, "25P02")
+				assert.NilError(t, tx.Rollback(t.Context()))
+			}
+			f.closeConn(conn)
+		}
+	})
+}
+
 // TestPossibleLossIsReported loses a primary with an acknowledged write that no replica
 // has received, as the profile allows. An event must report that the write may be lost.
 func TestPossibleLossIsReported(t *testing.T) {
