--- a/internal/host/daisyhost/host.go
+++ b/internal/host/daisyhost/host.go
@@ -367,12 +367,27 @@
 	defer cancel()
 	h.lease.Wake()
 	h.entry.Drain(ctx)
+	held := h.holder.Holding()
 	h.holder.Drain(ctx)
 	h.lease.Wake()
 	h.awaitHandover(ctx)
+	if held {
+		awaitLateRequests(ctx)
+	}
 	return h.Close()
 }
 
+// lateRequestTime is how long after a handover requests may arrive from hosts that have
+// not learned of it. They are refused as not run.
+const lateRequestTime = 250 * time.Millisecond
+
+func awaitLateRequests(ctx context.Context) {
+	select {
+	case <-time.After(lateRequestTime):
+	case <-ctx.Done():
+	}
+}
+
 // awaitHandover waits until the release of the ownerships has taken effect, that
 // is, until the host holds no database.
 func (h *Host) awaitHandover(ctx context.Context) {
--- a/internal/try/daisysandbox/sessions_test.go
+++ b/internal/try/daisysandbox/sessions_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -275,6 +276,43 @@
 	})
 }
 
+// Guards against requests whose outcome is unknown since a holder that stops closes its
+// links before other hosts have learned that the database has moved.
+func TestStoppingHolderRefusesLateRequests(t *testing.T) {
+	const late = 80 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		var slow atomic.Pointer[[2]string] // From the control leader to the entry host.
+		f := newFleetWithLatency(t, 4, func(from, to string) time.Duration {
+			if path := slow.Load(); path != nil && *path == [2]string{from, to} {
+				return late
+			}
+			return 500 * time.Microsecond
+		})
+		defer f.close()
+		if leader := f.leader(); f.holder() == leader {
+			f.network.isolate(hostName(leader), groupNode)
+			f.awaitHolderOtherThan(leader)
+			f.network.heal()
+		}
+		leader, holder := f.leader(), f.holder()
+		assert.Assert(t, leader != holder)
+		for i := range f.hosts {
+			if i != leader && i != holder {
+				f.targets = []int{i}
+			}
+		}
+		slow.Store(&[2]string{hostName(leader), hostName(f.targets[0])})
+		hist := newHistory(t)
+		f.load(hist, 4, time.Second, time.Second, func() {
+			assert.Check(t, f.hosts[holder].Stop())
+			f.setHost(holder, nil)
+		})
+		hist.check(f.primaryRows())
+		assert.Assert(t, hist.count(acknowledged) > 100)
+		assert.Equal(t, hist.resolved, 0)
+	})
+}
+
 func (f *fleet) awaitHolderOtherThan(i int) {
 	for f.holder() == i || f.ownership().Primary == "" {
 		time.Sleep(20 * time.Millisecond)
