Keep a PostgreSQL session's positions by database

A session kept one minimum position, whatever the database of its profile. After a change of the profile it sent the position in the log of one database as that in the log of another: too low, so that replicas without the session's own write could serve it, or too high. An open transaction was judged by the ownership of the new database and rolled back if its term differed.

The position is kept for each database now, and a transaction ends on the database where it began.

--- a/internal/entry/daisyentry/session.go
+++ b/internal/entry/daisyentry/session.go
@@ -46,11 +46,10 @@
 	hash      [32]byte
 	ready     atomic.Bool // Logged in; the fields above are set.
 
-	statements  map[string]statement
-	stream      daisystream.Stream // To the holder, while a transaction is open; else nil.
-	status      daisystream.Status
-	minPosition daisystream.Position
-	noPosition  bool // minPosition is not known yet.
+	statements   map[string]statement
+	stream       daisystream.Stream // To the holder, while a transaction is open; else nil.
+	status       daisystream.Status
+	minPositions map[string]daisystream.Position // By database; of the databases that have answered.
 
 	mu              sync.Mutex
 	active          bool               // A request is under way or a transaction is open.
@@ -65,7 +64,7 @@
 func newSession(s *Server, conn net.Conn) *session {
 	c := &session{
 		server: s, statements: make(map[string]statement),
-		status: daisystream.StatusIdle, noPosition: true,
+		status: daisystream.StatusIdle, minPositions: make(map[string]daisystream.Position),
 	}
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	c.attach(conn)
@@ -283,15 +282,23 @@
 	c.mu.Lock()
 	c.cancelRequested = false
 	c.mu.Unlock()
+	database := profile.Database
+	if c.stream != nil {
+		database = c.attemptDatabase // A transaction ends where it began.
+	}
 	deadline := time.Now().Add(profile.Wait)
 	for {
-		r.MinPosition, r.NewSession, r.Wait = c.minPosition, c.noPosition, time.Until(deadline)
+		minPosition, answered := c.minPositions[database]
+		r.MinPosition, r.NewSession, r.Wait = minPosition, !answered, time.Until(deadline)
 		changed := c.server.options.View.Changed()
-		final, err := c.attempt(profile.Database, r)
+		final, err := c.attempt(database, r)
 		if err != nil {
 			return nil, err
 		}
 		if !mayRetry(final) || c.cancelWasRequested() || time.Until(deadline) < routeRetryInterval {
+			if final.Refusal == nil {
+				c.minPositions[database] = final.MinPosition
+			}
 			return final, c.writeFinal(final)
 		}
 		select {
@@ -383,7 +390,7 @@
 
 // unavailable returns the answer for a database whose holder cannot be reached.
 func (c *session) unavailable(cause daisystream.Cause) *daisystream.Answer {
-	return &daisystream.Answer{Final: true, Status: daisystream.StatusIdle, MinPosition: c.minPosition, Refusal: &daisystream.Refusal{
+	return &daisystream.Answer{Final: true, Status: daisystream.StatusIdle, Refusal: &daisystream.Refusal{
 		Code: daisystream.CodeNotNow, Message: "not run: the database has no reachable holder",
 		RetryAfter: time.Second, Cause: cause,
 	}}
@@ -407,7 +414,6 @@
 // writeFinal writes the last part of an answer, or the error of a refusal.
 func (c *session) writeFinal(a *daisystream.Answer) error {
 	if a.Refusal == nil {
-		c.minPosition, c.noPosition = a.MinPosition, false
 		return c.write(a.Bytes)
 	}
 	e := &pgproto3.ErrorResponse{
