Keep a session's last write for each service

Callers saw: a session of a read_your_writes route wrote, the route was moved to another service and back, the session wrote once in between, and its reads were served by replicas without its first write (STALE). After a move to a service with a shorter log its reads were refused until it wrote there.

Cause: the position of the last write was kept with its epoch, but without the service. The epochs of two services mostly have the same number, so the position in one log was compared with positions in the other.

A session keeps the position of its last write for each service.

--- a/internal/session/daisyfreshness/tracker.go
+++ b/internal/session/daisyfreshness/tracker.go
@@ -92,7 +92,8 @@
 	return 0, false
 }
 
-// WritePosition is the position of a session's latest write.
+// WritePosition is the position of a session's latest write on one service. The zero
+// value is that of a session without writes.
 type WritePosition struct {
 	Epoch    uint64
 	Position daisystatement.Position
--- a/internal/session/daisysession/direct.go
+++ b/internal/session/daisysession/direct.go
@@ -163,6 +163,6 @@
 	if !s.env.Router.Leads(service, l) {
 		return daisystatement.Fail(daisystatement.StateIdle, daisystatement.CodeInDoubt, "the primary may have been replaced before the write")
 	}
-	s.lastWrite = daisyfreshness.WritePosition{Epoch: l.Epoch, Position: a.Position}
+	s.lastWrites[service] = daisyfreshness.WritePosition{Epoch: l.Epoch, Position: a.Position}
 	return a
 }
--- a/internal/session/daisysession/read.go
+++ b/internal/session/daisysession/read.go
@@ -93,12 +93,12 @@
 
 // minPosition returns the minimum log position that the session's reads need. It
 // returns false if no sample of the primary's position is recent enough; then the
-// position covers the session's last write only.
+// position covers the session's last write on the service only.
 func (s *Session) minPosition(p daisyspec.Profile, arrived time.Time) (minPosition daisystatement.Position, ok bool) {
 	epoch := s.env.Router.Epoch(p.Service)
 	minPosition, ok = s.env.Router.MinPosition(p.Service, epoch, arrived, p.MaxAge)
 	if p.Freshness == daisyspec.FreshSession {
-		minPosition = s.lastWrite.MinPosition(epoch, minPosition)
+		minPosition = s.lastWrites[p.Service].MinPosition(epoch, minPosition)
 	}
 	return minPosition, ok
 }
--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -58,17 +58,19 @@
 	weight    float64 // The workspace's weight in the fair queues of backend servers.
 	values    map[string]string
 	prepared  map[string]prepared
-	lastWrite daisyfreshness.WritePosition
-	tx        *transaction
-	client    context.Context // Ends when the client has left; nil if that is not known.
-	ended     bool            // The key or the profile was withdrawn.
+	// lastWrites are by service: the logs of two services have nothing in common, though
+	// their epochs may have the same number.
+	lastWrites map[string]daisyfreshness.WritePosition
+	tx         *transaction
+	client     context.Context // Ends when the client has left; nil if that is not known.
+	ended      bool            // The key or the profile was withdrawn.
 	// homeRegions are the workspace's, from the last desired state that had its key.
 	homeRegions []string
 }
 
 // Open starts a session for a database with a client's key.
 func (e *Environment) Open(database, key string) (*Session, *daisystatement.Failure) {
-	s := &Session{env: e, database: database, key: key}
+	s := &Session{env: e, database: database, key: key, lastWrites: make(map[string]daisyfreshness.WritePosition)}
 	if _, failure := s.authorize(); failure != nil {
 		return nil, failure
 	}
