Compare positions of servers with their terms

Cause: the adapter kept the number of the position in a server's status and dropped its term, so that 1.14 counted for more than 2.12.

A status has the whole position. Successors, replicas in and outside evacuated failure domains and the wait for a previous primary that still answers are compared by term, then by number. An acknowledged entry of a later term is on a log that led when that term began, so the log of the latest term has all acknowledged entries of earlier ones. The log line that names the successor has its position.

--- a/internal/control/daisypromotion/evacuation.go
+++ b/internal/control/daisypromotion/evacuation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 )
 
 // isEvacuated reports whether the failure domain of the member is evacuated.
@@ -59,11 +60,11 @@
 // isAhead reports whether an evacuated replica among the candidates has received more
 // than all those elsewhere.
 func isAhead(s *daisyfleet.State, previous string, candidates, elsewhere []member) bool {
-	most := uint64(0)
+	var most daisystatement.Position
 	for _, m := range elsewhere {
-		most = max(most, m.received)
+		most = daisystatement.Max(most, m.received)
 	}
 	return slices.ContainsFunc(candidates, func(m member) bool {
-		return m.name != previous && isEvacuated(s, m) && m.received > most
+		return m.name != previous && isEvacuated(s, m) && m.received.Compare(most) > 0
 	})
 }
--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -12,6 +12,7 @@
 	"github.com/daisyglade/daisyglade/internal/control/daisypromotion"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyheartbeat"
+	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 	"github.com/daisyglade/daisyglade/internal/limit/daisyquota"
 )
 
@@ -27,6 +28,7 @@
 	role    daisypromotion.Role
 	term    uint64
 	number  uint64 // Index of the last log entry received.
+	logTerm uint64 // Term of that entry.
 	down    bool
 	leaving bool
 	domain  string // Failure domain.
@@ -72,7 +74,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, now: time.Unix(1000, 0)}
 	for i := range 3 {
-		s := &server{id: fmt.Sprintf("m%d", i+1), role: daisypromotion.RoleReplica, term: 1, number: 10}
+		s := &server{id: fmt.Sprintf("m%d", i+1), role: daisypromotion.RoleReplica, term: 1, number: 10, logTerm: 1}
 		w.servers = append(w.servers, s)
 		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i+1), incarnation: uint64(i + 1)})
 	}
@@ -150,7 +152,7 @@
 		}
 		switch o.Kind {
 		case daisypromotion.OrderProbe:
-			r.Reached, r.Status = true, &daisypromotion.Status{Role: s.role, Term: s.term, Received: s.number}
+			r.Reached, r.Status = true, &daisypromotion.Status{Role: s.role, Term: s.term, Received: daisystatement.Position{Term: s.logTerm, Number: s.number}}
 		case daisypromotion.OrderPromote:
 			r.Outcome = w.promote(s)
 		case daisypromotion.OrderStepDown:
--- a/internal/control/daisypromotion/promotion.go
+++ b/internal/control/daisypromotion/promotion.go
@@ -103,7 +103,7 @@
 		return o, next, ""
 	}
 	next = daisyfleet.Promotion{Epoch: leadership.Epoch, Server: m.name}
-	return o, next, fmt.Sprintf("%s is to lead %s in epoch %d", m.name, service, leadership.Epoch)
+	return o, next, fmt.Sprintf("%s is to lead %s in epoch %d from position %v", m.name, service, leadership.Epoch, m.received)
 }
 
 // duePromotionCall returns the order to promote the server that the log names, if a call
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -9,6 +9,7 @@
 
 	"github.com/daisyglade/daisyglade/internal/control/daisyplacement"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 )
 
 const (
@@ -301,7 +302,7 @@
 	}
 	slices.SortFunc(eligible, func(a, b member) int { return compareCandidates(a, b, leadership.Previous) })
 	best := eligible[0]
-	if old, ok := l.statusSince(now, leadership.Previous, ongoing.recalledAt); ok && best.name != leadership.Previous && best.received < old.Received && waited < catchUpTimeout {
+	if old, ok := l.statusSince(now, leadership.Previous, ongoing.recalledAt); ok && best.name != leadership.Previous && best.received.Compare(old.Received) < 0 && waited < catchUpTimeout {
 		return member{}, false
 	}
 	return best, true
@@ -318,11 +319,12 @@
 
 // compareCandidates sorts the best candidate first: other servers before the
 // previous primary, then staying before leaving ones, then those that have
-// received more of the log.
+// received more of the log. A log whose last entry is of a later term has received
+// more, however long the other is: that one ends in entries that were never acknowledged.
 func compareCandidates(a, b member, previous string) int {
 	return cmp.Or(
 		cmp.Compare(rank(a, previous), rank(b, previous)),
-		cmp.Compare(b.received, a.received),
+		b.received.Compare(a.received),
 		cmp.Compare(a.name, b.name),
 	)
 }
@@ -343,7 +345,7 @@
 type member struct {
 	name     string
 	server   daisyfleet.Server
-	received uint64
+	received daisystatement.Position
 }
 
 // members returns the servers of the service, sorted by name.
--- a/internal/control/daisypromotion/types.go
+++ b/internal/control/daisypromotion/types.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 )
 
 // Role is a server's replication role in its service, as the server reports it.
@@ -33,8 +35,8 @@
 // Status is a server's answer to a probe.
 type Status struct {
 	Role     Role
-	Term     uint64 // The term of its log.
-	Received uint64 // The index of the last log entry that it has received.
+	Term     uint64                  // The latest term that it knows.
+	Received daisystatement.Position // Of the last log entry that it has received.
 }
 
 // OrderKind is the action of an Order.
