Promote only servers that have every acknowledged write

Callers saw: 20 of 20 acknowledged commits were gone after the loss of a primary, on a service with syncReplicas 1, though the replica that had received them answered. It was draining, and the other one was promoted (LOST).

Cause: candidates were sorted by whether they stay before what they have received. A replica whose promotion was refused for the moment was left out altogether.

A server is promoted only if its log is as long as the previous primary's, or as the longest of the replicas that answered while fewer than syncReplicas did not. Among these a staying one outside evacuated domains is preferred. A leaving server that alone has all leads first and hands over once another has caught up; with synchronous replicas a leaving primary is not recalled before. A replica level with a previous primary that answers is promoted at once, also if others do not answer.

Evidence: seven of eight cases of TestAcknowledgedWritesOutrankStaying fail before the change, and TestLeavingPrimaryHandsOverOnceOthersCaughtUp, and the evacuated case of TestLaterTermIsAheadOfLongerLog with a synchronous replica.

--- /dev/null
+++ b/internal/control/daisypromotion/candidate.go
@@ -0,0 +1,147 @@
+package daisypromotion
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
+	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
+)
+
+// answers are the answers of a service's servers since the old state was recalled.
+type answers struct {
+	replicas   []member // Those that answered, but for the previous primary.
+	previous   member   // The previous primary; its name is empty if it did not answer.
+	unanswered int      // Servers that may still answer.
+	silent     int      // Replicas that did not answer, and may each have any write.
+}
+
+// gather returns the answers of the servers.
+func (l *Leader) gather(now time.Time, all []member, previous string, ongoing *succession) (a answers) {
+	for _, m := range all {
+		status, ok := l.statusSince(now, m.name, ongoing.recalledAt)
+		m.received = status.Received
+		switch {
+		case ok && m.name == previous:
+			a.previous = m
+		case ok:
+			a.replicas = append(a.replicas, m)
+		default:
+			if probed := l.probes[m.name]; probed == nil || probed.failures == 0 {
+				a.unanswered++
+			}
+			if m.name != previous {
+				a.silent++
+			}
+		}
+	}
+	return a
+}
+
+// furthest returns the latest position that a replica has received.
+func (a answers) furthest() (p daisystatement.Position) {
+	for _, m := range a.replicas {
+		p = daisystatement.Max(p, m.received)
+	}
+	return p
+}
+
+// complete reports whether a log that ends at the position has every acknowledged write, if
+// each was acknowledged once syncReplicas replicas had received it. It has if it is as long
+// as the previous primary's, or as the longest of the replicas that answered, of which one
+// has the write unless syncReplicas replicas did not answer.
+//
+// With syncReplicas 0 a write may be on the previous primary only. Then it reports whether
+// the log is as long as the longest that a replica which may be promoted has.
+func (a answers) complete(p daisystatement.Position, syncReplicas int, candidates []member) bool {
+	if syncReplicas == 0 {
+		return !slices.ContainsFunc(candidates, func(m member) bool {
+			return m.name != a.previous.name && p.Compare(m.received) < 0
+		})
+	}
+	furthest := a.furthest()
+	if a.silent < syncReplicas && p.Compare(furthest) >= 0 {
+		return true
+	}
+	// A primary that has lost its log is no measure; its replicas have received more.
+	intact := a.previous.name != "" && !a.previous.received.IsZero() && a.previous.received.Compare(furthest) >= 0
+	return intact && p.Compare(a.previous.received) >= 0
+}
+
+// chooseCandidate returns the server to promote, or false if the leader must wait
+// for more answers, or until a replica has received what another server has.
+//
+// It prefers a server that stays, outside the evacuated failure domains. If that one may
+// lack an acknowledged write, one that has all leads first; it is replaced in turn once
+// the others have caught up.
+func (l *Leader) chooseCandidate(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership, ongoing *succession) (best member, ok bool) {
+	all := members(s, service)
+	a := l.gather(now, all, leadership.Previous, ongoing)
+	if !l.allAsked(all, ongoing) {
+		return member{}, false
+	}
+	if ongoing.askedAt.IsZero() {
+		ongoing.askedAt = now
+	}
+	waited := now.Sub(ongoing.askedAt)
+	candidates := l.candidates(now, s, service, a, ongoing)
+	if len(candidates) == 0 || a.unanswered > 0 && waited < gatherTimeout {
+		return member{}, false
+	}
+	n := l.syncReplicas[service]
+	best = candidates[0]
+	catchesUp := a.previous.name != "" && waited < catchUpTimeout
+	switch {
+	case best.name == leadership.Previous:
+	case catchesUp && best.received.Compare(a.previous.received) < 0:
+		return member{}, false
+	}
+	if a.complete(best.received, n, candidates) {
+		return best, true
+	}
+	if catchesUp {
+		return member{}, false
+	}
+	candidates = slices.DeleteFunc(candidates, func(m member) bool { return !a.complete(m.received, n, candidates) })
+	if len(candidates) == 0 {
+		return member{}, false
+	}
+	return candidates[0], true
+}
+
+// candidates returns the servers that answered and may be promoted, sorted by
+// compareCandidates.
+func (l *Leader) candidates(now time.Time, s *daisyfleet.State, service string, a answers, ongoing *succession) []member {
+	all := slices.Clone(a.replicas)
+	if a.previous.name != "" {
+		all = append(all, a.previous)
+	}
+	all = slices.DeleteFunc(all, func(m member) bool { return now.Sub(ongoing.refusedAt[m.name]) <= refusalTTL })
+	all = l.withoutEvacuated(now, s, service, a.previous.name, ongoing, all)
+	slices.SortFunc(all, func(x, y member) int { return compareCandidates(x, y, a.previous.name) })
+	return all
+}
+
+// compareCandidates sorts the best candidate first: other servers before the
+// previous primary, then staying before leaving ones, then those that have
+// received more of the log. A log whose last entry is of a later term has received
+// more, however long the other is: that one ends in entries that were never acknowledged.
+func compareCandidates(a, b member, previous string) int {
+	return cmp.Or(
+		cmp.Compare(rank(a, previous), rank(b, previous)),
+		b.received.Compare(a.received),
+		cmp.Compare(a.name, b.name),
+	)
+}
+
+func rank(m member, previous string) int {
+	r := 0
+	if m.server.Leaving {
+		r++
+	}
+	if m.name == previous {
+		r += 2
+	}
+	return r
+}
--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -80,7 +80,8 @@
 	firstProbed  string                      // The service to begin the next round of probes with.
 	pools        map[string]*daisyquota.Pool // By workspace.
 
-	syncReplicas map[string]int // By service.
+	syncReplicas map[string]int  // By service.
+	marks        map[string]mark // By service.
 	cold         coldServers
 }
 
@@ -92,7 +93,7 @@
 		servers: make(map[string]*announcedServer), byAddress: make(map[netip.AddrPort]string), departed: make(map[string]announcedServer),
 		probes: make(map[string]*probeState), observations: make(map[string]map[string]unreachableReport),
 		successions: make(map[string]*succession), pools: make(map[string]*daisyquota.Pool),
-		cold: coldServers{seen: make(map[string]time.Time)},
+		marks: make(map[string]mark), cold: coldServers{seen: make(map[string]time.Time)},
 	}
 }
 
--- a/internal/control/daisypromotion/lost_test.go
+++ b/internal/control/daisypromotion/lost_test.go
@@ -37,6 +37,10 @@
 		want   []string // The servers that are promoted, in order.
 	}{
 		{"PrimaryLost", func(w *world) { w.losePrimary() }, []string{"m2"}},
+		{"Evacuated", func(w *world) { // The next to lead is m3, once it has the log of m2.
+			w.evacuate("z2", true)
+			w.losePrimary()
+		}, []string{"m2", "m3"}},
 		{"PreviousPrimaryAnswers", func(w *world) { // Neither replica has its last entry; m2 gets it later.
 			w.servers[0].logTerm, w.servers[0].number = 2, 13
 			w.servers[0].leaving = true
@@ -53,8 +57,92 @@
 				w.servers[2].logTerm, w.servers[2].number = 1, 14
 				test.inject(w)
 				w.advance(3 * time.Second)
+				if len(test.want) > 1 { // It follows the new primary.
+					w.servers[2].logTerm, w.servers[2].number = 3, 12
+					w.servers[1].logTerm = 3
+					w.advance(4 * time.Second)
+				}
 				assert.DeepEqual(t, w.promoted, test.want)
 			})
 		}
 	}
 }
+
+// Guards against the promotion of a server that lacks acknowledged writes before one that has
+// them but leaves, is evacuated or was refused for a moment (review/7, review/leaving).
+func TestAcknowledgedWritesOutrankStaying(t *testing.T) {
+	tests := []struct {
+		name   string
+		sync   int
+		inject func(w *world)
+		within time.Duration
+		want   []string // The servers that are promoted, in order.
+	}{
+		{"Leaving", 1, func(w *world) {
+			w.servers[2].leaving = true
+			w.losePrimary()
+		}, 2 * time.Second, []string{"m3"}},
+		{"LeavingWithoutSync", 0, func(w *world) {
+			w.servers[2].leaving = true
+			w.losePrimary()
+		}, 2 * time.Second, []string{"m3"}},
+		{"LeavingAndEvacuated", 1, func(w *world) {
+			w.servers[2].leaving = true
+			w.evacuate("z3", true)
+			w.losePrimary()
+		}, 2 * time.Second, []string{"m3"}},
+		{"RefusedForAWhile", 1, func(w *world) {
+			w.servers[2].refuses = true
+			w.losePrimary()
+			w.advance(3 * time.Second)
+			w.servers[2].refuses = false
+		}, 2 * time.Second, []string{"m3"}},
+		{"LeavingIsCutOff", 1, func(w *world) {
+			w.servers[2].leaving = true
+			w.losePrimary()
+			w.servers[2].cut = true
+			w.advance(3 * time.Second)
+			w.servers[2].cut = false
+		}, 2 * time.Second, []string{"m3"}},
+		{"PrimaryReturns", 1, func(w *world) { // As a replica with its log.
+			w.losePrimary()
+			w.servers[2].down = true
+			w.advance(3 * time.Second)
+			w.setPrimaryUnreachable(false)
+			w.servers[0].down, w.servers[0].number = false, 12
+		}, 3 * time.Second, []string{"m1"}},
+		// Nothing is to be waited for:
+		{"BothReplicasHaveEachWrite", 2, func(w *world) {
+			w.losePrimary()
+			w.servers[1].down = true
+		}, 2 * time.Second, []string{"m3"}},
+		{"CaughtUpWithPreviousPrimary", 1, func(w *world) {
+			w.servers[1].number, w.servers[0].number, w.servers[0].leaving = 12, 12, true
+			w.servers[2].cut = true
+		}, 2500 * time.Millisecond, []string{"m2"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newSyncWorld(t, test.sync)
+			w.servers[2].number = 12
+			test.inject(w)
+			w.advance(test.within)
+			assert.DeepEqual(t, w.promoted, test.want)
+		})
+	}
+}
+
+// Guards against acknowledged writes that are lost when the leaving server that leads since it
+// alone had them hands over, and against a handover that never comes.
+func TestLeavingPrimaryHandsOverOnceOthersCaughtUp(t *testing.T) {
+	w := newSyncWorld(t, 1)
+	w.servers[2].number, w.servers[2].leaving = 12, true
+	w.losePrimary()
+	w.advance(6 * time.Second)
+	assert.DeepEqual(t, w.promoted, []string{"m3"}) // It leads all the while: m2 receives nothing.
+	assert.Equal(t, w.leadership().Server, "m3")
+	w.servers[1].number = 12
+	w.advance(2 * time.Second)
+	assert.DeepEqual(t, w.promoted, []string{"m3", "m2"})
+	assert.Equal(t, w.leadership().Server, "m2")
+}
--- a/internal/control/daisypromotion/orders.go
+++ b/internal/control/daisypromotion/orders.go
@@ -79,12 +79,15 @@
 // supervise probes the primary if hosts report it unreachable or it has stopped
 // announcing itself, and tells other servers that believe they are the primary in
 // an earlier term to step down. It probes all servers if the primary is evacuated, to
-// learn which of them may take over. Otherwise it orders nothing.
+// learn which of them may take over, and if another has to catch up with it first.
+// Otherwise it orders nothing.
 func (l *Leader) supervise(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) []Order {
 	var orders []Order
-	if server, ok := lookupServer(s, leadership.Server); ok && s.Evacuated(server.FailureDomain) {
+	server, ok := lookupServer(s, leadership.Server)
+	if handsOver := server.Leaving && l.syncReplicas[service] > 0; ok && (handsOver || s.Evacuated(server.FailureDomain)) {
 		orders = l.probeAll(now, s, service)
 	}
+	l.updateMark(now, service, leadership)
 	unreachable, _ := l.countUnreachable(now, s, service, leadership)
 	for _, m := range members(s, service) {
 		known := l.servers[m.name]
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -1,7 +1,6 @@
 package daisypromotion
 
 import (
-	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -132,7 +131,7 @@
 	if other, status, ok := l.reportedPrimary(now, s, service, leadership.Term); ok && other != leadership.Server {
 		return next, fmt.Sprintf("%s leads %s in the later term %d", other, service, status.Term)
 	}
-	if listed && server.Leaving && l.replaceable(now, s, service, leadership.Server) {
+	if listed && server.Leaving && l.replaceable(now, s, service, leadership) {
 		return next, fmt.Sprintf("primary %s of %s is leaving", leadership.Server, service)
 	}
 	if reason := l.evacuationReason(now, s, service, leadership.Server); reason != "" {
@@ -145,11 +144,16 @@
 }
 
 // replaceable reports whether the service has another server that is neither leaving
-// nor evacuated and announces itself.
-func (l *Leader) replaceable(now time.Time, s *daisyfleet.State, service, primary string) bool {
-	return slices.ContainsFunc(members(s, service), func(m member) bool {
+// nor evacuated and announces itself. With synchronous replicas it must have caught up with
+// the primary: else its succession would wait, or promote the primary again.
+func (l *Leader) replaceable(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) bool {
+	others := members(s, service)
+	if l.syncReplicas[service] > 0 {
+		others, _ = l.caughtUp(now, s, service, leadership)
+	}
+	return slices.ContainsFunc(others, func(m member) bool {
 		known, ok := l.servers[m.name]
-		return m.name != primary && !m.server.Leaving && !isEvacuated(s, m) && ok && now.Sub(known.seenAt) < announcementTimeout
+		return m.name != leadership.Server && !m.server.Leaving && !isEvacuated(s, m) && ok && now.Sub(known.seenAt) < announcementTimeout
 	})
 }
 
@@ -264,50 +268,6 @@
 	return recalled
 }
 
-// chooseCandidate returns the server to promote, or false if the leader must wait
-// for more answers.
-func (l *Leader) chooseCandidate(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership, ongoing *succession) (member, bool) {
-	all := members(s, service)
-	var eligible []member
-	unanswered, unansweredReplicas := 0, 0
-	for _, m := range all {
-		status, ok := l.statusSince(now, m.name, ongoing.recalledAt)
-		if !ok {
-			if probed := l.probes[m.name]; probed == nil || probed.failures == 0 {
-				unanswered++
-			}
-			if m.name != leadership.Previous {
-				unansweredReplicas++
-			}
-			continue
-		}
-		if now.Sub(ongoing.refusedAt[m.name]) > refusalTTL {
-			m.received = status.Received
-			eligible = append(eligible, m)
-		}
-	}
-	eligible = l.withoutEvacuated(now, s, service, leadership.Previous, ongoing, eligible)
-	if !l.allAsked(all, ongoing) {
-		return member{}, false
-	}
-	if ongoing.askedAt.IsZero() {
-		ongoing.askedAt = now
-	}
-	waited := now.Sub(ongoing.askedAt)
-	if len(eligible) == 0 || unanswered > 0 && waited < gatherTimeout {
-		return member{}, false
-	}
-	if n := l.syncReplicas[service]; n > 0 && unansweredReplicas >= n {
-		return member{}, false // An acknowledged write may be on the unanswered replicas only.
-	}
-	slices.SortFunc(eligible, func(a, b member) int { return compareCandidates(a, b, leadership.Previous) })
-	best := eligible[0]
-	if old, ok := l.statusSince(now, leadership.Previous, ongoing.recalledAt); ok && best.name != leadership.Previous && best.received.Compare(old.Received) < 0 && waited < catchUpTimeout {
-		return member{}, false
-	}
-	return best, true
-}
-
 // allAsked reports whether each server was probed since the old state was recalled. With
 // many successions at once probes wait for others.
 func (l *Leader) allAsked(all []member, ongoing *succession) bool {
@@ -317,29 +277,6 @@
 	})
 }
 
-// compareCandidates sorts the best candidate first: other servers before the
-// previous primary, then staying before leaving ones, then those that have
-// received more of the log. A log whose last entry is of a later term has received
-// more, however long the other is: that one ends in entries that were never acknowledged.
-func compareCandidates(a, b member, previous string) int {
-	return cmp.Or(
-		cmp.Compare(rank(a, previous), rank(b, previous)),
-		b.received.Compare(a.received),
-		cmp.Compare(a.name, b.name),
-	)
-}
-
-func rank(m member, previous string) int {
-	r := 0
-	if m.server.Leaving {
-		r++
-	}
-	if m.name == previous {
-		r += 2
-	}
-	return r
-}
-
 // member is a server of a service with its name. The field received is set during
 // the choice of a candidate only.
 type member struct {
