Count replicas that are gone until others have what they received

Callers saw: after the primary and the replica that had received all acknowledged commits were silent for 10 s, the other replica was promoted without them (LOST, syncReplicas 1).

Cause: only listed servers counted among those that may have a write alone. A server that announces nothing for 10 s, or ends, leaves the list.

With synchronous replicas a silent server stays listed, and one that has ended goes on to count, until enough of the others have received what the primary has had since; all servers are probed twice a second meanwhile. While there is no primary nothing is forgotten. Also counted: a replica that has started again with an empty log, and the lower number of synchronous replicas after it was raised. The successor at the address of a server that was leaving takes its place once it answers with a log.

--- a/internal/control/daisypromotion/candidate.go
+++ b/internal/control/daisypromotion/candidate.go
@@ -14,7 +14,7 @@
 	replicas   []member // Those that answered, but for the previous primary.
 	previous   member   // The previous primary; its name is empty if it did not answer.
 	unanswered int      // Servers that may still answer.
-	silent     int      // Replicas that did not answer, and may each have any write.
+	silent     int      // Replicas that did not answer, or have lost their logs, and may each have had any write.
 }
 
 // gather returns the answers of the servers.
@@ -27,6 +27,9 @@
 			a.previous = m
 		case ok:
 			a.replicas = append(a.replicas, m)
+			if l.hasLostLog(m.name, status) {
+				a.silent++
+			}
 		default:
 			if probed := l.probes[m.name]; probed == nil || probed.failures == 0 {
 				a.unanswered++
@@ -78,6 +81,7 @@
 func (l *Leader) chooseCandidate(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership, ongoing *succession) (best member, ok bool) {
 	all := members(s, service)
 	a := l.gather(now, all, leadership.Previous, ongoing)
+	a.silent += l.countAbsent(service, all)
 	if !l.allAsked(all, ongoing) {
 		return member{}, false
 	}
@@ -89,7 +93,7 @@
 	if len(candidates) == 0 || a.unanswered > 0 && waited < gatherTimeout {
 		return member{}, false
 	}
-	n := l.syncReplicas[service]
+	n := l.syncReplicasOf(service)
 	best = candidates[0]
 	catchesUp := a.previous.name != "" && waited < catchUpTimeout
 	switch {
--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -80,8 +80,10 @@
 	firstProbed  string                      // The service to begin the next round of probes with.
 	pools        map[string]*daisyquota.Pool // By workspace.
 
-	syncReplicas map[string]int  // By service.
-	marks        map[string]mark // By service.
+	syncReplicas map[string]int       // By service.
+	marks        map[string]mark      // By service.
+	coverages    map[string]*coverage // By service.
+	restarted    map[string]bool      // The servers that have started again under their IDs.
 	cold         coldServers
 }
 
@@ -93,7 +95,8 @@
 		servers: make(map[string]*announcedServer), byAddress: make(map[netip.AddrPort]string), departed: make(map[string]announcedServer),
 		probes: make(map[string]*probeState), observations: make(map[string]map[string]unreachableReport),
 		successions: make(map[string]*succession), pools: make(map[string]*daisyquota.Pool),
-		marks: make(map[string]mark), cold: coldServers{seen: make(map[string]time.Time)},
+		marks: make(map[string]mark), coverages: make(map[string]*coverage), restarted: make(map[string]bool),
+		cold: coldServers{seen: make(map[string]time.Time)},
 	}
 }
 
@@ -203,16 +206,28 @@
 		if !ok {
 			o = daisyfleet.Object{ID: daisyfleet.ID{Kind: daisyfleet.KindServer, Name: id}}
 		}
+		if ok && stored.Started.Before(known.Started) {
+			l.restarted[id] = true
+		}
 		changes = append(changes, replaceValue(o, next, "backend server "+id+" announced itself"))
 	}
 	s.Each(daisyfleet.KindServer, func(o daisyfleet.Object) {
 		if _, ok := l.servers[o.Name]; ok {
 			return
 		}
-		if _, ended := l.departed[o.Name]; ended || now.Sub(l.leadingSince) > announcementTTL {
+		v, _ := o.Value.(daisyfleet.Server)
+		_, departed := l.departed[o.Name]
+		if !departed && now.Sub(l.leadingSince) <= announcementTTL {
+			return
+		}
+		// Hosts must not use the address of a server that has ended. One that is only
+		// silent may still come back with its log.
+		if mayForget := l.noteAbsence(now, s, o.Name, v); mayForget || departed {
+			delete(l.restarted, o.Name)
 			changes = append(changes, replaceValue(o, nil, "backend server "+o.Name+" is gone"))
 		}
 	})
+	l.dropAbsences(now, s)
 	for id, departed := range l.departed {
 		if now.Sub(departed.seenAt) > departedTTL {
 			delete(l.departed, id)
--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -34,6 +34,7 @@
 	domain  string // Failure domain.
 	refuses bool   // Promotions are refused.
 	cut     bool   // The control leader cannot reach it, and its announcements are lost.
+	started int64  // Unix seconds.
 }
 
 // takeover is a promotion that the platform has received and that takes effect later.
@@ -74,7 +75,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, now: time.Unix(1000, 0)}
 	for i := range 3 {
-		s := &server{id: fmt.Sprintf("m%d", i+1), role: daisypromotion.RoleReplica, term: 1, number: 10, logTerm: 1}
+		s := &server{id: fmt.Sprintf("m%d", i+1), role: daisypromotion.RoleReplica, term: 1, number: 10, logTerm: 1, started: 900}
 		w.servers = append(w.servers, s)
 		w.hosts = append(w.hosts, &host{name: fmt.Sprintf("h%d", i+1), incarnation: uint64(i + 1)})
 	}
@@ -118,7 +119,7 @@
 		}
 		w.leader.Announce(w.now, daisypromotion.Announcement{
 			ID: s.id, Service: service, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(7000+i)),
-			Started: time.Unix(900, 0), Sequence: w.sequence, Leaving: s.leaving, Role: s.role, FailureDomain: s.domain,
+			Started: time.Unix(s.started, 0), Sequence: w.sequence, Leaving: s.leaving, Role: s.role, FailureDomain: s.domain,
 		})
 	}
 }
--- a/internal/control/daisypromotion/lost_test.go
+++ b/internal/control/daisypromotion/lost_test.go
@@ -146,3 +146,96 @@
 	assert.DeepEqual(t, w.promoted, []string{"m3", "m2"})
 	assert.Equal(t, w.leadership().Server, "m2")
 }
+
+// forgetAfter is longer than a server stays listed that announces nothing.
+const forgetAfter = 12 * time.Second
+
+// Guards against the promotion of a server that lacks acknowledged writes once the replica that
+// has them is forgotten: since it is silent, has ended, has lost its log or is not counted
+// because the number of synchronous replicas was raised since (review/expired).
+func TestAbsentReplicasCount(t *testing.T) {
+	tests := []struct {
+		name   string
+		inject func(w *world)
+		waits  bool           // No server may be promoted before the next step.
+		then   func(w *world) // May be nil.
+		want   []string       // The servers that are promoted, in order.
+	}{
+		{"SilentSinceTheLoss", func(w *world) {
+			w.servers[2].down = true
+			w.losePrimary()
+			w.advance(forgetAfter)
+		}, true, func(w *world) { w.servers[2].down = false }, []string{"m3"}},
+		{"SilentBeforeTheLoss", func(w *world) { // The other one receives nothing.
+			w.servers[2].down = true
+			w.advance(forgetAfter)
+			w.losePrimary()
+		}, true, func(w *world) { w.servers[2].down = false }, []string{"m3"}},
+		{"SilentAndCaughtUp", func(w *world) {
+			w.servers[2].down, w.servers[1].number = true, 12
+			w.advance(forgetAfter)
+			w.losePrimary()
+		}, false, nil, []string{"m2"}},
+		{"EndedAndSucceeded", func(w *world) { // The log goes to the successor at its address.
+			w.servers[2].leaving = true
+			w.advance(time.Second)
+			w.leader.Leave(w.now, "m3")
+			w.servers[2].down = true
+			w.losePrimary()
+		}, true, func(w *world) {
+			w.servers[2].id, w.servers[2].down, w.servers[2].leaving, w.servers[2].started = "m4", false, false, 990
+		}, []string{"m4"}},
+		{"EndedAndCaughtUp", func(w *world) {
+			w.servers[1].number = 12
+			w.leader.Leave(w.now, "m3")
+			w.servers[2].down = true
+			w.advance(2 * time.Second)
+			w.losePrimary()
+		}, false, nil, []string{"m2"}},
+		{"LostLog", func(w *world) {
+			w.servers[2].number, w.servers[2].logTerm, w.servers[2].started = 0, 0, 950
+			w.losePrimary()
+		}, true, func(w *world) {
+			w.servers[0].down = false
+			w.setPrimaryUnreachable(false)
+		}, []string{"m1"}},
+		{"NewServerHasNoLog", func(w *world) {
+			w.servers = append(w.servers, &server{id: "m4", role: daisypromotion.RoleReplica, started: 950})
+			w.advance(time.Second)
+			w.losePrimary()
+		}, false, nil, []string{"m3"}},
+		{"Raised", func(w *world) {
+			w.servers[2].down = true
+			w.setSync(2)
+			w.losePrimary()
+		}, true, func(w *world) { w.servers[2].down = false }, []string{"m3"}},
+		{"RaisedAndCaughtUp", func(w *world) {
+			w.servers[1].number = 12
+			w.setSync(2)
+			w.advance(2 * time.Second)
+			w.servers[2].down = true
+			w.losePrimary()
+		}, false, nil, []string{"m2"}},
+		{"LoweredByOperator", func(w *world) { // Who would rather have service than the last writes.
+			w.servers[2].down = true
+			w.losePrimary()
+			w.advance(3 * time.Second)
+		}, true, func(w *world) { w.setSync(0) }, []string{"m2"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			w := newSyncWorld(t, 1)
+			w.servers[0].number, w.servers[2].number = 12, 12
+			test.inject(w)
+			w.advance(2 * time.Second)
+			if test.waits {
+				assert.Equal(t, len(w.promoted), 0)
+			}
+			if test.then != nil {
+				test.then(w)
+				w.advance(3 * time.Second)
+			}
+			assert.DeepEqual(t, w.promoted, test.want)
+		})
+	}
+}
--- a/internal/control/daisypromotion/orders.go
+++ b/internal/control/daisypromotion/orders.go
@@ -87,7 +87,9 @@
 	if handsOver := server.Leaving && l.syncReplicas[service] > 0; ok && (handsOver || s.Evacuated(server.FailureDomain)) {
 		orders = l.probeAll(now, s, service)
 	}
+	orders = append(orders, l.probeForCoverage(now, s, service)...)
 	l.updateMark(now, service, leadership)
+	l.updateCoverage(now, s, service, leadership)
 	unreachable, _ := l.countUnreachable(now, s, service, leadership)
 	for _, m := range members(s, service) {
 		known := l.servers[m.name]
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -277,6 +277,13 @@
 	})
 }
 
+// leadershipOf returns the leadership of the service, or the zero value if it has none.
+func leadershipOf(s *daisyfleet.State, service string) daisyfleet.Leadership {
+	o, _ := s.Get(daisyfleet.ID{Kind: daisyfleet.KindLeadership, Name: service})
+	leadership, _ := o.Value.(daisyfleet.Leadership)
+	return leadership
+}
+
 // member is a server of a service with its name. The field received is set during
 // the choice of a candidate only.
 type member struct {
--- a/internal/control/daisypromotion/tokens.go
+++ b/internal/control/daisypromotion/tokens.go
@@ -23,6 +23,7 @@
 func (l *Leader) SetDesired(now time.Time, s *daisyfleet.State, d Desired) {
 	hosts := 0
 	s.Each(daisyfleet.KindHost, func(daisyfleet.Object) { hosts++ })
+	l.noteSyncReplicas(now, d.SyncReplicas)
 	l.syncReplicas, l.cold.limited = d.SyncReplicas, d.ColdLimited
 	known := make(map[string]bool)
 	for _, limit := range d.Limits {
