Hand a vote over before a control host stops

Callers saw: a sixth control host replaced another one as planned, and a second later two hosts lost their disks. No leader was elected any more, the acknowledged desired state could not be read back, and all requests were refused (CONFIG, RECOVER).

Cause: at five voters a replica that has caught up waits for a vote until a voter has been silent for 2.5 s. A host that stopped as planned kept its vote that long, so that three of five voters were gone.

A host that stops asks the leader to give its vote to a replica that waits: that one becomes a voter first, and then the one that stops is removed, which runs until then. A leader does the first step, resigns, and is removed by the next one. Without a replica that waits the host keeps its vote for its next process and ends at once. If it dies in between, a silent one of the six voters is removed. A voter that is killed counts for 1 s, not 2.5 s, while another waits.

--- a/internal/cluster/daisyconsensus/node.go
+++ b/internal/cluster/daisyconsensus/node.go
@@ -31,6 +31,12 @@
 	failureLogInterval = 10 * time.Second
 	// hangInterval is the time after which a disk that does not answer is logged.
 	hangInterval = time.Second
+	// retireTimeout bounds the time that Retire takes: an election, and two changes of the
+	// configuration between distant hosts.
+	retireTimeout = 1500 * time.Millisecond
+	// retireInterval is the time between two steps of Retire: two round trips between hosts
+	// of a region, and a sync.
+	retireInterval = 20 * time.Millisecond
 	// closeTimeout bounds the wait for a disk that does not answer when the node is closed.
 	closeTimeout = 200 * time.Millisecond
 )
@@ -250,6 +256,24 @@
 	return n.failed
 }
 
+// Retire hands this replica's vote to a replica that waits for one, before the host stops.
+// Without such a replica it returns at once. It gives up after retireTimeout.
+func (n *Node) Retire() {
+	for deadline := time.Now().Add(retireTimeout); time.Now().Before(deadline); {
+		done := true // Unless the replica runs.
+		n.update(func(now time.Time) { done = n.replica.Retire(now) })
+		if done {
+			return
+		}
+		select {
+		case <-time.After(retireInterval):
+		case <-n.ctx.Done():
+			return
+		}
+	}
+	n.options.Log.Warn("quorum: the vote was not handed over in time")
+}
+
 // Close stops the node and waits for it to end, except for a call of Reopen to a disk
 // that does not answer. A leader resigns first, so that
 // the others elect a new one without waiting for its lease to expire.
--- a/internal/command/daisycli/odd_test.go
+++ b/internal/command/daisycli/odd_test.go
@@ -223,6 +223,8 @@
 		{Kind: daisylog.KindJoin, From: 9},
 		{Kind: daisylog.KindJoin, Peer: &daisylog.Peer{Name: "odd"}},
 		{Kind: daisylog.KindAppendReply, From: 9, Index: math.MaxUint64},
+		{Kind: daisylog.KindRetire, From: 9},
+		{Kind: daisylog.KindRetired, From: 9, Term: 1},
 		{Kind: "Odd", From: 9},
 	} {
 		messages = append(messages, daisycodec.EncodeLogMessage(m))
--- a/internal/control/daisylog/configuration.go
+++ b/internal/control/daisylog/configuration.go
@@ -44,8 +44,12 @@
 
 // Detached reports whether the replica must ask to be added to the configuration:
 // its own does not contain it, or it has not heard from a leader for ElectionMax. A
-// leader that removes a replica does not tell it, since the replica may be gone.
+// leader that removes a replica does not tell it, since the replica may be gone. A
+// replica that stops does not ask.
 func (r *Replica) Detached(now time.Time) bool {
+	if r.retiring {
+		return false
+	}
 	if _, member := r.peer(r.id); !member {
 		return true
 	}
--- a/internal/control/daisylog/replica.go
+++ b/internal/control/daisylog/replica.go
@@ -90,10 +90,13 @@
 	newSnapshot *Snapshot
 	outbox      []Message
 	maxVoters   int // 0 means no limit.
+
+	retiring bool // The process is about to stop.
+	retired  bool // The leader has said that its vote is handed over, or that no learner takes it.
 }
 
 // SetMaxVoters limits the number of voters. At the limit, a learner becomes a
-// voter only in place of one that has been silent for VoterReplaceTimeout.
+// voter only in place of one that stops, or has been silent for VoterReplaceTimeout.
 func (r *Replica) SetMaxVoters(n int) { r.maxVoters = n }
 
 // New returns a replica that continues from its persisted state.
@@ -230,7 +233,7 @@
 	}
 	switch {
 	case now.Before(r.electionDeadline):
-	case r.isVoter():
+	case r.isVoter() && !r.retiring:
 		r.startPreVote(now)
 	default:
 		r.resetElectionTimer(now)
--- a/internal/control/daisylog/step.go
+++ b/internal/control/daisylog/step.go
@@ -37,6 +37,10 @@
 		r.stepAppendReply(now, m)
 	case KindResign:
 		r.stepResign(now, m)
+	case KindRetire:
+		r.stepRetire(now, m)
+	case KindRetired:
+		r.retired = r.retiring
 	}
 }
 
@@ -226,6 +230,7 @@
 	if r.canSend(p) {
 		r.sendAppend(m.From, p)
 	}
+	r.removeExcessVoter(now)
 	r.promoteLearner(now, m.From)
 }
 
--- a/internal/control/daisylog/types.go
+++ b/internal/control/daisylog/types.go
@@ -32,7 +32,7 @@
 	// VoterReplaceTimeout is how long a voter must be silent before a learner that
 	// has caught up may replace it. It is longer than an election, so that a voter
 	// is not replaced because a new leader has only just been elected.
-	VoterReplaceTimeout = 2500 * time.Millisecond
+	VoterReplaceTimeout = time.Second
 	// LeaseMargin bounds the drift between two replicas' clocks during ElectionMin.
 	LeaseMargin = 100 * time.Millisecond
 )
@@ -107,6 +107,10 @@
 	// KindResign says that the sender led the term and will never lead in it again.
 	// It ends the lease that the receiver supported.
 	KindResign MessageKind = "Resign"
+	// KindRetire asks the leader to give the sender's vote to a learner, since the sender
+	// stops. KindRetired says that the sender need not wait any longer.
+	KindRetire  MessageKind = "Retire"
+	KindRetired MessageKind = "Retired"
 )
 
 // Message is a message between replicas.
--- a/internal/host/daisycontrolhost/host.go
+++ b/internal/host/daisycontrolhost/host.go
@@ -175,8 +175,12 @@
 	c.node.SetPeers(others(seeds, c.options.Settings.Link))
 }
 
-// Close stops the host and waits until all its parts have stopped.
+// Close stops the host and waits until all its parts have stopped. Before, the host hands its
+// vote in the control log to one that is to replace it.
 func (c *ControlHost) Close() error {
+	if c.node != nil {
+		c.node.Retire()
+	}
 	c.cancel()
 	var errs []error
 	if c.links != nil {
