--- a/internal/command/daisycli/odd_test.go
+++ b/internal/command/daisycli/odd_test.go
@@ -160,7 +160,7 @@
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", method, path, len(body), body)
 }
 
-const oddServer = `{"service":"s1","address":"10.9.9.9:80","zone":"a","state":"ready","sequence":1,"capacity":%s,"born":1700000000000}`
+const oddServer = `{"service":"s1","address":"10.9.9.9:80","zone":"a","version":"v1","state":"ready","coldLeftMs":0,"dbRole":"replica","sequence":1,"capacity":%s,"born":1700000000000}`
 
 // oddCalls are sent to each port of each host.
 var oddCalls = []struct{ name, content string }{
@@ -199,7 +199,7 @@
 	{"KeysTwice", request("PUT", "/instances/i", `{"service":"a","service":"\u0000","address":1,"address":"10.9.9.9:80","state":"ready","sequence":1,"sequence":2}`)},
 	{"Digits", request("PUT", "/instances/i", fmt.Sprintf(oddServer, strings.Repeat("9", 400)))},
 	{"VersionDigits", request("PUT", "/config", `{"version":`+strings.Repeat("9", 400)+`,"routes":[],"services":[]}`)},
-	{"TextNoUTF8", request("PUT", "/instances/i", "{\"service\":\"\xff\xfe\",\"address\":\"10.9.9.9:80\",\"state\":\"ready\",\"sequence\":1}")},
+	{"TextNoUTF8", request("PUT", "/instances/i", strings.Replace(fmt.Sprintf(oddServer, "3"), "s1", "\xff\xfe", 1))},
 	{"ByteOrderMark", request("PUT", "/config", "\ufeff{}")},
 	{"Null", request("PUT", "/config", "null")},
 	{"ManyRoutes", request("PUT", "/config", `{"version":9,"services":[],"routes":[`+strings.Repeat("0,", 4_000_000)+`0]}`)},
