--- a/internal/control/daisylog/retire.go
+++ b/internal/control/daisylog/retire.go
@@ -38,8 +38,7 @@
 		r.Resign(now)
 		return false
 	}
-	waits, _ := r.addWaitingVoter(now)
-	return !waits
+	return !r.addWaitingVoter(now)
 }
 
 // stepRetire takes the next step in handing the vote of the sender, which stops, to a learner.
@@ -55,7 +54,7 @@
 		r.removePeer(now, m.From)
 		return
 	default:
-		waits, _ = r.addWaitingVoter(now)
+		waits = r.addWaitingVoter(now)
 	}
 	if !waits {
 		r.send(Message{Kind: KindRetired, To: m.From})
@@ -68,8 +67,8 @@
 }
 
 // addWaitingVoter makes a learner a voter that answers and has caught up. It reports whether
-// there is a learner that answers, and whether it was added.
-func (r *Replica) addWaitingVoter(now time.Time) (waits, added bool) {
+// there is a learner that answers.
+func (r *Replica) addWaitingVoter(now time.Time) (waits bool) {
 	peers := slices.Clone(r.configuration)
 	for i, peer := range peers {
 		p := r.progress[peer.Replica]
@@ -79,10 +78,11 @@
 		waits = true
 		if p.match >= r.commit {
 			peers[i].Voting = true
-			return true, r.ChangeConfiguration(now, peers) == nil
+			_ = r.ChangeConfiguration(now, peers) // On error, the next message tries again.
+			break
 		}
 	}
-	return waits, false
+	return waits
 }
 
 // removeExcessVoter removes a voter that is silent while there are more than maxVoters: a
