Replace a leaving primary that the control leader cannot reach

With synchronous replicas a leaving primary keeps its lead until another server has caught up with it. If it does not answer the control leader, nothing shows that, and it kept its lead until it counted as lost after 3 s. The succession begins at once again then, and judges the replicas by each other.

TestAcknowledgedWritesOutrankStaying/LeavingPrimaryIsCutOff fails before the change.

--- a/internal/control/daisypromotion/lost_test.go
+++ b/internal/control/daisypromotion/lost_test.go
@@ -120,6 +120,11 @@
 			w.servers[1].number, w.servers[0].number, w.servers[0].leaving = 12, 12, true
 			w.servers[2].cut = true
 		}, 2500 * time.Millisecond, []string{"m2"}},
+		{"LeavingPrimaryIsCutOff", 1, func(w *world) { // From the control leader, but not from its replicas.
+			w.servers[0].leaving, w.servers[0].number = true, 13
+			w.advance(step)
+			w.servers[0].cut = true
+		}, 2500 * time.Millisecond, []string{"m3"}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/control/daisypromotion/succession.go
+++ b/internal/control/daisypromotion/succession.go
@@ -145,10 +145,10 @@
 
 // replaceable reports whether the service has another server that is neither leaving
 // nor evacuated and announces itself. With synchronous replicas it must have caught up with
-// the primary: else its succession would wait, or promote the primary again.
+// the primary, if that answers: else the succession would wait, or promote the primary again.
 func (l *Leader) replaceable(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership) bool {
 	others := members(s, service)
-	if l.syncReplicas[service] > 0 {
+	if p := l.probes[leadership.Server]; l.syncReplicas[service] > 0 && (p == nil || p.failures == 0) {
 		others, _ = l.caughtUp(now, s, service, leadership)
 	}
 	return slices.ContainsFunc(others, func(m member) bool {
