Stop using a server that leaves after its clock jumped back

Callers saw: reads reached a server for 9 s after it had been acknowledged that it was draining (DRAIN).

Cause: its clock had jumped back between two starts under its ID. Announcements with an earlier start count as delayed and were ignored, but answered with 200.

The news that the server leaves counts, if it comes from the same address, and is acknowledged once it is in the log. If the announcement was a delayed one, the next one of the present process corrects this.

--- a/internal/control/daisypromotion/leader.go
+++ b/internal/control/daisypromotion/leader.go
@@ -101,14 +101,18 @@
 }
 
 // Announce records a server's announcement. It ignores one that is older than
-// the last one of the same server or of another server at the same address. A
-// server that started earlier at that address counts as departed.
+// the last one of the same server or of another server at the same address, but for
+// the news that the server is leaving. A server that started earlier at that address
+// counts as departed.
 func (l *Leader) Announce(now time.Time, a Announcement) {
 	if departed, ok := l.departed[a.ID]; ok && !a.Started.After(departed.Started) {
 		return
 	}
 	if known, ok := l.servers[a.ID]; ok {
 		if a.Started.Before(known.Started) || a.Started.Equal(known.Started) && a.Sequence <= known.Sequence {
+			// The clock of the server may have jumped back between two starts. If the
+			// announcement is a delayed one, the next one corrects this.
+			known.Leaving = known.Leaving || a.Leaving && a.Address == known.Address
 			return
 		}
 	}
--- a/internal/control/daisypromotion/leader_test.go
+++ b/internal/control/daisypromotion/leader_test.go
@@ -360,6 +360,9 @@
 		{"Restarted", []daisypromotion.Announcement{a("x", addr, 1, 9, true), a("x", addr, 2, 1, false)}, "", map[string]bool{"x": false}},
 		{"AddressReused", []daisypromotion.Announcement{a("x", addr, 1, 1, false), a("y", addr, 2, 1, false)}, "", map[string]bool{"y": false}},
 		{"DelayedAnnouncementOfReplacedServer", []daisypromotion.Announcement{a("y", addr, 2, 1, false), a("x", addr, 1, 1, false)}, "", map[string]bool{"y": false}},
+		{"LeavingAfterClockJumpedBack", []daisypromotion.Announcement{a("x", addr, 2, 1, false), a("x", addr, 1, 1, true)}, "", map[string]bool{"x": true}},
+		{"DelayedLeavingOfEarlierProcess", []daisypromotion.Announcement{a("x", addr, 2, 1, false), a("x", addr, 1, 9, true), a("x", addr, 2, 2, false)}, "", map[string]bool{"x": false}},
+		{"LeavingOfEarlierProcessElsewhere", []daisypromotion.Announcement{a("x", addr, 2, 1, false), a("x", other, 1, 9, true)}, "", map[string]bool{"x": false}},
 		{"Left", []daisypromotion.Announcement{a("x", addr, 1, 1, true)}, "x", map[string]bool{}},
 	}
 	for _, test := range tests {
--- a/internal/host/daisycontrolhost/calls.go
+++ b/internal/host/daisycontrolhost/calls.go
@@ -50,7 +50,7 @@
 	}
 	c.coordinator.Wake()
 	for {
-		if s, ok := c.view.Server(a.ID); !ok || s.Leaving || s.Started.After(a.Started) {
+		if s, ok := c.view.Server(a.ID); !ok || s.Leaving {
 			return c.confirm()
 		}
 		select {
