Name prepared statements by a hash without known collisions

Callers saw: of two sessions on one connection to a server the second ran the statement that the first had prepared (PINNED).

Cause: the name on the connection was the XXH64 hash of the definition, and two definitions with one hash are found in a fraction of a second.

--- a/internal/entry/daisyentry/batch.go
+++ b/internal/entry/daisyentry/batch.go
@@ -1,13 +1,14 @@
 package daisyentry
 
 import (
+	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
+	"io"
 	"regexp"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/daisyglade/daisyglade/internal/domain/daisystream"
@@ -112,13 +113,16 @@
 	return b.addSize(len(encoded))
 }
 
+// statementName returns the fleet-wide name of a statement. It is derived from a hash for which
+// nobody can find two definitions.
 func statementName(m *pgproto3.Parse) string {
-	h := xxhash.New()
-	_, _ = h.WriteString(m.Query)
+	const nameBytes = 16
+	h := sha256.New()
+	_, _ = io.WriteString(h, m.Query)
 	for _, oid := range m.ParameterOIDs {
 		_, _ = fmt.Fprintf(h, "\x00%d", oid)
 	}
-	return fmt.Sprintf("daisyglade_%s_%d", hex.EncodeToString(h.Sum(nil)), len(m.Query))
+	return fmt.Sprintf("daisyglade_%s_%d", hex.EncodeToString(h.Sum(nil)[:nameBytes]), len(m.Query))
 }
 
 // resolve returns the fleet-wide name of a statement and records that the
--- a/internal/holder/daisygateway/align.go
+++ b/internal/holder/daisygateway/align.go
@@ -1,10 +1,10 @@
 package daisygateway
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/daisyglade/daisyglade/internal/backend/daisypool"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyrequest"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
@@ -72,18 +72,14 @@
 
 // connectionName derives the name of a prepared statement on a connection from a
 // hash of its definition. Sessions that prepare the same statement share it, and
-// equal names of different sessions do not collide.
+// equal names of different sessions do not collide. Nobody can find two definitions with
+// the same hash, as with one that is not cryptographic.
 func connectionName(st daisystatement.Statement) string {
-	const digits = "0123456789abcdefghijklmnopqrstuv"
-	text := "w" + st.Shape
+	const nameBytes = 16
+	kind := "w"
 	if st.ReadOnly {
-		text = "r" + st.Shape
-	}
-	sum := xxhash.Sum64String(text)
-	name := []byte{'p'}
-	for range 13 {
-		name = append(name, digits[sum&31])
-		sum >>= 5
+		kind = "r"
 	}
-	return string(name)
+	sum := sha256.Sum256([]byte(kind + st.Shape))
+	return "p" + hex.EncodeToString(sum[:nameBytes])
 }
--- a/internal/session/daisysession/session_test.go
+++ b/internal/session/daisysession/session_test.go
@@ -168,24 +168,38 @@
 	})
 }
 
-// Two sessions may prepare different statements under the same name.
+// Two sessions may prepare different statements under the same name. Guards against one that
+// runs the definition of the other since both have the same hash (review/shape).
 func TestPreparedNamesArePerSession(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t)
-		defer f.close()
-		a, b := f.session("strict"), f.session("strict")
-		prepare := func(shape string) daisystatement.Statement {
-			return daisystatement.Statement{ID: "p", Kind: daisystatement.KindPrepare, Name: "s1", Shape: shape, ReadOnly: true}
-		}
-		do(a, prepare("first"))
-		do(b, prepare("second"))
-		execute := daisystatement.Statement{ID: "e", Kind: daisystatement.KindExecute, Name: "s1", Arguments: "1"}
-		do(a, execute)
-		do(b, execute)
-		runs := f.servers["m1"].ran(daisystatement.KindExecute)
-		assert.Equal(t, runs[0].text, "first")
-		assert.Equal(t, runs[1].text, "second")
-	})
+	tests := []struct {
+		name          string
+		first, second string
+		readOnly      bool
+	}{
+		{"Read", "first", "second", true},
+		{"Write", "first", "second", false},
+		{"EqualXXH64", "VcpN6CUswYsPA3S", "UHBfCXh4l8CBUDB", false}, // Of writes, "w" and the shape.
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFleet(t)
+				defer f.close()
+				a, b := f.session("strict"), f.session("strict")
+				prepare := func(shape string) daisystatement.Statement {
+					return daisystatement.Statement{ID: "p", Kind: daisystatement.KindPrepare, Name: "s1", Shape: shape, ReadOnly: test.readOnly}
+				}
+				do(a, prepare(test.first))
+				do(b, prepare(test.second))
+				execute := daisystatement.Statement{ID: "e", Kind: daisystatement.KindExecute, Name: "s1", Arguments: "1"}
+				do(a, execute)
+				do(b, execute)
+				runs := f.servers["m1"].ran(daisystatement.KindExecute)
+				assert.Equal(t, runs[0].text, test.first)
+				assert.Equal(t, runs[1].text, test.second)
+			})
+		})
+	}
 }
 
 // Withdrawing a key ends the sessions that use it.
