Abort a transaction whose key is withdrawn

Callers saw: statements and the COMMIT of a transaction that was open when its key was withdrawn ran up to 6.3 s after the confirmation (CONFIG).

Cause: keys were looked at when an operation began only.

Each statement of a transaction, and its COMMIT, looks at the key. If it is no longer that of the workspace, the transaction is aborted and nothing is kept. A change of the route still applies from the next transaction on.

--- a/internal/session/daisysession/session.go
+++ b/internal/session/daisysession/session.go
@@ -96,6 +96,17 @@
 	return p, nil
 }
 
+// ownsKey reports whether the session's key is still that of its workspace. It is while no
+// desired state is known.
+func (s *Session) ownsKey() bool {
+	index := s.env.Index()
+	if index == nil {
+		return true
+	}
+	w, ok := index.Owner(s.key)
+	return ok && w.Name == s.workspace
+}
+
 func failure(c daisystatement.Code, text string) *daisystatement.Failure {
 	return &daisystatement.Failure{Code: c, Text: text}
 }
--- a/internal/session/daisysession/session_test.go
+++ b/internal/session/daisysession/session_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/daisyglade/daisyglade/internal/config/daisyspec"
 	"github.com/daisyglade/daisyglade/internal/domain/daisyfleet"
 	"github.com/daisyglade/daisyglade/internal/domain/daisystatement"
 )
@@ -264,3 +265,42 @@
 		})
 	}
 }
+
+// Guards against statements and commits of a transaction that was open when its key was
+// withdrawn (review/revoked). A change of the route applies from the next transaction on.
+func TestWithdrawnKeyAbortsTransaction(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fleet)
+		code   daisystatement.Code // Of the next statement, and of the commit if that is the next one.
+	}{
+		{"Nothing", func(*fleet) {}, daisystatement.CodeNone},
+		{"KeyAdded", func(f *fleet) { f.setKeys(keyText, "other") }, daisystatement.CodeNone},
+		{"KeyWithdrawn", func(f *fleet) { f.setKeys("other") }, daisystatement.CodeAborted},
+		{"RouteRemoved", func(f *fleet) {
+			f.profiles = nil
+			f.setKeys(keyText)
+		}, daisystatement.CodeNone},
+	}
+	for _, test := range tests {
+		for _, next := range []daisystatement.Kind{daisystatement.KindWrite, daisystatement.KindCommit} {
+			t.Run(test.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(t)
+					defer f.close()
+					f.addProfile(daisyspec.Profile{Name: "p", Database: "p", Service: serviceName, Timeout: time.Second, Latency: time.Second})
+					s := f.session("p")
+					assert.Equal(t, code(do(s, statement(daisystatement.KindBegin, "b"))), daisystatement.CodeNone)
+					assert.Equal(t, code(do(s, statement(daisystatement.KindWrite, "w"))), daisystatement.CodeNone)
+					before := len(f.servers["m1"].ran(next))
+					test.change(f)
+					assert.Equal(t, code(do(s, statement(next, "next"))), test.code)
+					if test.code != daisystatement.CodeNone {
+						assert.Equal(t, len(f.servers["m1"].ran(next)), before)
+						assert.Equal(t, f.servers["m1"].commits, 0)
+					}
+				})
+			})
+		}
+	}
+}
--- a/internal/session/daisysession/transaction.go
+++ b/internal/session/daisysession/transaction.go
@@ -94,9 +94,12 @@
 	return a
 }
 
-// ensureOpen begins the transaction on a server if it has not been begun, and
-// aborts it if it may write and its primary no longer leads.
+// ensureOpen begins the transaction on a server if it has not been begun. It aborts it if its
+// key was withdrawn, or if it may write and its primary no longer leads.
 func (t *transaction) ensureOpen(deadline time.Time) (refused daisystatement.Answer, ok bool) {
+	if !t.profile.Public && !t.session.ownsKey() {
+		return t.abort("the key was withdrawn"), false
+	}
 	if t.conn == nil {
 		if a, ok := t.open(deadline.Add(-t.profile.Timeout / executionDivisor)); !ok {
 			return a, false
