--- a/internal/control/daisylog/retire.go
+++ b/internal/control/daisylog/retire.go
@@ -9,8 +9,8 @@
 // waits for a vote because there are maxVoters of them. Else the replica keeps its vote, for
 // the next process. It must be called again, after some time, until it returns true.
 //
-// The learner becomes a voter before the vote of this replica ends, so that there are never
-// fewer voters than maxVoters of which each runs.
+// The learner becomes a voter before this replica, which runs until then, is removed: the
+// running voters are never fewer than maxVoters for that.
 func (r *Replica) Retire(now time.Time) (done bool) {
 	r.retiring = true
 	switch {
--- a/internal/control/daisypromotion/candidate.go
+++ b/internal/control/daisypromotion/candidate.go
@@ -51,12 +51,12 @@
 }
 
 // complete reports whether a log that ends at the position has every acknowledged write, if
-// each was acknowledged once syncReplicas replicas had received it. It has if it is as long
-// as the previous primary's, or as the longest of the replicas that answered, of which one
-// has the write unless syncReplicas replicas did not answer.
+// each was acknowledged once syncReplicas replicas had received it. That is so if the log is
+// as long as that of the previous primary, or as the longest of the replicas that answered
+// while fewer than syncReplicas did not: then one of those that answered has any such write.
 //
-// With syncReplicas 0 a write may be on the previous primary only. Then it reports whether
-// the log is as long as the longest that a replica which may be promoted has.
+// With syncReplicas 0 a write may be on the previous primary only. Then complete reports
+// whether the log is as long as the longest among the candidates, but for that primary.
 func (a answers) complete(p daisystatement.Position, syncReplicas int, candidates []member) bool {
 	if syncReplicas == 0 {
 		return !slices.ContainsFunc(candidates, func(m member) bool {
@@ -78,7 +78,7 @@
 // It prefers a server that stays, outside the evacuated failure domains. If that one may
 // lack an acknowledged write, one that has all leads first; it is replaced in turn once
 // the others have caught up.
-func (l *Leader) chooseCandidate(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership, ongoing *succession) (best member, ok bool) {
+func (l *Leader) chooseCandidate(now time.Time, s *daisyfleet.State, service string, leadership daisyfleet.Leadership, ongoing *succession) (member, bool) {
 	all := members(s, service)
 	a := l.gather(now, all, leadership.Previous, ongoing)
 	a.silent += l.countAbsent(service, all)
@@ -94,24 +94,20 @@
 		return member{}, false
 	}
 	n := l.syncReplicasOf(service)
-	best = candidates[0]
-	catchesUp := a.previous.name != "" && waited < catchUpTimeout
-	switch {
-	case best.name == leadership.Previous:
-	case catchesUp && best.received.Compare(a.previous.received) < 0:
+	best := candidates[0]
+	mayCatchUp := a.previous.name != "" && waited < catchUpTimeout
+	if mayCatchUp && best.name != leadership.Previous && best.received.Compare(a.previous.received) < 0 {
 		return member{}, false
 	}
-	if a.complete(best.received, n, candidates) {
-		return best, true
-	}
-	if catchesUp {
+	if mayCatchUp && !a.complete(best.received, n, candidates) {
 		return member{}, false
 	}
-	candidates = slices.DeleteFunc(candidates, func(m member) bool { return !a.complete(m.received, n, candidates) })
-	if len(candidates) == 0 {
-		return member{}, false
+	for _, m := range candidates {
+		if a.complete(m.received, n, candidates) {
+			return m, true
+		}
 	}
-	return candidates[0], true
+	return member{}, false
 }
 
 // candidates returns the servers that answered and may be promoted, sorted by
--- a/internal/control/daisypromotion/coverage.go
+++ b/internal/control/daisypromotion/coverage.go
@@ -11,9 +11,9 @@
 // to catch up.
 const coverageInterval = 500 * time.Millisecond
 
-// coverage tells which acknowledged writes of a service fewer of its servers may have than its
-// synchronous replicas: those that replicas which are gone had received, and those that were
-// acknowledged when there were fewer synchronous replicas. It ends once enough replicas have
+// coverage tells why too few of a service's listed replicas may have an acknowledged write:
+// replicas that had received it are gone, or it was acknowledged when there were fewer
+// synchronous replicas. Either reason ends once as many replicas as are synchronous have
 // received what the primary has had since.
 type coverage struct {
 	absent   map[string]*absence // By server.
@@ -52,9 +52,9 @@
 	return c
 }
 
-// noteAbsence records that a server is gone or silent. It returns true once the server may be
-// forgotten: it is no replica with synchronous writes, or enough others have received what it
-// may have.
+// noteAbsence records that a server is gone or silent. It returns true if the server may be
+// forgotten: its service has no synchronous replicas, it is the primary, or enough others have
+// received what it may have.
 func (l *Leader) noteAbsence(now time.Time, s *daisyfleet.State, id string, v daisyfleet.Server) (ended bool) {
 	if l.syncReplicas[v.Service] == 0 {
 		return true
