Wait for a slow learner when a vote is handed over

Cause: with syncs that take seconds the host that stops ended after 1.5 s with its vote; or the leader told it to, since a learner that had not answered for 0.75 s, or not yet to a leader that had just been elected, counted as nobody.

The host waits for 4 s, of the 6 s that it has, and a learner counts as away after 2 s, from the election of the leader at the earliest. It gets the vote only while it answers.

--- a/internal/cluster/daisyconsensus/node.go
+++ b/internal/cluster/daisyconsensus/node.go
@@ -31,9 +31,9 @@
 	failureLogInterval = 10 * time.Second
 	// hangInterval is the time after which a disk that does not answer is logged.
 	hangInterval = time.Second
-	// retireTimeout bounds the time that Retire takes: an election, and two changes of the
-	// configuration between distant hosts.
-	retireTimeout = 1500 * time.Millisecond
+	// retireTimeout bounds the time that Retire takes. It allows an election and slow syncs of
+	// two changes of the configuration, and leaves two of the 6 s in which users end a process.
+	retireTimeout = 4 * time.Second
 	// retireInterval is the time between two steps of Retire: two round trips between hosts
 	// of a region, and a sync.
 	retireInterval = 20 * time.Millisecond
--- a/internal/cluster/daisyconsensus/retire_test.go
+++ b/internal/cluster/daisyconsensus/retire_test.go
@@ -48,6 +48,20 @@
 			time.Sleep(daisylog.ElectionMax)
 			return leader
 		}},
+		{"RightAfterElection", func(t *testing.T, c *cluster, leader, follower int) int {
+			add(t, c)
+			c.setCut(leader, true)
+			for c.leader() < 0 || c.leader() == leader {
+				time.Sleep(time.Millisecond)
+			}
+			if follower == c.leader() {
+				follower = (follower + 1) % size
+			}
+			assert.Assert(t, c.stop(t, follower) < handOver)
+			c.setCut(leader, false)
+			time.Sleep(catchUp)
+			return follower
+		}},
 		{"WithoutStop", func(t *testing.T, c *cluster, _, follower int) int {
 			add(t, c)
 			c.setCut(follower, true)
--- a/internal/control/daisylog/configuration.go
+++ b/internal/control/daisylog/configuration.go
@@ -145,13 +145,19 @@
 		if !peer.Voting || p == nil {
 			continue
 		}
-		lastAck := p.lastAck
-		if lastAck.Before(r.leaderSince) {
-			lastAck = r.leaderSince
-		}
+		lastAck := r.lastHeard(p)
 		if now.Sub(lastAck) >= VoterReplaceTimeout && (longest < 0 || lastAck.Before(oldest)) {
 			longest, oldest = i, lastAck
 		}
 	}
 	return longest
 }
+
+// lastHeard returns when the replica last answered the leader, or when this leader was
+// elected if that is later.
+func (r *Replica) lastHeard(p *progress) time.Time {
+	if p.lastAck.Before(r.leaderSince) {
+		return r.leaderSince
+	}
+	return p.lastAck
+}
--- a/internal/control/daisylog/retire.go
+++ b/internal/control/daisylog/retire.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// learnerAwayTimeout is how long a learner must be silent before nobody waits for it. It is
+// longer than an election and a slow sync of a disk.
+const learnerAwayTimeout = 2 * time.Second
+
 // Retire prepares the replica for the end of its process: its vote goes to a learner, if one
 // waits for a vote because there are maxVoters of them. Else the replica keeps its vote, for
 // the next process. It must be called again, after some time, until it returns true.
@@ -67,16 +71,16 @@
 }
 
 // addWaitingVoter makes a learner a voter that answers and has caught up. It reports whether
-// there is a learner that answers.
+// there is a learner that answers, or may answer yet.
 func (r *Replica) addWaitingVoter(now time.Time) (waits bool) {
 	peers := slices.Clone(r.configuration)
 	for i, peer := range peers {
 		p := r.progress[peer.Replica]
-		if peer.Voting || p == nil || now.Sub(p.lastAck) > ElectionMax {
+		if peer.Voting || p == nil || now.Sub(r.lastHeard(p)) > learnerAwayTimeout {
 			continue
 		}
 		waits = true
-		if p.match >= r.commit {
+		if p.match >= r.commit && now.Sub(p.lastAck) <= ElectionMax {
 			peers[i].Voting = true
 			_ = r.ChangeConfiguration(now, peers) // On error, the next message tries again.
 			break
--- a/internal/control/daisylog/retire_test.go
+++ b/internal/control/daisylog/retire_test.go
@@ -97,6 +97,64 @@
 	}
 }
 
+// retire has the member stop within the time, in steps, and reports whether it may end.
+func (c *cluster) retire(m *member, within time.Duration) bool {
+	const step = 10 * time.Millisecond
+	for end := c.now.Add(within); c.now.Before(end); c.advance(step, 0) {
+		if m.replica.Retire(c.now) {
+			return true
+		}
+		c.process(m)
+	}
+	return false
+}
+
+// Guards against a voter that ends with its vote since the learner that takes it over answers
+// late, as with a slow disk, or was not heard yet by a leader that has just been elected.
+func TestStopAwaitsSlowLearner(t *testing.T) {
+	tests := []struct {
+		name      string
+		silent    time.Duration // How long the learner has been silent.
+		awaited   bool
+		newLeader bool
+	}{
+		{"Answers", 0, true, false},
+		{"Slow", time.Second, true, false},
+		{"SlowAndNewLeader", time.Second, true, true},
+		{"Away", 4 * time.Second, false, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newLimitedCluster(t, 1)
+			successor := c.addMember()
+			c.advance(4*time.Second, 0)
+			if test.silent > 0 {
+				c.isolate(successor, false)
+				c.advance(test.silent, 0)
+			}
+			if test.newLeader {
+				c.leader().replica.Resign(c.now)
+				c.advance(500*time.Millisecond, 0)
+			}
+			gone := c.members[0]
+			if gone == c.leader() {
+				gone = c.members[1]
+			}
+			if test.silent > 0 {
+				assert.Equal(t, c.retire(gone, 500*time.Millisecond), !test.awaited)
+				c.heal()
+			}
+			assert.Assert(t, c.retire(gone, time.Second))
+			voting := false
+			for _, p := range c.leader().replica.Configuration() {
+				voting = voting || p.Voting && p.Replica == successor.replica.ID()
+			}
+			assert.Equal(t, voting, test.awaited)
+			assert.Equal(t, c.voters(), 5)
+		})
+	}
+}
+
 // Guards against votes that are given up by restarts: after all voters have stopped and come back
 // with their disks, one after the other, two disks may go.
 func TestRestartsKeepVotes(t *testing.T) {
