--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -11,6 +11,7 @@
 var cases = []played{
 	{name: "departed-replica", syncReplicas: 1, controls: 5, entries: 3, play: playDepartedReplica},
 	{name: "reborn-replica", syncReplicas: 1, controls: 5, entries: 3, play: playRebornReplica},
+	{name: "restarted-replica", syncReplicas: 1, controls: 5, entries: 3, play: playRestartedReplica},
 	{name: "open-transaction", syncReplicas: 0, controls: 5, entries: 3, play: playOpenTransaction},
 }
 
@@ -178,12 +179,7 @@
 		return nil, errWrites
 	}
 	if s.trouble {
-		reborn.stop()
-		time.Sleep(rebirthTime)
-		s.group.mu.Lock()
-		reborn.log, reborn.copyInterval = nil, copyInterval
-		s.group.mu.Unlock()
-		if err := reborn.start(s.controlAddresses()); err != nil {
+		if err := s.restartEmpty(reborn); err != nil {
 			return nil, err
 		}
 		time.Sleep(copyTime)
@@ -192,6 +188,50 @@
 	return s.settle(), nil
 }
 
+// playRestartedReplica restarts a synchronous replica as planned, which then holds nothing. The
+// trouble is that the other replica receives nothing for a while, and that the primary crashes
+// meanwhile.
+func playRestartedReplica(s *stage) (broken []string, err error) {
+	primary, restarted, deaf := s.members[0], s.members[1], s.members[2]
+	if s.store(40, "before") == 0 {
+		return nil, errWrites
+	}
+	if !restarted.drain() {
+		return nil, errConfirm
+	}
+	s.record.note("server %s is draining", restarted.id)
+	time.Sleep(drainTime)
+	if s.trouble {
+		s.makeDeaf(deaf)
+	}
+	if s.store(40, "during") == 0 {
+		return nil, errWrites
+	}
+	if !restarted.leave() {
+		return nil, errConfirm
+	}
+	s.record.note("the end of server %s is confirmed", restarted.id)
+	if err := s.restartEmpty(restarted); err != nil {
+		return nil, err
+	}
+	time.Sleep(copyTime)
+	if s.trouble {
+		s.crash(primary, crashTime)
+	}
+	return s.settle(), nil
+}
+
+// restartEmpty starts a server again under its ID without its log, which it copies from the
+// primary.
+func (s *stage) restartEmpty(m *member) error {
+	m.stop()
+	time.Sleep(rebirthTime)
+	s.group.mu.Lock()
+	m.log, m.copyInterval = nil, copyInterval
+	s.group.mu.Unlock()
+	return m.start(s.controlAddresses())
+}
+
 // The times of the statements of an open transaction after SIGTERM. No pause reaches
 // txIdleMs, and the last statement is sent in the second half of the grace period.
 const (
