--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -13,6 +13,7 @@
 	{name: "reborn-replica", syncReplicas: 1, controls: 5, entries: 3, play: playRebornReplica},
 	{name: "restarted-replica", syncReplicas: 1, controls: 5, entries: 3, play: playRestartedReplica},
 	{name: "open-transaction", syncReplicas: 0, controls: 5, entries: 3, play: playOpenTransaction},
+	{name: "long-answer", syncReplicas: 0, controls: 5, entries: 3, play: playLongAnswer},
 }
 
 const (
--- a/review/standin-3/member.go
+++ b/review/standin-3/member.go
@@ -323,6 +323,9 @@
 		g.mu.Lock()
 		rows := m.rows(rest, c.tx)
 		g.mu.Unlock()
+		if rest == manyItem {
+			return strings.Repeat("DATAROW "+strings.Repeat("x", longRowBytes)+lineEnd, longRows) + signature, true
+		}
 		for _, row := range rows {
 			content += "DATAROW " + row + lineEnd
 		}
