Start no process once a case of the third review has ended

A restart that was under way when a case ended could leave a process behind, as seen in programs outside the repository that use the same code.

--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -60,10 +60,13 @@
 	controls []*machine
 	entries  []*machine
 
-	mu   sync.Mutex
-	held map[*machine]bool // Machines whose end is the case's own doing.
+	mu     sync.Mutex
+	held   map[*machine]bool // Machines whose end is the case's own doing.
+	closed bool              // No process is started any more.
 }
 
+var errClosed = errors.New("the case has ended")
+
 // freeNetwork returns the first three numbers of loopback addresses of which the ports are
 // free.
 func freeNetwork() (string, error) {
@@ -123,8 +126,11 @@
 	return nil
 }
 
-// close kills all processes.
+// close kills all processes, after which none is started.
 func (f *fleet) close() {
+	f.mu.Lock()
+	f.closed = true
+	f.mu.Unlock()
 	for _, m := range f.machines() {
 		m.end(syscall.SIGKILL)
 	}
@@ -174,15 +180,18 @@
 	c := exec.CommandContext(context.Background(), program, m.role)
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "DAISYGLADE_NODE_FILE=" + path}
 	c.Stdout, c.Stderr = output, output
+	f := m.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return errClosed
+	}
 	if err := c.Start(); err != nil {
 		return err
 	}
 	ended := make(chan struct{})
 	m.command, m.ended, m.bootstrap = c, ended, false
-	f := m.fleet
-	f.mu.Lock()
 	f.held[m] = false
-	f.mu.Unlock()
 	go func() {
 		_ = c.Wait()
 		f.mu.Lock()
